--- /dev/null
+++ b/core/src/main/java/org/gullsaddle/agent/Admission.java
@@ -0,0 +1,377 @@
+package org.gullsaddle.agent;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.gullsaddle.base.AttemptId;
+import org.gullsaddle.base.Completion;
+import org.gullsaddle.base.Dispatch;
+import org.gullsaddle.base.LoadReport;
+import org.gullsaddle.base.ModelVersion;
+import org.gullsaddle.base.Refusal;
+import org.gullsaddle.base.RefusalReason;
+import org.gullsaddle.base.Usage;
+import org.gullsaddle.base.Verdict;
+import org.gullsaddle.clock.Moment;
+import org.gullsaddle.ledger.AttemptLine;
+import org.gullsaddle.template.Template;
+import org.gullsaddle.template.TemplateBook;
+import org.gullsaddle.template.TemplateRevision;
+
+/**
+ * Decides what one backend server is given. Single-threaded: hand it one event at a time,
+ * with the time, and carry out the actions it returns in their order.
+ *
+ * <pre>
+ * Admission admission = new Admission(AdmissionSettings.of(id));
+ * for (AdmissionAction action : admission.handle(moment, event)) {
+ *     carryOut(action);
+ * }
+ * </pre>
+ */
+public final class Admission {
+
+	private static final String CRASHED = "backend-crashed";
+
+	private static final int MAX_REMEMBERED = 20_000;
+
+	private static final double SMOOTHING = 0.1;
+
+	private static final long COME_BACK_MILLIS = 1000;
+
+	private final AdmissionSettings settings;
+
+	private final TemplateBook templates = new TemplateBook();
+
+	private final FairQueue queue = new FairQueue();
+
+	private final Map<AttemptId, Work> running = new LinkedHashMap<>();
+
+	/**
+	 * A frame that arrives twice, after a link was cut and dialed again, must not run
+	 * twice; entries number attempts anew, so that remembering recent ones is enough.
+	 */
+	private final Map<AttemptId, Boolean> seen = new LinkedHashMap<>() {
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<AttemptId, Boolean> eldest) {
+			return size() > MAX_REMEMBERED;
+		}
+	};
+
+	private final List<AdmissionAction> actions = new ArrayList<>();
+
+	private Set<ModelVersion> versions = Set.of();
+
+	private int slots = 1;
+
+	private boolean up;
+
+	private boolean draining;
+
+	private boolean drained;
+
+	private double meanMillis;
+
+	private long arrivals;
+
+	/**
+	 * Makes an admission for a backend server that is not up yet.
+	 * @param settings the settings
+	 */
+	public Admission(AdmissionSettings settings) {
+		this.settings = settings;
+		this.meanMillis = settings.expectedMillis();
+	}
+
+	/**
+	 * Decides on an event.
+	 * @param now when it happened
+	 * @param event the event
+	 * @return what to do, in order
+	 */
+	public List<AdmissionAction> handle(Moment now, AdmissionEvent event) {
+		switch (event) {
+			case AdmissionEvent.Dispatched dispatched -> dispatched(now, dispatched);
+			case AdmissionEvent.Cancelled cancelled -> cancelled(cancelled.attempt());
+			case AdmissionEvent.EntryDown down -> entryDown(down);
+			case AdmissionEvent.BackendChunk chunk -> chunk(chunk);
+			case AdmissionEvent.BackendDone done -> done(now, done);
+			case AdmissionEvent.BackendFailed failed -> failed(now, failed);
+			case AdmissionEvent.BackendUp backend -> backendUp(now, backend);
+			case AdmissionEvent.BackendDown down -> backendDown();
+			case AdmissionEvent.TemplateChanged changed -> this.templates.apply(changed.revision());
+			case AdmissionEvent.DrainStarted drain -> drain();
+			case AdmissionEvent.Tick tick -> startNext(now);
+		}
+		noteDrained();
+		List<AdmissionAction> decided = List.copyOf(this.actions);
+		this.actions.clear();
+		return decided;
+	}
+
+	/**
+	 * Returns the load to report.
+	 * @return what runs and waits here, and how much may run
+	 */
+	public LoadReport load() {
+		return new LoadReport(this.running.size(), this.queue.size(), this.slots);
+	}
+
+	/**
+	 * Returns the versions to announce.
+	 * @return the versions loaded, or none while the backend server is down
+	 */
+	public Set<ModelVersion> versions() {
+		return this.up ? this.versions : Set.of();
+	}
+
+	/**
+	 * Returns the revisions in force here.
+	 * @return the templates
+	 */
+	public TemplateBook templates() {
+		return this.templates;
+	}
+
+	/**
+	 * Says whether new work is refused because the backend server is leaving.
+	 * @return true once draining
+	 */
+	public boolean draining() {
+		return this.draining;
+	}
+
+	private void dispatched(Moment now, AdmissionEvent.Dispatched event) {
+		AttemptId attempt = event.dispatch().attempt();
+		if (this.seen.putIfAbsent(attempt, Boolean.TRUE) != null) {
+			return;
+		}
+		Work work = new Work(event.entry(), event.dispatch(), event.deadline(), this.arrivals);
+		this.arrivals++;
+		Optional<Refusal> refusal = check(now, work);
+		if (refusal.isEmpty()) {
+			refusal = checkRoom(now, work);
+		}
+		if (refusal.isPresent()) {
+			refuse(work, refusal.get());
+			return;
+		}
+		this.queue.add(work);
+		this.actions.add(new AdmissionAction.Accept(work.entry(), attempt, this.queue.ahead(work)));
+		startNext(now);
+	}
+
+	/**
+	 * Checks what can change while an attempt waits; asked again when it is to start.
+	 */
+	private Optional<Refusal> check(Moment now, Work work) {
+		Dispatch dispatch = work.dispatch();
+		if (this.draining) {
+			return Optional.of(Refusal.notRun(RefusalReason.LEAVING, COME_BACK_MILLIS));
+		}
+		if (!this.up || !this.versions.contains(dispatch.version())) {
+			return Optional.of(Refusal.notRun(RefusalReason.NO_VERSION, COME_BACK_MILLIS));
+		}
+		if (!permitted(dispatch)) {
+			return Optional.of(Refusal.notRun(RefusalReason.FORBIDDEN, COME_BACK_MILLIS));
+		}
+		if (now.millis() >= work.deadline()) {
+			return Optional.of(Refusal.notRun(RefusalReason.DEADLINE, COME_BACK_MILLIS));
+		}
+		return Optional.empty();
+	}
+
+	/**
+	 * Checks a dispatch against this node's own templates.
+	 * <p>
+	 * An entry that is cut off or slow decides under an old revision and sends work to a
+	 * version withdrawn since. The agent's own revision stops it here, where it would
+	 * run. An agent that does not know the revision yet, after a restart, cannot tell,
+	 * and refuses too; the entry sends the revision ahead of the work.
+	 */
+	private boolean permitted(Dispatch dispatch) {
+		TemplateRevision held = this.templates.get(dispatch.template()).orElse(null);
+		if (held == null || held.revision() < dispatch.revision()) {
+			return false;
+		}
+		Template template = held.template();
+		return template.allows(dispatch.team(), dispatch.version(), dispatch.pinned());
+	}
+
+	private Optional<Refusal> checkRoom(Moment now, Work work) {
+		if (this.queue.size() >= this.settings.maxQueued()) {
+			return Optional.of(Refusal.notRun(RefusalReason.OVERLOADED, waitMillis(this.queue.size())));
+		}
+		this.queue.tag(work);
+		long wait = waitMillis(this.queue.ahead(work));
+		if (this.running.size() >= this.slots && now.millis() + wait >= work.deadline()) {
+			return Optional.of(Refusal.notRun(RefusalReason.OVERLOADED, wait));
+		}
+		return Optional.empty();
+	}
+
+	private long waitMillis(int ahead) {
+		return Math.max(COME_BACK_MILLIS / 2, Math.round((ahead + 1) * this.meanMillis / this.slots));
+	}
+
+	private void startNext(Moment now) {
+		while (true) {
+			Work next = this.queue.peek().orElse(null);
+			if (next == null) {
+				return;
+			}
+			Optional<Refusal> refusal = check(now, next);
+			if (refusal.isPresent()) {
+				this.queue.take();
+				refuse(next, refusal.get());
+			}
+			else if (hasSlot(next)) {
+				this.queue.take();
+				start(now, next);
+			}
+			else {
+				return;
+			}
+		}
+	}
+
+	/**
+	 * Says whether an attempt may start beside what runs. One that is suspected of
+	 * crashing its backend server waits until it can be alone, and nothing starts beside
+	 * it, so that another crash takes no bystander with it.
+	 */
+	private boolean hasSlot(Work work) {
+		if (this.running.isEmpty()) {
+			return true;
+		}
+		boolean suspectRuns = this.running.values().stream().anyMatch((other) -> other.dispatch().alone());
+		return !suspectRuns && !work.dispatch().alone() && this.running.size() < this.slots;
+	}
+
+	private void start(Moment now, Work work) {
+		work.start(now.millis(), now.stamp());
+		this.running.put(work.attempt(), work);
+		this.actions.add(new AdmissionAction.Start(work.dispatch(), work.deadline()));
+	}
+
+	private void refuse(Work work, Refusal refusal) {
+		this.actions.add(new AdmissionAction.Refuse(work.entry(), work.attempt(), refusal));
+	}
+
+	private void cancelled(AttemptId attempt) {
+		Optional<Work> waiting = this.queue.remove(attempt);
+		if (waiting.isPresent()) {
+			refuse(waiting.get(), Refusal.notRun(RefusalReason.CALLER_GONE, 0));
+		}
+		else if (this.running.containsKey(attempt)) {
+			this.running.get(attempt).cancel();
+			this.actions.add(new AdmissionAction.Abort(attempt));
+		}
+		else {
+			// Whatever arrives later under this id, on a slow path, must not run.
+			this.seen.put(attempt, Boolean.TRUE);
+		}
+	}
+
+	private void entryDown(AdmissionEvent.EntryDown event) {
+		this.queue.removeIf((work) -> work.entry().equals(event.entry()));
+		for (Work work : this.running.values()) {
+			if (work.entry().equals(event.entry()) && !work.orphaned()) {
+				work.orphan();
+				// A call that may not be repeated goes on: stopping it half-way helps
+				// nobody.
+				if (work.dispatch().repeatable()) {
+					this.actions.add(new AdmissionAction.Abort(work.attempt()));
+				}
+			}
+		}
+	}
+
+	private void chunk(AdmissionEvent.BackendChunk event) {
+		Work work = this.running.get(event.attempt());
+		if (work != null) {
+			this.actions.add(new AdmissionAction.SendChunk(work.entry(), event.attempt(), work.length(), event.text()));
+			work.grow(event.text().length());
+		}
+	}
+
+	private void done(Moment now, AdmissionEvent.BackendDone event) {
+		Work work = this.running.remove(event.attempt());
+		if (work == null) {
+			return;
+		}
+		this.meanMillis += SMOOTHING * (now.millis() - work.startMillis() - this.meanMillis);
+		Completion completion = event.completion();
+		hold(now, work, Verdict.RAN, "done", completion.usage());
+		this.actions.add(new AdmissionAction.SendDone(work.entry(), event.attempt(), completion, work.length()));
+		startNext(now);
+	}
+
+	private void failed(Moment now, AdmissionEvent.BackendFailed event) {
+		Work work = this.running.remove(event.attempt());
+		if (work == null) {
+			return;
+		}
+		if (event.verdict() != Verdict.NOT_RUN) {
+			hold(now, work, event.verdict(), event.crashed() ? CRASHED : "backend-failed", event.usage());
+		}
+		this.actions.add(new AdmissionAction.SendFailed(work.entry(), event.attempt(), event.verdict(), event.crashed(),
+				event.usage()));
+		startNext(now);
+	}
+
+	private void hold(Moment now, Work work, Verdict verdict, String outcome, Usage usage) {
+		Dispatch dispatch = work.dispatch();
+		// What a caller stopped it pays for as far as it ran; a backend server's fault is
+		// free.
+		boolean billed = verdict == Verdict.RAN || (work.cancelled() && !outcome.equals(CRASHED));
+		long cost = billed ? cost(dispatch, usage) : 0;
+		AttemptLine line = new AttemptLine(work.attempt(), dispatch.version(), this.settings.id(), dispatch.revision(),
+				verdict, outcome, usage, cost, work.startStamp(), now.stamp());
+		this.actions.add(new AdmissionAction.Hold(work.entry(), dispatch, line));
+	}
+
+	private long cost(Dispatch dispatch, Usage usage) {
+		return this.templates.get(dispatch.template())
+			.flatMap((revision) -> revision.template().rule(dispatch.version()))
+			.map((rule) -> rule.price().of(usage))
+			.orElse(0L);
+	}
+
+	private void backendUp(Moment now, AdmissionEvent.BackendUp event) {
+		this.up = true;
+		this.versions = Set.copyOf(event.versions());
+		this.slots = event.slots();
+		startNext(now);
+	}
+
+	private void backendDown() {
+		this.up = false;
+		for (Work work : this.queue.removeIf((waiting) -> true)) {
+			refuse(work, Refusal.notRun(RefusalReason.NO_VERSION, COME_BACK_MILLIS));
+		}
+	}
+
+	private void drain() {
+		if (this.draining) {
+			return;
+		}
+		this.draining = true;
+		this.actions.add(new AdmissionAction.AnnounceLeaving());
+		for (Work work : this.queue.removeIf((waiting) -> true)) {
+			refuse(work, Refusal.notRun(RefusalReason.LEAVING, COME_BACK_MILLIS));
+		}
+	}
+
+	private void noteDrained() {
+		if (this.draining && !this.drained && this.running.isEmpty()) {
+			this.drained = true;
+			this.actions.add(new AdmissionAction.Drained());
+		}
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/gullsaddle/agent/AdmissionSettings.java
@@ -0,0 +1,35 @@
+package org.gullsaddle.agent;
+
+import org.gullsaddle.base.Check;
+import org.gullsaddle.base.NodeId;
+
+/**
+ * What {@link Admission} is tuned by.
+ *
+ * @param id the agent
+ * @param maxQueued how many attempts may wait
+ * @param expectedMillis how long an attempt is taken to run before any has, in
+ * milliseconds
+ */
+public record AdmissionSettings(NodeId id, int maxQueued, long expectedMillis) {
+
+	private static final int DEFAULT_MAX_QUEUED = 200;
+
+	private static final long DEFAULT_EXPECTED_MILLIS = 1000;
+
+	public AdmissionSettings {
+		Check.notNull(id, "id");
+		Check.that(maxQueued >= 0, "maxQueued must not be negative");
+		Check.that(expectedMillis > 0, "expectedMillis must be positive");
+	}
+
+	/**
+	 * Returns the defaults for an agent.
+	 * @param id the agent
+	 * @return the settings
+	 */
+	public static AdmissionSettings of(NodeId id) {
+		return new AdmissionSettings(id, DEFAULT_MAX_QUEUED, DEFAULT_EXPECTED_MILLIS);
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/gullsaddle/agent/FairQueue.java
@@ -0,0 +1,85 @@
+package org.gullsaddle.agent;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+
+import org.gullsaddle.base.AttemptId;
+import org.gullsaddle.base.TeamId;
+
+/**
+ * Orders waiting attempts: a higher rank first, then teams by their weights, then
+ * arrival.
+ * <p>
+ * Within a rank each attempt takes the finish tag of weighted fair queueing, so that one
+ * team's flood delays its own requests and not those of the others.
+ */
+final class FairQueue {
+
+	private final TreeSet<Work> waiting = new TreeSet<>(Comparator.<Work>comparingInt((work) -> -work.dispatch().rank())
+		.thenComparingDouble(Work::finishTag)
+		.thenComparingLong(Work::arrival));
+
+	private final Map<TeamId, Double> lastTags = new HashMap<>();
+
+	private double virtualTime;
+
+	/**
+	 * Gives an attempt the place that it would have if it were added now.
+	 */
+	void tag(Work work) {
+		double start = Math.max(this.virtualTime, this.lastTags.getOrDefault(work.dispatch().team(), 0.0));
+		work.tag(start + 1 / work.dispatch().weight());
+	}
+
+	void add(Work work) {
+		tag(work);
+		this.lastTags.put(work.dispatch().team(), work.finishTag());
+		this.waiting.add(work);
+	}
+
+	Optional<Work> peek() {
+		return this.waiting.isEmpty() ? Optional.empty() : Optional.of(this.waiting.first());
+	}
+
+	Work take() {
+		Work work = this.waiting.pollFirst();
+		this.virtualTime = Math.max(this.virtualTime, work.finishTag() - 1 / work.dispatch().weight());
+		if (this.waiting.isEmpty()) {
+			this.lastTags.clear();
+			this.virtualTime = 0;
+		}
+		return work;
+	}
+
+	Optional<Work> remove(AttemptId attempt) {
+		Optional<Work> found = this.waiting.stream().filter((work) -> work.attempt().equals(attempt)).findFirst();
+		found.ifPresent(this.waiting::remove);
+		return found;
+	}
+
+	/**
+	 * Takes out all that match, in their order.
+	 */
+	List<Work> removeIf(Predicate<Work> condition) {
+		List<Work> removed = this.waiting.stream().filter(condition).toList();
+		removed.forEach(this.waiting::remove);
+		return removed;
+	}
+
+	/**
+	 * Returns how many waiting attempts go before one.
+	 */
+	int ahead(Work work) {
+		return this.waiting.headSet(work).size();
+	}
+
+	int size() {
+		return this.waiting.size();
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/gullsaddle/allowance/Allowance.java
@@ -0,0 +1,155 @@
+package org.gullsaddle.allowance;
+
+import org.gullsaddle.template.TeamRule;
+
+/**
+ * What this entry uses of one allowance.
+ */
+final class Allowance {
+
+	/** How much of a second's requests may come at once. */
+	private static final double BURST_SECONDS = 1;
+
+	private static final double DEMAND_SMOOTHING = 0.3;
+
+	private TeamRule rule;
+
+	private double share;
+
+	private long validUntil = Long.MIN_VALUE;
+
+	private double tokens;
+
+	private long refilledAt;
+
+	private int running;
+
+	private int peakRunning;
+
+	private long asked;
+
+	private double demand;
+
+	private long day = Long.MIN_VALUE;
+
+	private long moneyLeft;
+
+	private boolean moneyShort;
+
+	Allowance(TeamRule rule, long now) {
+		this.rule = rule;
+		this.refilledAt = now;
+	}
+
+	void rule(TeamRule newRule) {
+		this.rule = newRule;
+	}
+
+	TeamRule rule() {
+		return this.rule;
+	}
+
+	double share(long now) {
+		return (now < this.validUntil) ? this.share : 0;
+	}
+
+	void grant(double newShare, long until, long now) {
+		refill(now);
+		boolean first = this.validUntil == Long.MIN_VALUE;
+		this.share = newShare;
+		this.validUntil = until;
+		this.tokens = first ? burst() : Math.min(this.tokens, burst());
+	}
+
+	void shrink(double newShare, long now) {
+		refill(now);
+		this.share = Math.min(this.share, newShare);
+		this.tokens = Math.min(this.tokens, burst());
+	}
+
+	/**
+	 * Takes a request's part, or says what is short.
+	 */
+	Shortage take(long now, long today, long costMicros) {
+		refill(now);
+		this.asked++;
+		double held = share(now);
+		if (held == 0) {
+			return Shortage.NO_GRANT;
+		}
+		if (today != this.day || this.moneyLeft < costMicros) {
+			this.moneyShort = true;
+			return Shortage.MONEY;
+		}
+		if (this.running >= limit(held)) {
+			return Shortage.CONCURRENCY;
+		}
+		if (this.tokens < 1) {
+			return Shortage.RATE;
+		}
+		this.tokens--;
+		this.running++;
+		this.peakRunning = Math.max(this.peakRunning, this.running);
+		this.moneyLeft -= costMicros;
+		return Shortage.NONE;
+	}
+
+	void giveBack(long takenDay, long reservedMicros, long costMicros) {
+		this.running--;
+		if (takenDay == this.day) {
+			this.moneyLeft += reservedMicros - costMicros;
+		}
+	}
+
+	private int limit(double held) {
+		return (int) Math.floor(this.rule.concurrent() * held + 1e-9);
+	}
+
+	private double burst() {
+		return Math.max(1, this.rule.requestsPerSecond() * this.share * BURST_SECONDS);
+	}
+
+	private void refill(long now) {
+		double elapsed = Math.max(0, now - this.refilledAt) / 1000.0;
+		this.refilledAt = now;
+		this.tokens = Math.min(burst(), this.tokens + elapsed * this.rule.requestsPerSecond() * share(now));
+	}
+
+	/**
+	 * Returns the part of the allowance that this entry could use, from what was asked of
+	 * it since the last call.
+	 */
+	double wanted(long elapsedMillis) {
+		double perSecond = this.asked * 1000.0 / Math.max(1, elapsedMillis);
+		double part = Math.max(perSecond / this.rule.requestsPerSecond(),
+				(double) this.peakRunning / this.rule.concurrent());
+		this.asked = 0;
+		this.peakRunning = this.running;
+		// Demand is followed up at once and forgotten slowly.
+		this.demand = (part > this.demand) ? part : this.demand + DEMAND_SMOOTHING * (part - this.demand);
+		return Math.min(1, this.demand * 1.25);
+	}
+
+	boolean needsMoney(long today, long chunk) {
+		return today != this.day || this.moneyShort || this.moneyLeft < chunk / 2;
+	}
+
+	void addMoney(long today, long micros) {
+		if (today != this.day) {
+			this.day = today;
+			this.moneyLeft = 0;
+		}
+		this.moneyLeft += micros;
+		this.moneyShort = false;
+	}
+
+	/**
+	 * What kept a request from being taken.
+	 */
+	enum Shortage {
+
+		NONE, NO_GRANT, RATE, CONCURRENCY, MONEY
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/gullsaddle/allowance/AllowanceKey.java
@@ -0,0 +1,19 @@
+package org.gullsaddle.allowance;
+
+import org.gullsaddle.base.TeamId;
+import org.gullsaddle.base.TemplateName;
+
+/**
+ * Names an allowance: a team's part of a template.
+ *
+ * @param template the template
+ * @param team the team
+ */
+public record AllowanceKey(TemplateName template, TeamId team) {
+
+	@Override
+	public String toString() {
+		return this.template + "/" + this.team;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/gullsaddle/base/AgentInfo.java
@@ -0,0 +1,24 @@
+package org.gullsaddle.base;
+
+import java.util.Set;
+
+/**
+ * What an agent says of itself and of the backend server it stands beside.
+ *
+ * @param id the agent
+ * @param region its region
+ * @param dataCenter its data center
+ * @param versions the versions its backend server has loaded
+ * @param load the backend server's load
+ */
+public record AgentInfo(NodeId id, String region, String dataCenter, Set<ModelVersion> versions, LoadReport load) {
+
+	public AgentInfo {
+		Check.notNull(id, "id");
+		Check.notNull(region, "region");
+		Check.notNull(dataCenter, "dataCenter");
+		Check.notNull(load, "load");
+		versions = Set.copyOf(versions);
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/gullsaddle/base/Check.java
@@ -0,0 +1,49 @@
+package org.gullsaddle.base;
+
+/**
+ * Argument checks with messages that name the argument and what was expected.
+ */
+public final class Check {
+
+	private Check() {
+	}
+
+	/**
+	 * Checks that an argument is not null.
+	 * @param <T> the type of the argument
+	 * @param value the argument
+	 * @param name what to call it in the message
+	 * @return the argument
+	 * @throws IllegalArgumentException if it is null
+	 */
+	public static <T> T notNull(T value, String name) {
+		if (value == null) {
+			throw new IllegalArgumentException(name + " must not be null");
+		}
+		return value;
+	}
+
+	/**
+	 * Checks that a condition on an argument holds.
+	 * @param condition the condition
+	 * @param message the message if it does not hold
+	 * @throws IllegalArgumentException if the condition is false
+	 */
+	public static void that(boolean condition, String message) {
+		if (!condition) {
+			throw new IllegalArgumentException(message);
+		}
+	}
+
+	static void id(String value, String name, int maxLength) {
+		notNull(value, name);
+		that(!value.isEmpty(), name + " must not be empty");
+		that(value.length() <= maxLength, name + " must have at most " + maxLength + " characters");
+		for (int i = 0; i < value.length(); i++) {
+			char c = value.charAt(i);
+			that(c > ' ' && c < 127 && c != '"' && c != '\\',
+					name + " must be printable ASCII without spaces, quotes or backslashes");
+		}
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/gullsaddle/base/Completion.java
@@ -0,0 +1,20 @@
+package org.gullsaddle.base;
+
+/**
+ * How an attempt that ran to its end closed its answer.
+ *
+ * @param status the HTTP status of the backend server's answer
+ * @param contentType the content type of the answer
+ * @param finishReason why generation ended, such as {@code stop}; empty for a plain
+ * service
+ * @param usage the tokens used
+ */
+public record Completion(int status, String contentType, String finishReason, Usage usage) {
+
+	public Completion {
+		Check.notNull(contentType, "contentType");
+		Check.notNull(finishReason, "finishReason");
+		Check.notNull(usage, "usage");
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/gullsaddle/clock/Moment.java
@@ -0,0 +1,21 @@
+package org.gullsaddle.clock;
+
+/**
+ * When an event happened.
+ *
+ * @param millis milliseconds on the node's monotonic clock, for timers and deadlines
+ * @param stamp a hybrid logical clock stamp, for the ledger
+ */
+public record Moment(long millis, long stamp) {
+
+	/**
+	 * Returns a moment whose stamp has the same time, for tests and for logic that keeps
+	 * no records.
+	 * @param millis milliseconds on the monotonic clock
+	 * @return the moment
+	 */
+	public static Moment at(long millis) {
+		return new Moment(millis, HybridClock.stamp(millis, 0));
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/gullsaddle/ledger/Bills.java
@@ -0,0 +1,100 @@
+package org.gullsaddle.ledger;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.TreeMap;
+
+import org.gullsaddle.base.AttemptId;
+import org.gullsaddle.base.RequestId;
+import org.gullsaddle.base.TeamId;
+import org.gullsaddle.base.TemplateName;
+import org.gullsaddle.base.Verdict;
+
+/**
+ * Gathers ledger entries into one bill a request.
+ * <p>
+ * An entry that dies may leave its agents to write what they held, and an entry that is
+ * only slow may write as well. The request's own record therefore stands whenever there
+ * is one, and lines count once by attempt when there is none.
+ */
+public final class Bills {
+
+	private static final Comparator<AttemptId> ORDER = Comparator.comparingInt(AttemptId::number);
+
+	private final Map<RequestId, RequestRecord> wholes = new LinkedHashMap<>();
+
+	private final Map<RequestId, Map<AttemptId, HeldLine>> parts = new LinkedHashMap<>();
+
+	/**
+	 * Gathers entries.
+	 * @param entries the entries, in any order, any of them more than once
+	 * @return the bills
+	 */
+	public static Bills of(Collection<LedgerEntry> entries) {
+		Bills bills = new Bills();
+		entries.forEach(bills::add);
+		return bills;
+	}
+
+	/**
+	 * Adds an entry.
+	 * @param entry the entry
+	 */
+	public void add(LedgerEntry entry) {
+		switch (entry) {
+			case LedgerEntry.Whole whole -> this.wholes.putIfAbsent(whole.request(), whole.record());
+			case LedgerEntry.Part part -> this.parts.computeIfAbsent(part.request(), (id) -> new TreeMap<>(ORDER))
+				.putIfAbsent(part.held().line().attempt(), part.held());
+		}
+	}
+
+	/**
+	 * Returns one bill for each request.
+	 * @return the bills by request
+	 */
+	public Map<RequestId, Bill> all() {
+		Map<RequestId, Bill> bills = new LinkedHashMap<>();
+		this.wholes.forEach((id, record) -> bills.put(id, new Bill(id, record.team(), record.template(),
+				record.costMicros(), record.verdict(), record.outcome())));
+		this.parts.forEach((id, lines) -> bills.computeIfAbsent(id, (missing) -> fromParts(id, lines)));
+		return bills;
+	}
+
+	/**
+	 * Returns what each team pays.
+	 * @return micro-dollars by team
+	 */
+	public Map<TeamId, Long> byTeam() {
+		Map<TeamId, Long> totals = new HashMap<>();
+		all().values().forEach((bill) -> totals.merge(bill.team(), bill.costMicros(), Long::sum));
+		return new TreeMap<>(totals);
+	}
+
+	private static Bill fromParts(RequestId id, Map<AttemptId, HeldLine> lines) {
+		HeldLine first = lines.values().iterator().next();
+		long cost = lines.values().stream().mapToLong((held) -> held.line().costMicros()).sum();
+		Verdict verdict = lines.values()
+			.stream()
+			.map((held) -> held.line().verdict())
+			.reduce(Verdict.NOT_RUN, Verdict::and);
+		return new Bill(id, first.team(), first.template(), cost, verdict, "entry-lost");
+	}
+
+	/**
+	 * What a request costs its team.
+	 *
+	 * @param request the request
+	 * @param team the team
+	 * @param template the template
+	 * @param costMicros micro-dollars
+	 * @param verdict whether it ran
+	 * @param outcome how it ended
+	 */
+	public record Bill(RequestId request, TeamId team, TemplateName template, long costMicros, Verdict verdict,
+			String outcome) {
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/gullsaddle/ledger/LedgerEntry.java
@@ -0,0 +1,82 @@
+package org.gullsaddle.ledger;
+
+import java.io.IOException;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+import org.gullsaddle.base.Json;
+import org.gullsaddle.base.RequestId;
+
+/**
+ * What a ledger is made of.
+ */
+public sealed interface LedgerEntry {
+
+	/**
+	 * Returns the request it belongs to.
+	 * @return the request
+	 */
+	RequestId request();
+
+	/**
+	 * Returns the JSON text that is kept and hashed.
+	 * @return the text
+	 */
+	String text();
+
+	/**
+	 * Reads an entry's text.
+	 * @param text the text
+	 * @return the entry
+	 * @throws IOException if the text is of no known kind
+	 */
+	static LedgerEntry read(String text) throws IOException {
+		JsonNode tree = Json.tree(text);
+		if (tree.has("request")) {
+			return new Whole(Json.convert(tree, RequestRecord.class));
+		}
+		if (tree.has("line")) {
+			return new Part(Json.convert(tree, HeldLine.class));
+		}
+		throw new IOException("a ledger entry is neither a request's record nor an attempt's line");
+	}
+
+	/**
+	 * A request's whole record, by its entry.
+	 *
+	 * @param record the record
+	 */
+	record Whole(RequestRecord record) implements LedgerEntry {
+
+		@Override
+		public RequestId request() {
+			return this.record.request();
+		}
+
+		@Override
+		public String text() {
+			return Json.write(this.record);
+		}
+
+	}
+
+	/**
+	 * One attempt's line, by its agent.
+	 *
+	 * @param held the line
+	 */
+	record Part(HeldLine held) implements LedgerEntry {
+
+		@Override
+		public RequestId request() {
+			return this.held.line().attempt().request();
+		}
+
+		@Override
+		public String text() {
+			return Json.write(this.held);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/gullsaddle/register/RegisterShard.java
@@ -0,0 +1,246 @@
+package org.gullsaddle.register;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+
+import org.gullsaddle.base.Check;
+
+/**
+ * One value in the store that holds entries of a register. Every operation that waits
+ * when a write starts goes into that one write, so that the store's rate of writes does
+ * not bound the rate of operations.
+ * <p>
+ * The value's revision is the fence: of two nodes that write from the same revision, the
+ * store takes one, and the other reads again and finds what the first put. No lease is
+ * needed, so that a node that was paused past any lease cannot put a key twice.
+ * Single-threaded.
+ */
+public final class RegisterShard {
+
+	private static final long RETRY_MILLIS = 200;
+
+	private static final int MAX_PENDING = 10_000;
+
+	private final int maxEntries;
+
+	private final long retentionMillis;
+
+	private final Deque<Pending> pending = new ArrayDeque<>();
+
+	private final List<RegisterAction> actions = new ArrayList<>();
+
+	private List<Pending> batch = List.of();
+
+	private Map<String, Entry> written = Map.of();
+
+	private Map<String, Entry> known;
+
+	private long revision;
+
+	private boolean busy;
+
+	private long readsDone;
+
+	private long retryAt = Long.MIN_VALUE;
+
+	/**
+	 * Makes a shard whose value was not read yet.
+	 * @param maxEntries how many entries it may hold; a put beyond is unavailable
+	 * @param retentionMillis how long an entry is kept after its last change, in
+	 * milliseconds
+	 */
+	public RegisterShard(int maxEntries, long retentionMillis) {
+		Check.that(maxEntries > 0, "maxEntries must be positive");
+		Check.that(retentionMillis > 0, "retentionMillis must be positive");
+		this.maxEntries = maxEntries;
+		this.retentionMillis = retentionMillis;
+	}
+
+	/**
+	 * Decides on an event.
+	 * @param now the time in milliseconds on the monotonic clock
+	 * @param wallMillis the time in milliseconds since the epoch
+	 * @param event the event
+	 * @return what to do, in order
+	 */
+	public List<RegisterAction> handle(long now, long wallMillis, RegisterEvent event) {
+		switch (event) {
+			case RegisterEvent.Submitted submitted -> submitted(submitted);
+			case RegisterEvent.WasRead read -> wasRead(read);
+			case RegisterEvent.ReadFailed failed -> readFailed(now);
+			case RegisterEvent.Written done -> written(done.revision());
+			case RegisterEvent.Conflicted conflict -> again();
+			case RegisterEvent.WriteUnknown unknown -> again();
+			case RegisterEvent.Tick tick -> expire(now);
+		}
+		advance(now, wallMillis);
+		List<RegisterAction> decided = List.copyOf(this.actions);
+		this.actions.clear();
+		return decided;
+	}
+
+	private void submitted(RegisterEvent.Submitted event) {
+		if (this.pending.size() >= MAX_PENDING) {
+			this.actions.add(new RegisterAction.Unavailable(event.id()));
+			return;
+		}
+		this.pending.add(new Pending(event.id(), event.operation(), event.deadline(), this.readsDone, false));
+	}
+
+	private void wasRead(RegisterEvent.WasRead event) {
+		this.busy = false;
+		this.readsDone++;
+		this.revision = event.revision();
+		this.known = new LinkedHashMap<>();
+		for (Entry entry : event.entries()) {
+			this.known.put(entry.key(), entry);
+		}
+	}
+
+	private void readFailed(long now) {
+		this.busy = false;
+		this.known = null;
+		this.retryAt = now + RETRY_MILLIS;
+		// Whoever waits for an answer gets it now; work that no one waits for is kept.
+		giveUp((waiting) -> waiting.deadline() != Long.MAX_VALUE);
+	}
+
+	private void written(long newRevision) {
+		this.busy = false;
+		this.revision = newRevision;
+		this.known = this.written;
+		for (Pending done : this.batch) {
+			answer(done);
+		}
+		this.batch = List.of();
+	}
+
+	/**
+	 * Reads before trying the batch again: what it put may be there, or what another node
+	 * put.
+	 */
+	private void again() {
+		this.busy = false;
+		this.known = null;
+		for (int i = this.batch.size() - 1; i >= 0; i--) {
+			this.pending.addFirst(this.batch.get(i).asTried());
+		}
+		this.batch = List.of();
+	}
+
+	private void expire(long now) {
+		giveUp((waiting) -> waiting.deadline() <= now);
+	}
+
+	private void giveUp(Predicate<Pending> condition) {
+		List<Pending> over = this.pending.stream().filter(condition).toList();
+		this.pending.removeAll(over);
+		for (Pending waiting : over) {
+			this.actions.add(new RegisterAction.Unavailable(waiting.id()));
+			if (waiting.tried() && waiting.operation() instanceof Operation.Put put) {
+				// A lost answer may hide a put that took effect; left behind, it would
+				// hold its
+				// key for a request that was told it had not run.
+				this.pending.add(new Pending(Pending.NOBODY, new Operation.Remove(put.key(), put.nonce()),
+						Long.MAX_VALUE, this.readsDone, false));
+			}
+		}
+	}
+
+	private void advance(long now, long wallMillis) {
+		if (this.busy || this.pending.isEmpty() || now < this.retryAt) {
+			return;
+		}
+		if (this.known == null || this.pending.stream().anyMatch(this::needsRead)) {
+			this.busy = true;
+			this.actions.add(new RegisterAction.Read());
+			return;
+		}
+		Map<String, Entry> next = new LinkedHashMap<>(this.known);
+		next.values().removeIf((entry) -> entry.time() + this.retentionMillis < wallMillis);
+		List<Pending> taken = new ArrayList<>();
+		boolean changed = false;
+		while (!this.pending.isEmpty()) {
+			Pending each = this.pending.poll();
+			if (apply(next, each, wallMillis)) {
+				changed = true;
+				taken.add(each);
+			}
+			else if (each.operation() instanceof Operation.Put && !next.containsKey(each.operation().key())) {
+				this.actions.add(new RegisterAction.Unavailable(each.id()));
+			}
+			else if (changed) {
+				taken.add(each);
+			}
+			else {
+				answer(each);
+			}
+		}
+		if (changed) {
+			this.busy = true;
+			this.batch = taken;
+			this.written = next;
+			this.actions.add(new RegisterAction.Write(this.revision, List.copyOf(next.values())));
+		}
+	}
+
+	/**
+	 * Says whether an operation would be answered by an entry that was read before the
+	 * operation was asked for. Another node may have changed the entry since, such as by
+	 * settling the claim.
+	 */
+	private boolean needsRead(Pending each) {
+		boolean answersFromPresent = each.operation() instanceof Operation.Put
+				|| each.operation() instanceof Operation.Replace;
+		return answersFromPresent && this.known.containsKey(each.operation().key())
+				&& each.submittedAfterRead() >= this.readsDone;
+	}
+
+	private boolean apply(Map<String, Entry> entries, Pending each, long wallMillis) {
+		Entry present = entries.get(each.operation().key());
+		return switch (each.operation()) {
+			case Operation.Put put -> present == null && entries.size() < this.maxEntries
+					&& put(entries, put.key(), put.nonce(), put.value(), wallMillis);
+			case Operation.Replace replace -> (present == null || present.value().equals(replace.expected()))
+					&& put(entries, replace.key(), replace.nonce(), replace.value(), wallMillis);
+			case Operation.Update update ->
+				present != null && present.nonce().equals(update.nonce()) && !present.value().equals(update.value())
+						&& put(entries, update.key(), update.nonce(), update.value(), wallMillis);
+			case Operation.Remove remove ->
+				present != null && present.nonce().equals(remove.nonce()) && entries.remove(remove.key()) != null;
+		};
+	}
+
+	private static boolean put(Map<String, Entry> entries, String key, String nonce, String value, long wallMillis) {
+		entries.put(key, new Entry(key, nonce, value, wallMillis));
+		return true;
+	}
+
+	private void answer(Pending each) {
+		if (each.id() != Pending.NOBODY) {
+			this.actions.add(new RegisterAction.Answer(each.id(), this.known.get(each.operation().key())));
+		}
+	}
+
+	/**
+	 * An operation that waits for its answer.
+	 *
+	 * @param submittedAfterRead how many reads were done when it was asked for
+	 * @param tried whether a write with it was sent whose end is not known
+	 */
+	private record Pending(long id, Operation operation, long deadline, long submittedAfterRead, boolean tried) {
+
+		static final long NOBODY = -1;
+
+		Pending asTried() {
+			return new Pending(this.id, this.operation, this.deadline, this.submittedAfterRead, true);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/gullsaddle/route/Balancer.java
@@ -0,0 +1,162 @@
+package org.gullsaddle.route;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+
+import org.gullsaddle.base.AgentInfo;
+import org.gullsaddle.base.AttemptId;
+import org.gullsaddle.base.LoadReport;
+import org.gullsaddle.base.ModelVersion;
+import org.gullsaddle.base.NodeId;
+
+/**
+ * Knows the agents and picks one for an attempt: near before far, the one that likely has
+ * the prompt's prefix cached unless it is fuller than its peers, otherwise the emptier of
+ * two picked at random.
+ */
+final class Balancer {
+
+	/** How much fuller than the mean the server with the cached prefix may be. */
+	private static final double AFFINITY_SLACK = 0.25;
+
+	private final Map<NodeId, AgentState> agents = new TreeMap<>();
+
+	private final String region;
+
+	private final String dataCenter;
+
+	private final RandomGenerator random;
+
+	Balancer(String region, String dataCenter, RandomGenerator random) {
+		this.region = region;
+		this.dataCenter = dataCenter;
+		this.random = random;
+	}
+
+	void up(AgentInfo info) {
+		AgentState known = this.agents.get(info.id());
+		if (known != null) {
+			known.update(info);
+		}
+		else {
+			this.agents.put(info.id(), new AgentState(info));
+		}
+	}
+
+	void load(NodeId agent, LoadReport load) {
+		AgentState state = this.agents.get(agent);
+		if (state != null) {
+			state.report(load);
+		}
+	}
+
+	void leaving(NodeId agent) {
+		AgentState state = this.agents.get(agent);
+		if (state != null) {
+			state.leave();
+		}
+	}
+
+	/**
+	 * Forgets an agent and returns the attempts that were lost with it.
+	 */
+	Set<AttemptId> down(NodeId agent) {
+		AgentState state = this.agents.remove(agent);
+		return (state != null) ? state.outstanding() : Set.of();
+	}
+
+	void sent(NodeId agent, AttemptId attempt) {
+		this.agents.get(agent).sent(attempt);
+	}
+
+	void ended(NodeId agent, AttemptId attempt) {
+		AgentState state = this.agents.get(agent);
+		if (state != null) {
+			state.ended(attempt);
+		}
+	}
+
+	/**
+	 * Returns the versions that an agent serves which is not leaving.
+	 */
+	Set<ModelVersion> served() {
+		Set<ModelVersion> versions = new HashSet<>();
+		for (AgentState agent : this.agents.values()) {
+			if (!agent.leaving()) {
+				versions.addAll(agent.info().versions());
+			}
+		}
+		return versions;
+	}
+
+	/**
+	 * Picks an agent.
+	 * @param version the version it must serve
+	 * @param prefixHash the hash of the prompt's start
+	 * @param tried agents that refused or failed the request already
+	 * @return the agent, or empty if none is left
+	 */
+	Optional<NodeId> pick(ModelVersion version, long prefixHash, Set<NodeId> tried) {
+		List<AgentState> able = this.agents.values()
+			.stream()
+			.filter((agent) -> !agent.leaving())
+			.filter((agent) -> agent.info().versions().contains(version))
+			.filter((agent) -> !tried.contains(agent.info().id()))
+			.toList();
+		List<AgentState> near = nearest(able);
+		if (near.isEmpty()) {
+			return Optional.empty();
+		}
+		AgentState cached = near.stream().max(Comparator.comparingLong((agent) -> score(agent, prefixHash))).get();
+		double mean = near.stream().mapToDouble(AgentState::pressure).average().orElse(0);
+		if (cached.pressure() <= mean + AFFINITY_SLACK && cached.pressure() < 1) {
+			return Optional.of(cached.info().id());
+		}
+		return Optional.of(emptierOfTwo(near).info().id());
+	}
+
+	private AgentState emptierOfTwo(List<AgentState> agents) {
+		AgentState one = agents.get(this.random.nextInt(agents.size()));
+		AgentState two = agents.get(this.random.nextInt(agents.size()));
+		return (one.pressure() <= two.pressure()) ? one : two;
+	}
+
+	/**
+	 * Returns the agents of the nearest ring that has room, or all if none has.
+	 */
+	private List<AgentState> nearest(List<AgentState> able) {
+		List<AgentState> ring = new ArrayList<>();
+		for (int distance = 0; distance <= 2; distance++) {
+			for (AgentState agent : able) {
+				if (distance(agent) == distance) {
+					ring.add(agent);
+				}
+			}
+			if (ring.stream().anyMatch((agent) -> agent.pressure() < 1)) {
+				return ring;
+			}
+		}
+		return ring;
+	}
+
+	private int distance(AgentState agent) {
+		if (!agent.info().region().equals(this.region)) {
+			return 2;
+		}
+		return agent.info().dataCenter().equals(this.dataCenter) ? 0 : 1;
+	}
+
+	private static long score(AgentState agent, long prefixHash) {
+		return Hashing.komihash5_0().hashStream().putString(agent.info().id().value()).putLong(prefixHash).getAsLong();
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/gullsaddle/route/Outbox.java
@@ -0,0 +1,74 @@
+package org.gullsaddle.route;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.gullsaddle.base.AttemptId;
+import org.gullsaddle.base.Completion;
+import org.gullsaddle.base.Dispatch;
+import org.gullsaddle.base.ModelVersion;
+import org.gullsaddle.base.NodeId;
+import org.gullsaddle.template.TeamRule;
+
+/**
+ * Gathers the actions that an event leads to, and words those that several decisions
+ * share.
+ */
+final class Outbox {
+
+	private final List<RouterAction> actions = new ArrayList<>();
+
+	void add(RouterAction action) {
+		this.actions.add(action);
+	}
+
+	List<RouterAction> take() {
+		List<RouterAction> taken = List.copyOf(this.actions);
+		this.actions.clear();
+		return taken;
+	}
+
+	void send(RequestState state, NodeId agent, AttemptId attempt, boolean alone) {
+		IncomingRequest request = state.request();
+		TeamRule rule = state.template().team(state.team()).orElseThrow();
+		String resume = state.lastStage() ? state.received().toString() : "";
+		add(new RouterAction.Send(agent,
+				new Dispatch(attempt, state.team(), request.template(), state.revision().revision(), state.version(),
+						state.pinned(), rule.rank(), rule.weight(), request.deadline(), request.repeatable(), alone,
+						request.fingerprint(), resume, request.body())));
+	}
+
+	/**
+	 * Has the agent stop what is outstanding, unless it is a call that must not be cut
+	 * off half-way.
+	 */
+	void cancel(RequestState state) {
+		if (state.outstanding() != null && state.request().repeatable()) {
+			add(new RouterAction.Cancel(state.outstanding().agent(), state.outstanding().attempt()));
+		}
+	}
+
+	void repeat(RequestState state, CallOutcome outcome) {
+		if (!outcome.text().isEmpty()) {
+			add(new RouterAction.Deliver(state.id(), ModelVersion.of(outcome.servedBy()), outcome.text()));
+		}
+		add(new RouterAction.Complete(state.id(), outcome.servedBy(), outcome.completion(), state.cost()));
+	}
+
+	void settleClaim(RequestState state, ModelVersion version, Completion completion) {
+		if (state.claimed()) {
+			CallOutcome outcome = new CallOutcome(state.id(), version.toString(), completion,
+					state.received().toString());
+			add(new RouterAction.SettleClaim(state.id(), state.team(), state.request().idempotencyKey().orElseThrow(),
+					outcome));
+		}
+	}
+
+	void releaseClaim(RequestState state) {
+		if (state.claimed()) {
+			add(new RouterAction.ReleaseClaim(state.id(), state.team(),
+					state.request().idempotencyKey().orElseThrow()));
+		}
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/gullsaddle/route/RequestState.java
@@ -0,0 +1,249 @@
+package org.gullsaddle.route;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.gullsaddle.base.AttemptId;
+import org.gullsaddle.base.ModelVersion;
+import org.gullsaddle.base.NodeId;
+import org.gullsaddle.base.RequestId;
+import org.gullsaddle.base.TeamId;
+import org.gullsaddle.base.Usage;
+import org.gullsaddle.base.Verdict;
+import org.gullsaddle.ledger.AttemptLine;
+import org.gullsaddle.ledger.RequestRecord;
+import org.gullsaddle.template.Template;
+import org.gullsaddle.template.TemplateRevision;
+
+/**
+ * An open request: what was decided, what is outstanding and what came back.
+ */
+final class RequestState {
+
+	private final IncomingRequest request;
+
+	private final long admitted;
+
+	private final List<AttemptLine> lines = new ArrayList<>();
+
+	private final Set<NodeId> tried = new HashSet<>();
+
+	private final StringBuilder received = new StringBuilder();
+
+	private final double unit;
+
+	private TemplateRevision revision;
+
+	private Plan plan;
+
+	private int stage;
+
+	private int attempts;
+
+	private Outstanding outstanding;
+
+	private AttemptId rating;
+
+	private Verdict verdict = Verdict.NOT_RUN;
+
+	private boolean claimed;
+
+	private boolean pinned;
+
+	private boolean pinReplaced;
+
+	private boolean delivering;
+
+	private String outcome;
+
+	private long finished;
+
+	private long recordBy;
+
+	RequestState(IncomingRequest request, TemplateRevision revision, double unit, long admitted) {
+		this.request = request;
+		this.revision = revision;
+		this.unit = unit;
+		this.admitted = admitted;
+	}
+
+	IncomingRequest request() {
+		return this.request;
+	}
+
+	RequestId id() {
+		return this.request.id();
+	}
+
+	TeamId team() {
+		return this.request.team();
+	}
+
+	double unit() {
+		return this.unit;
+	}
+
+	Template template() {
+		return this.revision.template();
+	}
+
+	TemplateRevision revision() {
+		return this.revision;
+	}
+
+	void refresh(TemplateRevision newest) {
+		this.revision = newest;
+	}
+
+	void plan(Plan newPlan, boolean fromPin) {
+		this.plan = newPlan;
+		this.pinned = fromPin;
+		this.stage = 0;
+		this.tried.clear();
+	}
+
+	Plan plan() {
+		return this.plan;
+	}
+
+	boolean pinned() {
+		return this.pinned;
+	}
+
+	/**
+	 * Marks that the session's version was replaced; true the first time only.
+	 */
+	boolean replacePin() {
+		boolean first = !this.pinReplaced;
+		this.pinReplaced = true;
+		return first;
+	}
+
+	ModelVersion version() {
+		return this.plan.stages().get(this.stage);
+	}
+
+	boolean lastStage() {
+		return this.plan.isLast(this.stage);
+	}
+
+	void nextStage() {
+		this.stage++;
+		this.tried.clear();
+		this.received.setLength(0);
+	}
+
+	int attempts() {
+		return this.attempts;
+	}
+
+	Set<NodeId> tried() {
+		return this.tried;
+	}
+
+	AttemptId sent(NodeId agent, boolean alone, long stamp) {
+		this.attempts++;
+		AttemptId attempt = new AttemptId(id(), this.attempts);
+		this.outstanding = new Outstanding(attempt, agent, version(), this.revision.revision(), alone, stamp);
+		this.tried.add(agent);
+		return attempt;
+	}
+
+	Outstanding outstanding() {
+		return this.outstanding;
+	}
+
+	boolean isCurrent(AttemptId attempt) {
+		return this.outstanding != null && this.outstanding.attempt().equals(attempt);
+	}
+
+	/**
+	 * Closes the outstanding attempt and keeps its line.
+	 */
+	Outstanding close(Verdict attemptVerdict, String attemptOutcome, Usage usage, long costMicros, long stamp) {
+		Outstanding closed = this.outstanding;
+		this.outstanding = null;
+		this.verdict = this.verdict.and(attemptVerdict);
+		this.lines.add(new AttemptLine(closed.attempt(), closed.version(), closed.agent(), closed.revision(),
+				attemptVerdict, attemptOutcome, usage, costMicros, closed.stamp(), stamp));
+		return closed;
+	}
+
+	StringBuilder received() {
+		return this.received;
+	}
+
+	boolean delivering() {
+		return this.delivering;
+	}
+
+	void startDelivery() {
+		this.delivering = true;
+	}
+
+	void awaitRating(AttemptId attempt) {
+		this.rating = attempt;
+	}
+
+	boolean awaitsRating(AttemptId attempt) {
+		return this.rating != null && this.rating.equals(attempt);
+	}
+
+	void ratingDone() {
+		this.rating = null;
+	}
+
+	boolean awaitsRating() {
+		return this.rating != null;
+	}
+
+	boolean claimed() {
+		return this.claimed;
+	}
+
+	void claim() {
+		this.claimed = true;
+	}
+
+	/**
+	 * Returns the verdict for the caller: what is outstanding may have run.
+	 */
+	Verdict verdict() {
+		return (this.outstanding != null) ? this.verdict.and(Verdict.MAY_HAVE_RUN) : this.verdict;
+	}
+
+	boolean answered() {
+		return this.outcome != null;
+	}
+
+	void answer(String finalOutcome, long stamp, long recordTime) {
+		this.outcome = finalOutcome;
+		this.finished = stamp;
+		this.recordBy = recordTime;
+	}
+
+	long recordBy() {
+		return this.recordBy;
+	}
+
+	long cost() {
+		return this.lines.stream().mapToLong(AttemptLine::costMicros).sum();
+	}
+
+	RequestRecord record() {
+		String session = this.request.session().map(Object::toString).orElse(null);
+		return new RequestRecord(id(), team(), this.request.template(), session, this.admitted,
+				(this.plan != null) ? this.plan.reason() + ", over " + this.plan.stages() : "none", this.lines,
+				verdict(), this.outcome, cost(), this.finished);
+	}
+
+	/**
+	 * The attempt that an agent has.
+	 */
+	record Outstanding(AttemptId attempt, NodeId agent, ModelVersion version, long revision, boolean alone,
+			long stamp) {
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/gullsaddle/route/Router.java
@@ -0,0 +1,597 @@
+package org.gullsaddle.route;
+
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.PriorityQueue;
+import java.util.random.RandomGenerator;
+
+import org.gullsaddle.base.AttemptId;
+import org.gullsaddle.base.Completion;
+import org.gullsaddle.base.ModelVersion;
+import org.gullsaddle.base.NodeId;
+import org.gullsaddle.base.Refusal;
+import org.gullsaddle.base.RefusalReason;
+import org.gullsaddle.base.RequestId;
+import org.gullsaddle.base.Usage;
+import org.gullsaddle.base.Verdict;
+import org.gullsaddle.clock.Moment;
+import org.gullsaddle.template.CutOffBehaviour;
+import org.gullsaddle.template.TeamRule;
+import org.gullsaddle.template.Template;
+import org.gullsaddle.template.TemplateBook;
+import org.gullsaddle.template.TemplateRevision;
+import org.gullsaddle.template.VersionRule;
+
+/**
+ * Decides what happens to the requests of an entry. Single-threaded: hand it one event at
+ * a time, with the time, and carry out the actions it returns in their order.
+ *
+ * <pre>
+ * Router router = new Router(RouterSettings.in("north", "north-1").build(), random);
+ * for (RouterAction action : router.handle(moment, new RouterEvent.Arrived(request))) {
+ *     carryOut(action);
+ * }
+ * </pre>
+ */
+public final class Router {
+
+	private static final long COME_BACK_MILLIS = 1000;
+
+	private static final long CUT_OFF_COME_BACK_MILLIS = 5000;
+
+	private static final long RATER_PAUSE_MILLIS = 5000;
+
+	private final RouterSettings settings;
+
+	private final RandomGenerator random;
+
+	private final TemplateBook templates = new TemplateBook();
+
+	private final QualityBook quality = new QualityBook();
+
+	private final Planner planner = new Planner(this.quality);
+
+	private final SuspectBook suspects = new SuspectBook();
+
+	private final SpotChecks spotChecks;
+
+	private final RetryBudget retries;
+
+	private final Balancer balancer;
+
+	private final Map<RequestId, RequestState> open = new LinkedHashMap<>();
+
+	private final PriorityQueue<Timer> timers = new PriorityQueue<>(Comparator.comparingLong(Timer::time));
+
+	private final Outbox outbox = new Outbox();
+
+	private boolean cutOff;
+
+	private long noCascadesUntil = Long.MIN_VALUE;
+
+	/**
+	 * Makes a router that knows no template and no agent.
+	 * @param settings its settings
+	 * @param random the source of every random choice; seed it to replay a run
+	 */
+	public Router(RouterSettings settings, RandomGenerator random) {
+		this.settings = settings;
+		this.random = random;
+		this.retries = new RetryBudget(settings.retryShare());
+		this.balancer = new Balancer(settings.region(), settings.dataCenter(), random);
+		this.spotChecks = new SpotChecks(this.quality, settings.ratedShare(), random);
+	}
+
+	/**
+	 * Decides on an event.
+	 * @param now when it happened
+	 * @param event the event
+	 * @return what to do, in order
+	 */
+	public List<RouterAction> handle(Moment now, RouterEvent event) {
+		switch (event) {
+			case RouterEvent.Arrived arrived -> arrived(now, arrived.request());
+			case RouterEvent.ClaimAnswered claim -> claimAnswered(now, claim);
+			case RouterEvent.PinAnswered pin -> pinAnswered(now, pin);
+			case RouterEvent.AgentUp up -> this.balancer.up(up.agent());
+			case RouterEvent.AgentLoad load -> this.balancer.load(load.agent(), load.load());
+			case RouterEvent.AgentLeaving leaving -> this.balancer.leaving(leaving.agent());
+			case RouterEvent.AgentDown down -> agentDown(now, down.agent());
+			case RouterEvent.AttemptChunk chunk -> chunk(now, chunk);
+			case RouterEvent.AttemptDone done -> done(now, done);
+			case RouterEvent.AttemptRefused refused -> refused(now, refused);
+			case RouterEvent.AttemptFailed failed -> failed(now, failed);
+			case RouterEvent.AnswerRated rated -> rated(now, rated);
+			case RouterEvent.CallerGone gone -> callerGone(now, gone.request());
+			case RouterEvent.TemplateChanged changed -> this.templates.apply(changed.revision());
+			case RouterEvent.FreshnessChanged freshness -> freshness(freshness.cutOff());
+			case RouterEvent.SuspectLearned learned -> this.suspects.learn(learned.fingerprint(), learned.crashes());
+			case RouterEvent.Tick tick -> tick(now);
+		}
+		return this.outbox.take();
+	}
+
+	/**
+	 * Returns how many requests are not at their end yet, late ends included.
+	 * @return the number
+	 */
+	public int openRequests() {
+		return this.open.size();
+	}
+
+	private void arrived(Moment now, IncomingRequest request) {
+		Optional<Refusal> refusal = refuseAtOnce(now, request);
+		TemplateRevision revision = this.templates.get(request.template()).orElse(null);
+		RequestState state = new RequestState(request, revision, unit(request), now.stamp());
+		this.open.put(request.id(), state);
+		if (refusal.isPresent()) {
+			giveUp(now, state, refusal.get());
+			return;
+		}
+		this.retries.earn();
+		this.timers.add(new Timer(request.deadline(), request.id()));
+		if (request.repeatable()) {
+			choose(now, state);
+			return;
+		}
+		if (plan(now, state).isEmpty()) {
+			giveUp(now, state, comeBack(RefusalReason.NO_VERSION, COME_BACK_MILLIS));
+			return;
+		}
+		this.outbox.add(new RouterAction.Claim(request.id(), request.team(), request.idempotencyKey().orElseThrow(),
+				request.fingerprint()));
+	}
+
+	private Optional<Refusal> refuseAtOnce(Moment now, IncomingRequest request) {
+		TeamRule team = this.templates.get(request.template())
+			.flatMap((revision) -> revision.template().team(request.team()))
+			.orElse(null);
+		if (team == null) {
+			return Optional.of(Refusal.notRun(RefusalReason.NO_TEMPLATE, 0));
+		}
+		if (this.open.size() >= this.settings.maxOpenRequests()) {
+			return Optional.of(comeBack(RefusalReason.OVERLOADED, COME_BACK_MILLIS));
+		}
+		if (this.cutOff && team.cutOff() == CutOffBehaviour.REFUSE) {
+			return Optional.of(comeBack(RefusalReason.FORBIDDEN, CUT_OFF_COME_BACK_MILLIS));
+		}
+		if (this.suspects.convicted(request.fingerprint())) {
+			return Optional.of(Refusal.notRun(RefusalReason.POISON, 0));
+		}
+		if (request.deadline() <= now.millis()) {
+			return Optional.of(comeBack(RefusalReason.DEADLINE, COME_BACK_MILLIS));
+		}
+		return Optional.empty();
+	}
+
+	private void claimAnswered(Moment now, RouterEvent.ClaimAnswered event) {
+		RequestState state = this.open.get(event.request());
+		if (state == null || state.answered()) {
+			// The caller was told "not run" already; the claim must not stay behind.
+			if (state != null && event.answer() instanceof ClaimAnswer.Granted) {
+				state.claim();
+				this.outbox.releaseClaim(state);
+			}
+			return;
+		}
+		switch (event.answer()) {
+			case ClaimAnswer.Granted granted -> {
+				state.claim();
+				choose(now, state);
+			}
+			case ClaimAnswer.InUse inUse -> giveUp(now, state,
+					new Refusal(RefusalReason.KEY_IN_USE, Verdict.MAY_HAVE_RUN, retryAfter(COME_BACK_MILLIS)));
+			case ClaimAnswer.Finished finished -> repeat(now, state, finished.outcome());
+			case ClaimAnswer.ContentDiffers differs -> giveUp(now, state, Refusal.notRun(RefusalReason.KEY_REUSED, 0));
+			case ClaimAnswer.Unavailable unavailable ->
+				giveUp(now, state, comeBack(RefusalReason.STORE_UNAVAILABLE, CUT_OFF_COME_BACK_MILLIS));
+		}
+	}
+
+	private void repeat(Moment now, RequestState state, CallOutcome outcome) {
+		this.outbox.repeat(state, outcome);
+		state.answer("repeated from " + outcome.request(), now.stamp(), now.millis());
+		record(state);
+	}
+
+	private void choose(Moment now, RequestState state) {
+		if (state.request().session().isEmpty()) {
+			Optional<Plan> plan = plan(now, state);
+			if (plan.isEmpty()) {
+				giveUp(now, state, comeBack(RefusalReason.NO_VERSION, COME_BACK_MILLIS));
+				return;
+			}
+			state.plan(plan.get(), false);
+			send(now, state);
+			return;
+		}
+		ModelVersion pinned = state.request().pinned().orElse(null);
+		if (pinned != null && state.template().allows(state.team(), pinned, true)) {
+			runPinned(now, state, pinned);
+			return;
+		}
+		pin(now, state, pinned);
+	}
+
+	private void pin(Moment now, RequestState state, ModelVersion replacing) {
+		Optional<Plan> plan = this.planner.planSession(state.template(), state.team(), this.balancer.served(),
+				state.unit());
+		if (plan.isEmpty()) {
+			giveUp(now, state, comeBack(RefusalReason.NO_VERSION, COME_BACK_MILLIS));
+			return;
+		}
+		this.outbox.add(new RouterAction.Pin(state.id(), state.team(), state.request().template(),
+				state.request().session().orElseThrow(), plan.get().stages().get(0), replacing));
+	}
+
+	private void pinAnswered(Moment now, RouterEvent.PinAnswered event) {
+		RequestState state = this.open.get(event.request());
+		if (state == null || state.answered() || state.outstanding() != null) {
+			return;
+		}
+		refresh(state);
+		if (state.template().allows(state.team(), event.version(), true)) {
+			runPinned(now, state, event.version());
+		}
+		else if (state.replacePin()) {
+			pin(now, state, event.version());
+		}
+		else {
+			giveUp(now, state, comeBack(RefusalReason.NO_VERSION, COME_BACK_MILLIS));
+		}
+	}
+
+	private void runPinned(Moment now, RequestState state, ModelVersion version) {
+		state.plan(new Plan(List.of(version), 0, "session keeps its version"), true);
+		send(now, state);
+	}
+
+	private Optional<Plan> plan(Moment now, RequestState state) {
+		boolean cascades = now.millis() >= this.noCascadesUntil;
+		return this.planner.plan(state.template(), state.team(), this.balancer.served(), state.unit(), cascades);
+	}
+
+	/**
+	 * Sends the current stage to an agent, under the newest revision known.
+	 */
+	private void send(Moment now, RequestState state) {
+		refresh(state);
+		if (!state.template().allows(state.team(), state.version(), state.pinned())) {
+			planAgain(now, state);
+			return;
+		}
+		if (now.millis() >= state.request().deadline()) {
+			giveUp(now, state, comeBack(RefusalReason.DEADLINE, COME_BACK_MILLIS));
+			return;
+		}
+		IncomingRequest request = state.request();
+		Optional<NodeId> agent = this.balancer.pick(state.version(), request.prefixHash(), state.tried());
+		if (agent.isEmpty()) {
+			giveUp(now, state, comeBack(state.tried().isEmpty() ? RefusalReason.NO_VERSION : RefusalReason.OVERLOADED,
+					COME_BACK_MILLIS));
+			return;
+		}
+		boolean alone = this.suspects.suspected(request.fingerprint());
+		AttemptId attempt = state.sent(agent.get(), alone, now.stamp());
+		this.balancer.sent(agent.get(), attempt);
+		this.outbox.send(state, agent.get(), attempt, alone);
+	}
+
+	private void planAgain(Moment now, RequestState state) {
+		if (state.delivering()) {
+			// Half of the answer is out; another version would splice on a different one.
+			giveUp(now, state, comeBack(RefusalReason.BACKEND_FAILED, COME_BACK_MILLIS));
+		}
+		else if (state.pinned()) {
+			if (state.replacePin()) {
+				pin(now, state, state.version());
+			}
+			else {
+				giveUp(now, state, comeBack(RefusalReason.NO_VERSION, COME_BACK_MILLIS));
+			}
+		}
+		else {
+			state.received().setLength(0);
+			choose(now, state);
+		}
+	}
+
+	private void chunk(Moment now, RouterEvent.AttemptChunk event) {
+		RequestState state = current(event.attempt());
+		if (state == null || state.answered()) {
+			return;
+		}
+		if (event.offset() < state.received().length()) {
+			return;
+		}
+		if (event.offset() > state.received().length()) {
+			// A part is missing: what follows would be spliced to the wrong place.
+			broken(now, state);
+			return;
+		}
+		if (state.received().length() + event.text().length() > this.settings.maxAnswerLength()) {
+			this.outbox.cancel(state);
+			giveUp(now, state, Refusal.notRun(RefusalReason.TOO_LARGE, 0));
+			return;
+		}
+		state.received().append(event.text());
+		if (state.lastStage()) {
+			state.startDelivery();
+			this.outbox.add(new RouterAction.Deliver(state.id(), state.version(), event.text()));
+		}
+	}
+
+	private void done(Moment now, RouterEvent.AttemptDone event) {
+		RequestState state = current(event.attempt());
+		if (state == null) {
+			return;
+		}
+		if (!state.answered() && event.length() != state.received().length()) {
+			broken(now, state);
+			return;
+		}
+		Completion completion = event.completion();
+		long cost = cost(state, completion.usage());
+		RequestState.Outstanding closed = state.close(Verdict.RAN, "done", completion.usage(), cost, now.stamp());
+		this.balancer.ended(closed.agent(), event.attempt());
+		if (closed.alone()) {
+			this.suspects.clear(state.request().fingerprint());
+		}
+		if (state.answered()) {
+			this.outbox.settleClaim(state, closed.version(), completion);
+			record(state);
+		}
+		else if (state.lastStage()) {
+			complete(now, state, closed.version(), completion);
+		}
+		else {
+			rate(now, state, event.attempt(), closed.version());
+		}
+	}
+
+	private void complete(Moment now, RequestState state, ModelVersion version, Completion completion) {
+		this.outbox.add(new RouterAction.Complete(state.id(), version.toString(), completion, state.cost()));
+		this.outbox.settleClaim(state, version, completion);
+		state.answer("served", now.stamp(), now.millis());
+		if (state.request().repeatable() && state.plan().stages().size() == 1) {
+			this.spotChecks.consider(state, version, state.received().toString()).ifPresent(this.outbox::add);
+		}
+		record(state);
+	}
+
+	private void rate(Moment now, RequestState state, AttemptId attempt, ModelVersion version) {
+		state.awaitRating(attempt);
+		this.timers.add(new Timer(now.millis() + this.settings.ratingMillis(), state.id()));
+		this.outbox.add(new RouterAction.Rate(attempt, version, state.request().body(), state.received().toString()));
+	}
+
+	private void rated(Moment now, RouterEvent.AnswerRated event) {
+		RequestState state = this.open.get(event.attempt().request());
+		if (state == null || !state.awaitsRating(event.attempt())) {
+			this.spotChecks.rated(event.attempt(), event.score());
+			return;
+		}
+		judge(now, state, event.score());
+	}
+
+	private void judge(Moment now, RequestState state, OptionalDouble score) {
+		state.ratingDone();
+		double bar = state.plan().bar();
+		ModelVersion version = state.version();
+		if (score.isPresent()) {
+			double expected = state.template().rule(version).map(VersionRule::quality).orElse(0.5);
+			this.quality.rated(state.request().template(), state.team(), version, expected, score.getAsDouble(), bar);
+		}
+		else {
+			this.noCascadesUntil = now.millis() + RATER_PAUSE_MILLIS;
+		}
+		if (score.isPresent() && score.getAsDouble() >= bar) {
+			this.outbox.add(new RouterAction.Deliver(state.id(), version, state.received().toString()));
+			complete(now, state, version, new Completion(200, "application/json", "stop", Usage.NONE));
+			return;
+		}
+		state.nextStage();
+		send(now, state);
+	}
+
+	private void refused(Moment now, RouterEvent.AttemptRefused event) {
+		RequestState state = current(event.attempt());
+		if (state == null) {
+			return;
+		}
+		Refusal refusal = event.refusal();
+		RequestState.Outstanding closed = state.close(Verdict.NOT_RUN, refusal.reason().toString(), Usage.NONE, 0,
+				now.stamp());
+		this.balancer.ended(closed.agent(), event.attempt());
+		if (refusal.reason() == RefusalReason.LEAVING || refusal.reason() == RefusalReason.STOPPING) {
+			this.balancer.leaving(closed.agent());
+		}
+		if (state.answered()) {
+			this.outbox.releaseClaim(state);
+			record(state);
+		}
+		else if (refusal.reason() != RefusalReason.DEADLINE && mayRetry(state, refusal.reason())) {
+			send(now, state);
+		}
+		else {
+			giveUp(now, state, refusal);
+		}
+	}
+
+	private boolean mayRetry(RequestState state, RefusalReason reason) {
+		if (state.attempts() >= this.settings.maxAttempts()) {
+			return false;
+		}
+		return switch (reason) {
+			case LEAVING, STOPPING, FORBIDDEN -> true;
+			default -> this.retries.spend();
+		};
+	}
+
+	private void failed(Moment now, RouterEvent.AttemptFailed event) {
+		RequestState state = current(event.attempt());
+		if (state == null) {
+			return;
+		}
+		long cost = (state.answered() && !event.crashed()) ? cost(state, event.usage()) : 0;
+		RequestState.Outstanding closed = state.close(event.verdict(),
+				event.crashed() ? "backend-crashed" : "backend-failed", event.usage(), cost, now.stamp());
+		this.balancer.ended(closed.agent(), event.attempt());
+		if (event.crashed()) {
+			int level = this.suspects.crashed(state.request().fingerprint(), closed.alone());
+			this.outbox.add(new RouterAction.Suspect(state.request().fingerprint(), level));
+		}
+		if (state.answered()) {
+			if (event.verdict() == Verdict.NOT_RUN) {
+				this.outbox.releaseClaim(state);
+			}
+			record(state);
+			return;
+		}
+		if (this.suspects.convicted(state.request().fingerprint())) {
+			giveUp(now, state, Refusal.notRun(RefusalReason.POISON, 0));
+		}
+		else if ((state.request().repeatable() || event.verdict() == Verdict.NOT_RUN)
+				&& mayRetry(state, RefusalReason.BACKEND_FAILED)) {
+			if (!state.delivering()) {
+				state.received().setLength(0);
+			}
+			send(now, state);
+		}
+		else {
+			giveUp(now, state, comeBack(RefusalReason.BACKEND_FAILED, COME_BACK_MILLIS));
+		}
+	}
+
+	/**
+	 * Treats the current attempt's answer as broken off, and has its agent stop it.
+	 */
+	private void broken(Moment now, RequestState state) {
+		AttemptId attempt = state.outstanding().attempt();
+		this.outbox.add(new RouterAction.Cancel(state.outstanding().agent(), attempt));
+		failed(now, new RouterEvent.AttemptFailed(attempt, Verdict.MAY_HAVE_RUN, false, Usage.NONE));
+	}
+
+	private void agentDown(Moment now, NodeId agent) {
+		for (AttemptId attempt : this.balancer.down(agent)) {
+			// The link tells nothing of what the backend server did; it may be running
+			// it.
+			failed(now, new RouterEvent.AttemptFailed(attempt, Verdict.MAY_HAVE_RUN, true, Usage.NONE));
+		}
+	}
+
+	private void callerGone(Moment now, RequestId request) {
+		RequestState state = this.open.get(request);
+		if (state == null || state.answered()) {
+			return;
+		}
+		this.outbox.cancel(state);
+		end(now, state, RefusalReason.CALLER_GONE.toString());
+	}
+
+	private void freshness(boolean isCutOff) {
+		this.cutOff = isCutOff;
+	}
+
+	private void tick(Moment now) {
+		while (!this.timers.isEmpty() && this.timers.peek().time() <= now.millis()) {
+			RequestState state = this.open.get(this.timers.poll().request());
+			if (state != null) {
+				expire(now, state);
+			}
+		}
+	}
+
+	private void expire(Moment now, RequestState state) {
+		if (state.answered()) {
+			if (now.millis() >= state.recordBy()) {
+				record(state);
+			}
+		}
+		else if (now.millis() >= state.request().deadline()) {
+			if (state.awaitsRating()) {
+				// An unrated answer in time is worth more to the caller than none.
+				state.ratingDone();
+				this.outbox.add(new RouterAction.Deliver(state.id(), state.version(), state.received().toString()));
+				complete(now, state, state.version(), new Completion(200, "application/json", "stop", Usage.NONE));
+				return;
+			}
+			this.outbox.cancel(state);
+			giveUp(now, state, comeBack(RefusalReason.DEADLINE, COME_BACK_MILLIS));
+		}
+		else if (state.awaitsRating()) {
+			judge(now, state, OptionalDouble.empty());
+		}
+	}
+
+	private void giveUp(Moment now, RequestState state, Refusal refusal) {
+		Refusal told = new Refusal(refusal.reason(), state.verdict().and(refusal.verdict()),
+				refusal.retryAfterMillis());
+		this.outbox.add(new RouterAction.Refuse(state.id(), told));
+		end(now, state, told.reason().toString());
+	}
+
+	private void end(Moment now, RequestState state, String outcome) {
+		long recordBy = now.millis() + this.settings.lateEndMillis();
+		state.answer(outcome, now.stamp(), recordBy);
+		if (state.outstanding() == null) {
+			if (state.verdict() == Verdict.NOT_RUN) {
+				this.outbox.releaseClaim(state);
+			}
+			record(state);
+		}
+		else {
+			this.timers.add(new Timer(recordBy, state.id()));
+		}
+	}
+
+	private void record(RequestState state) {
+		this.open.remove(state.id());
+		this.outbox.add(new RouterAction.Record(state.record()));
+	}
+
+	private RequestState current(AttemptId attempt) {
+		RequestState state = this.open.get(attempt.request());
+		return (state != null && state.isCurrent(attempt)) ? state : null;
+	}
+
+	private void refresh(RequestState state) {
+		this.templates.get(state.request().template())
+			.filter((newest) -> newest.template().team(state.team()).isPresent())
+			.ifPresent(state::refresh);
+	}
+
+	private long cost(RequestState state, Usage usage) {
+		Template template = state.template();
+		return template.rule(state.outstanding().version()).map((rule) -> rule.price().of(usage)).orElse(0L);
+	}
+
+	/**
+	 * Returns a number from 0 to 1 that is the same for a session's requests at every
+	 * entry, so that they agree on a version before the store has been asked.
+	 */
+	private static double unit(IncomingRequest request) {
+		String key = request.session().map((session) -> request.team() + "/" + session).orElse(request.id().value());
+		return Spread.unit(key);
+	}
+
+	private Refusal comeBack(RefusalReason reason, long millis) {
+		return Refusal.notRun(reason, retryAfter(millis));
+	}
+
+	/**
+	 * Spreads the time to come back, so that callers refused together do not return
+	 * together.
+	 */
+	private long retryAfter(long millis) {
+		return millis + this.random.nextLong(millis);
+	}
+
+	private record Timer(long time, RequestId request) {
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/gullsaddle/route/RouterSettings.java
@@ -0,0 +1,231 @@
+package org.gullsaddle.route;
+
+import org.gullsaddle.base.Check;
+
+/**
+ * What the {@link Router} is tuned by. All times are in milliseconds.
+ */
+public final class RouterSettings {
+
+	private final String region;
+
+	private final String dataCenter;
+
+	private final int maxAttempts;
+
+	private final double retryShare;
+
+	private final int maxAnswerLength;
+
+	private final int maxOpenRequests;
+
+	private final long lateEndMillis;
+
+	private final long ratingMillis;
+
+	private final double ratedShare;
+
+	private RouterSettings(Builder builder) {
+		this.region = Check.notNull(builder.region, "region");
+		this.dataCenter = Check.notNull(builder.dataCenter, "dataCenter");
+		this.maxAttempts = builder.maxAttempts;
+		this.retryShare = builder.retryShare;
+		this.maxAnswerLength = builder.maxAnswerLength;
+		this.maxOpenRequests = builder.maxOpenRequests;
+		this.lateEndMillis = builder.lateEndMillis;
+		this.ratingMillis = builder.ratingMillis;
+		this.ratedShare = builder.ratedShare;
+	}
+
+	/**
+	 * Starts settings for a node.
+	 * @param region the node's region
+	 * @param dataCenter the node's data center
+	 * @return a builder with the defaults
+	 */
+	public static Builder in(String region, String dataCenter) {
+		return new Builder(region, dataCenter);
+	}
+
+	/**
+	 * Returns the node's region.
+	 * @return the region
+	 */
+	public String region() {
+		return this.region;
+	}
+
+	/**
+	 * Returns the node's data center.
+	 * @return the data center
+	 */
+	public String dataCenter() {
+		return this.dataCenter;
+	}
+
+	/**
+	 * Returns how often one request may be tried.
+	 * @return the number of attempts, the first included
+	 */
+	public int maxAttempts() {
+		return this.maxAttempts;
+	}
+
+	/**
+	 * Returns how many retries are earned by each request.
+	 * @return the share, 0 to 1
+	 */
+	public double retryShare() {
+		return this.retryShare;
+	}
+
+	/**
+	 * Returns how long an answer may be.
+	 * @return the length in characters
+	 */
+	public int maxAnswerLength() {
+		return this.maxAnswerLength;
+	}
+
+	/**
+	 * Returns how many requests may be open at once.
+	 * @return the number
+	 */
+	public int maxOpenRequests() {
+		return this.maxOpenRequests;
+	}
+
+	/**
+	 * Returns how long to wait for the end of an attempt whose caller was answered,
+	 * before the record is written without it.
+	 * @return the time in milliseconds
+	 */
+	public long lateEndMillis() {
+		return this.lateEndMillis;
+	}
+
+	/**
+	 * Returns how long a caller waits for a rating.
+	 * @return the time in milliseconds
+	 */
+	public long ratingMillis() {
+		return this.ratingMillis;
+	}
+
+	/**
+	 * Returns the share of direct answers that are rated after the caller has them.
+	 * @return the share, 0 to 1
+	 */
+	public double ratedShare() {
+		return this.ratedShare;
+	}
+
+	/**
+	 * Builds {@link RouterSettings}.
+	 */
+	public static final class Builder {
+
+		private final String region;
+
+		private final String dataCenter;
+
+		private int maxAttempts = 4;
+
+		private double retryShare = 0.1;
+
+		private int maxAnswerLength = 1 << 20;
+
+		private int maxOpenRequests = 10_000;
+
+		private long lateEndMillis = 30_000;
+
+		private long ratingMillis = 2_000;
+
+		private double ratedShare = 0.1;
+
+		private Builder(String region, String dataCenter) {
+			this.region = region;
+			this.dataCenter = dataCenter;
+		}
+
+		/**
+		 * Sets how often one request may be tried.
+		 * @param attempts the number of attempts, the first included
+		 * @return this builder
+		 */
+		public Builder maxAttempts(int attempts) {
+			this.maxAttempts = attempts;
+			return this;
+		}
+
+		/**
+		 * Sets how many retries are earned by each request.
+		 * @param share the share, 0 to 1
+		 * @return this builder
+		 */
+		public Builder retryShare(double share) {
+			this.retryShare = share;
+			return this;
+		}
+
+		/**
+		 * Sets how long an answer may be.
+		 * @param length the length in characters
+		 * @return this builder
+		 */
+		public Builder maxAnswerLength(int length) {
+			this.maxAnswerLength = length;
+			return this;
+		}
+
+		/**
+		 * Sets how many requests may be open at once.
+		 * @param requests the number
+		 * @return this builder
+		 */
+		public Builder maxOpenRequests(int requests) {
+			this.maxOpenRequests = requests;
+			return this;
+		}
+
+		/**
+		 * Sets how long to wait for the end of an attempt whose caller was answered.
+		 * @param millis the time in milliseconds
+		 * @return this builder
+		 */
+		public Builder lateEndMillis(long millis) {
+			this.lateEndMillis = millis;
+			return this;
+		}
+
+		/**
+		 * Sets how long a caller waits for a rating.
+		 * @param millis the time in milliseconds
+		 * @return this builder
+		 */
+		public Builder ratingMillis(long millis) {
+			this.ratingMillis = millis;
+			return this;
+		}
+
+		/**
+		 * Sets the share of direct answers that are rated.
+		 * @param share the share, 0 to 1
+		 * @return this builder
+		 */
+		public Builder ratedShare(double share) {
+			this.ratedShare = share;
+			return this;
+		}
+
+		/**
+		 * Builds the settings.
+		 * @return the settings
+		 */
+		public RouterSettings build() {
+			return new RouterSettings(this);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/gullsaddle/route/SpotChecks.java
@@ -0,0 +1,64 @@
+package org.gullsaddle.route;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.random.RandomGenerator;
+
+import org.gullsaddle.base.AttemptId;
+import org.gullsaddle.base.ModelVersion;
+import org.gullsaddle.base.TeamId;
+import org.gullsaddle.base.TemplateName;
+import org.gullsaddle.template.VersionRule;
+
+/**
+ * Has a share of the answers rated that callers got directly, so that a version whose
+ * answers are never rated on the way does not drift unseen.
+ */
+final class SpotChecks {
+
+	private static final int MAX_WAITING = 1000;
+
+	private final QualityBook quality;
+
+	private final double share;
+
+	private final RandomGenerator random;
+
+	private final Map<AttemptId, Check> waiting = new LinkedHashMap<>() {
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<AttemptId, Check> eldest) {
+			return size() > MAX_WAITING;
+		}
+	};
+
+	SpotChecks(QualityBook quality, double share, RandomGenerator random) {
+		this.quality = quality;
+		this.share = share;
+		this.random = random;
+	}
+
+	Optional<RouterAction> consider(RequestState state, ModelVersion version, String answer) {
+		if (this.random.nextDouble() >= this.share) {
+			return Optional.empty();
+		}
+		AttemptId attempt = new AttemptId(state.id(), state.attempts());
+		double expected = state.template().rule(version).map(VersionRule::quality).orElse(0.5);
+		double target = state.template().team(state.team()).map((team) -> team.qualityTarget()).orElse(0.0);
+		this.waiting.put(attempt, new Check(state.request().template(), state.team(), version, expected, target));
+		return Optional.of(new RouterAction.Rate(attempt, version, state.request().body(), answer));
+	}
+
+	void rated(AttemptId attempt, OptionalDouble score) {
+		Check check = this.waiting.remove(attempt);
+		if (check != null && score.isPresent()) {
+			this.quality.rated(check.template(), check.team(), check.version(), check.expected(), score.getAsDouble(),
+					check.bar());
+		}
+	}
+
+	private record Check(TemplateName template, TeamId team, ModelVersion version, double expected, double bar) {
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/gullsaddle/template/TemplateBook.java
@@ -0,0 +1,61 @@
+package org.gullsaddle.template;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.gullsaddle.base.TemplateName;
+
+/**
+ * The templates in force on a node. Not thread-safe.
+ */
+public final class TemplateBook {
+
+	private final Map<TemplateName, TemplateRevision> templates = new TreeMap<>();
+
+	/**
+	 * Takes in a revision, unless it is not newer than the one held.
+	 * <p>
+	 * A value read from a lagging source, or a push that overtook another, may be older
+	 * than what is in force. Taking it would give withdrawn versions new work again, so
+	 * only a higher revision is applied, whatever the order of arrival.
+	 * @param candidate the revision
+	 * @return true if it is now in force
+	 */
+	public boolean apply(TemplateRevision candidate) {
+		TemplateName name = candidate.template().name();
+		if (revisionOf(name) >= candidate.revision()) {
+			return false;
+		}
+		this.templates.put(name, candidate);
+		return true;
+	}
+
+	/**
+	 * Returns the revision in force of a template.
+	 * @param name the template
+	 * @return the revision, or empty if none is known
+	 */
+	public Optional<TemplateRevision> get(TemplateName name) {
+		return Optional.ofNullable(this.templates.get(name));
+	}
+
+	/**
+	 * Returns the number of the revision in force.
+	 * @param name the template
+	 * @return the number, or 0 if none is known
+	 */
+	public long revisionOf(TemplateName name) {
+		TemplateRevision held = this.templates.get(name);
+		return (held != null) ? held.revision() : 0;
+	}
+
+	/**
+	 * Returns all templates in force, by name.
+	 * @return an unmodifiable snapshot
+	 */
+	public Map<TemplateName, TemplateRevision> all() {
+		return Map.copyOf(this.templates);
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/gullsaddle/template/package-info.java
@@ -0,0 +1,6 @@
+/**
+ * Templates: what an operator allows each team, how they are read from YAML, and the
+ * {@link org.gullsaddle.template.TemplateBook} of those in force, which never goes back
+ * to an older revision.
+ */
+package org.gullsaddle.template;
