--- a/core/src/main/java/org/gullsaddle/route/RequestState.java
+++ b/core/src/main/java/org/gullsaddle/route/RequestState.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 
 import org.gullsaddle.base.AttemptId;
+import org.gullsaddle.base.Completion;
 import org.gullsaddle.base.ModelVersion;
 import org.gullsaddle.base.NodeId;
 import org.gullsaddle.base.RequestId;
@@ -46,6 +47,10 @@
 
 	private AttemptId rating;
 
+	private Completion rated;
+
+	private Fallback fallback;
+
 	private Verdict verdict = Verdict.NOT_RUN;
 
 	private boolean claimed;
@@ -183,8 +188,9 @@
 		this.delivering = true;
 	}
 
-	void awaitRating(AttemptId attempt) {
+	void awaitRating(AttemptId attempt, Completion completion) {
 		this.rating = attempt;
+		this.rated = completion;
 	}
 
 	boolean awaitsRating(AttemptId attempt) {
@@ -195,6 +201,17 @@
 		this.rating = null;
 	}
 
+	/**
+	 * Keeps the answer of the current stage, in case no later one gives any.
+	 */
+	void keepFallback() {
+		this.fallback = new Fallback(version(), this.received.toString(), this.rated);
+	}
+
+	Fallback fallback() {
+		return this.fallback;
+	}
+
 	boolean awaitsRating() {
 		return this.rating != null;
 	}
@@ -239,6 +256,12 @@
 				verdict(), this.outcome, cost(), this.finished);
 	}
 
+	/**
+	 * An answer that a caller has not been given.
+	 */
+	record Fallback(ModelVersion version, String text, Completion completion) {
+	}
+
 	/**
 	 * The attempt that an agent has.
 	 */
--- a/core/src/main/java/org/gullsaddle/route/Router.java
+++ b/core/src/main/java/org/gullsaddle/route/Router.java
@@ -19,8 +19,6 @@
 import org.gullsaddle.base.Usage;
 import org.gullsaddle.base.Verdict;
 import org.gullsaddle.clock.Moment;
-import org.gullsaddle.template.CutOffBehaviour;
-import org.gullsaddle.template.TeamRule;
 import org.gullsaddle.template.Template;
 import org.gullsaddle.template.TemplateBook;
 import org.gullsaddle.template.TemplateRevision;
@@ -39,6 +37,8 @@
  */
 public final class Router {
 
+	private static final String SERVED = "served";
+
 	private static final long COME_BACK_MILLIS = 1000;
 
 	private static final long CUT_OFF_COME_BACK_MILLIS = 5000;
@@ -57,6 +57,10 @@
 
 	private final SuspectBook suspects = new SuspectBook();
 
+	private final ComeBack comeBack;
+
+	private final Gate gate;
+
 	private final SpotChecks spotChecks;
 
 	private final RetryBudget retries;
@@ -69,8 +73,6 @@
 
 	private final Outbox outbox = new Outbox();
 
-	private boolean cutOff;
-
 	private long noCascadesUntil = Long.MIN_VALUE;
 
 	/**
@@ -83,6 +85,8 @@
 		this.random = random;
 		this.retries = new RetryBudget(settings.retryShare());
 		this.balancer = new Balancer(settings.region(), settings.dataCenter(), random);
+		this.comeBack = new ComeBack(random);
+		this.gate = new Gate(settings, this.templates, this.suspects, this.comeBack);
 		this.spotChecks = new SpotChecks(this.quality, settings.ratedShare(), random);
 	}
 
@@ -108,7 +112,7 @@
 			case RouterEvent.AnswerRated rated -> rated(now, rated);
 			case RouterEvent.CallerGone gone -> callerGone(now, gone.request());
 			case RouterEvent.TemplateChanged changed -> this.templates.apply(changed.revision());
-			case RouterEvent.FreshnessChanged freshness -> freshness(freshness.cutOff());
+			case RouterEvent.FreshnessChanged freshness -> this.gate.cutOff(freshness.cutOff());
 			case RouterEvent.SuspectLearned learned -> this.suspects.learn(learned.fingerprint(), learned.crashes());
 			case RouterEvent.Tick tick -> tick(now);
 		}
@@ -124,7 +128,7 @@
 	}
 
 	private void arrived(Moment now, IncomingRequest request) {
-		Optional<Refusal> refusal = refuseAtOnce(now, request);
+		Optional<Refusal> refusal = this.gate.check(now, request, this.open.size());
 		TemplateRevision revision = this.templates.get(request.template()).orElse(null);
 		RequestState state = new RequestState(request, revision, unit(request), now.stamp());
 		this.open.put(request.id(), state);
@@ -139,35 +143,13 @@
 			return;
 		}
 		if (plan(now, state).isEmpty()) {
-			giveUp(now, state, comeBack(RefusalReason.NO_VERSION, COME_BACK_MILLIS));
+			giveUp(now, state, this.comeBack.later(RefusalReason.NO_VERSION, COME_BACK_MILLIS));
 			return;
 		}
 		this.outbox.add(new RouterAction.Claim(request.id(), request.team(), request.idempotencyKey().orElseThrow(),
 				request.fingerprint()));
 	}
 
-	private Optional<Refusal> refuseAtOnce(Moment now, IncomingRequest request) {
-		TeamRule team = this.templates.get(request.template())
-			.flatMap((revision) -> revision.template().team(request.team()))
-			.orElse(null);
-		if (team == null) {
-			return Optional.of(Refusal.notRun(RefusalReason.NO_TEMPLATE, 0));
-		}
-		if (this.open.size() >= this.settings.maxOpenRequests()) {
-			return Optional.of(comeBack(RefusalReason.OVERLOADED, COME_BACK_MILLIS));
-		}
-		if (this.cutOff && team.cutOff() == CutOffBehaviour.REFUSE) {
-			return Optional.of(comeBack(RefusalReason.FORBIDDEN, CUT_OFF_COME_BACK_MILLIS));
-		}
-		if (this.suspects.convicted(request.fingerprint())) {
-			return Optional.of(Refusal.notRun(RefusalReason.POISON, 0));
-		}
-		if (request.deadline() <= now.millis()) {
-			return Optional.of(comeBack(RefusalReason.DEADLINE, COME_BACK_MILLIS));
-		}
-		return Optional.empty();
-	}
-
 	private void claimAnswered(Moment now, RouterEvent.ClaimAnswered event) {
 		RequestState state = this.open.get(event.request());
 		if (state == null || state.answered()) {
@@ -184,11 +166,11 @@
 				choose(now, state);
 			}
 			case ClaimAnswer.InUse inUse -> giveUp(now, state,
-					new Refusal(RefusalReason.KEY_IN_USE, Verdict.MAY_HAVE_RUN, retryAfter(COME_BACK_MILLIS)));
+					new Refusal(RefusalReason.KEY_IN_USE, Verdict.MAY_HAVE_RUN, this.comeBack.after(COME_BACK_MILLIS)));
 			case ClaimAnswer.Finished finished -> repeat(now, state, finished.outcome());
 			case ClaimAnswer.ContentDiffers differs -> giveUp(now, state, Refusal.notRun(RefusalReason.KEY_REUSED, 0));
 			case ClaimAnswer.Unavailable unavailable ->
-				giveUp(now, state, comeBack(RefusalReason.STORE_UNAVAILABLE, CUT_OFF_COME_BACK_MILLIS));
+				giveUp(now, state, this.comeBack.later(RefusalReason.STORE_UNAVAILABLE, CUT_OFF_COME_BACK_MILLIS));
 		}
 	}
 
@@ -202,7 +184,7 @@
 		if (state.request().session().isEmpty()) {
 			Optional<Plan> plan = plan(now, state);
 			if (plan.isEmpty()) {
-				giveUp(now, state, comeBack(RefusalReason.NO_VERSION, COME_BACK_MILLIS));
+				giveUp(now, state, this.comeBack.later(RefusalReason.NO_VERSION, COME_BACK_MILLIS));
 				return;
 			}
 			state.plan(plan.get(), false);
@@ -221,7 +203,7 @@
 		Optional<Plan> plan = this.planner.planSession(state.template(), state.team(), this.balancer.served(),
 				state.unit());
 		if (plan.isEmpty()) {
-			giveUp(now, state, comeBack(RefusalReason.NO_VERSION, COME_BACK_MILLIS));
+			giveUp(now, state, this.comeBack.later(RefusalReason.NO_VERSION, COME_BACK_MILLIS));
 			return;
 		}
 		this.outbox.add(new RouterAction.Pin(state.id(), state.team(), state.request().template(),
@@ -241,7 +223,7 @@
 			pin(now, state, event.version());
 		}
 		else {
-			giveUp(now, state, comeBack(RefusalReason.NO_VERSION, COME_BACK_MILLIS));
+			giveUp(now, state, this.comeBack.later(RefusalReason.NO_VERSION, COME_BACK_MILLIS));
 		}
 	}
 
@@ -265,14 +247,14 @@
 			return;
 		}
 		if (now.millis() >= state.request().deadline()) {
-			giveUp(now, state, comeBack(RefusalReason.DEADLINE, COME_BACK_MILLIS));
+			giveUp(now, state, this.comeBack.later(RefusalReason.DEADLINE, COME_BACK_MILLIS));
 			return;
 		}
 		IncomingRequest request = state.request();
 		Optional<NodeId> agent = this.balancer.pick(state.version(), request.prefixHash(), state.tried());
 		if (agent.isEmpty()) {
-			giveUp(now, state, comeBack(state.tried().isEmpty() ? RefusalReason.NO_VERSION : RefusalReason.OVERLOADED,
-					COME_BACK_MILLIS));
+			giveUp(now, state, this.comeBack.later(
+					state.tried().isEmpty() ? RefusalReason.NO_VERSION : RefusalReason.OVERLOADED, COME_BACK_MILLIS));
 			return;
 		}
 		boolean alone = this.suspects.suspected(request.fingerprint());
@@ -284,14 +266,14 @@
 	private void planAgain(Moment now, RequestState state) {
 		if (state.delivering()) {
 			// Half of the answer is out; another version would splice on a different one.
-			giveUp(now, state, comeBack(RefusalReason.BACKEND_FAILED, COME_BACK_MILLIS));
+			giveUp(now, state, this.comeBack.later(RefusalReason.BACKEND_FAILED, COME_BACK_MILLIS));
 		}
 		else if (state.pinned()) {
 			if (state.replacePin()) {
 				pin(now, state, state.version());
 			}
 			else {
-				giveUp(now, state, comeBack(RefusalReason.NO_VERSION, COME_BACK_MILLIS));
+				giveUp(now, state, this.comeBack.later(RefusalReason.NO_VERSION, COME_BACK_MILLIS));
 			}
 		}
 		else {
@@ -346,25 +328,25 @@
 			record(state);
 		}
 		else if (state.lastStage()) {
-			complete(now, state, closed.version(), completion);
+			complete(now, state, closed.version(), completion, SERVED);
 		}
 		else {
-			rate(now, state, event.attempt(), closed.version());
+			rate(now, state, event.attempt(), closed.version(), completion);
 		}
 	}
 
-	private void complete(Moment now, RequestState state, ModelVersion version, Completion completion) {
+	private void complete(Moment now, RequestState state, ModelVersion version, Completion completion, String outcome) {
 		this.outbox.add(new RouterAction.Complete(state.id(), version.toString(), completion, state.cost()));
 		this.outbox.settleClaim(state, version, completion);
-		state.answer("served", now.stamp(), now.millis());
+		state.answer(outcome, now.stamp(), now.millis());
 		if (state.request().repeatable() && state.plan().stages().size() == 1) {
 			this.spotChecks.consider(state, version, state.received().toString()).ifPresent(this.outbox::add);
 		}
 		record(state);
 	}
 
-	private void rate(Moment now, RequestState state, AttemptId attempt, ModelVersion version) {
-		state.awaitRating(attempt);
+	private void rate(Moment now, RequestState state, AttemptId attempt, ModelVersion version, Completion completion) {
+		state.awaitRating(attempt, completion);
 		this.timers.add(new Timer(now.millis() + this.settings.ratingMillis(), state.id()));
 		this.outbox.add(new RouterAction.Rate(attempt, version, state.request().body(), state.received().toString()));
 	}
@@ -390,10 +372,11 @@
 			this.noCascadesUntil = now.millis() + RATER_PAUSE_MILLIS;
 		}
 		if (score.isPresent() && score.getAsDouble() >= bar) {
-			this.outbox.add(new RouterAction.Deliver(state.id(), version, state.received().toString()));
-			complete(now, state, version, new Completion(200, "application/json", "stop", Usage.NONE));
+			state.keepFallback();
+			deliverFallback(now, state, SERVED);
 			return;
 		}
+		state.keepFallback();
 		state.nextStage();
 		send(now, state);
 	}
@@ -463,7 +446,7 @@
 			send(now, state);
 		}
 		else {
-			giveUp(now, state, comeBack(RefusalReason.BACKEND_FAILED, COME_BACK_MILLIS));
+			giveUp(now, state, this.comeBack.later(RefusalReason.BACKEND_FAILED, COME_BACK_MILLIS));
 		}
 	}
 
@@ -493,10 +476,6 @@
 		end(now, state, RefusalReason.CALLER_GONE.toString());
 	}
 
-	private void freshness(boolean isCutOff) {
-		this.cutOff = isCutOff;
-	}
-
 	private void tick(Moment now) {
 		while (!this.timers.isEmpty() && this.timers.peek().time() <= now.millis()) {
 			RequestState state = this.open.get(this.timers.poll().request());
@@ -516,19 +495,28 @@
 			if (state.awaitsRating()) {
 				// An unrated answer in time is worth more to the caller than none.
 				state.ratingDone();
-				this.outbox.add(new RouterAction.Deliver(state.id(), state.version(), state.received().toString()));
-				complete(now, state, state.version(), new Completion(200, "application/json", "stop", Usage.NONE));
-				return;
+				state.keepFallback();
 			}
 			this.outbox.cancel(state);
-			giveUp(now, state, comeBack(RefusalReason.DEADLINE, COME_BACK_MILLIS));
+			giveUp(now, state, this.comeBack.later(RefusalReason.DEADLINE, COME_BACK_MILLIS));
 		}
 		else if (state.awaitsRating()) {
 			judge(now, state, OptionalDouble.empty());
 		}
 	}
 
+	private void deliverFallback(Moment now, RequestState state, String outcome) {
+		RequestState.Fallback fallback = state.fallback();
+		this.outbox.add(new RouterAction.Deliver(state.id(), fallback.version(), fallback.text()));
+		complete(now, state, fallback.version(), fallback.completion(), outcome);
+	}
+
 	private void giveUp(Moment now, RequestState state, Refusal refusal) {
+		if (state.fallback() != null && !state.delivering()) {
+			// An answer that missed the bar, or was not rated, is worth more than none.
+			deliverFallback(now, state, "served-below-target");
+			return;
+		}
 		Refusal told = new Refusal(refusal.reason(), state.verdict().and(refusal.verdict()),
 				refusal.retryAfterMillis());
 		this.outbox.add(new RouterAction.Refuse(state.id(), told));
@@ -579,18 +567,6 @@
 		return Spread.unit(key);
 	}
 
-	private Refusal comeBack(RefusalReason reason, long millis) {
-		return Refusal.notRun(reason, retryAfter(millis));
-	}
-
-	/**
-	 * Spreads the time to come back, so that callers refused together do not return
-	 * together.
-	 */
-	private long retryAfter(long millis) {
-		return millis + this.random.nextLong(millis);
-	}
-
 	private record Timer(long time, RequestId request) {
 	}
 
--- a/core/src/main/java/org/gullsaddle/template/Template.java
+++ b/core/src/main/java/org/gullsaddle/template/Template.java
@@ -1,9 +1,11 @@
 package org.gullsaddle.template;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 import java.util.function.UnaryOperator;
 
 import com.fasterxml.jackson.annotation.JsonIgnore;
@@ -117,6 +119,21 @@
 		return new Template(this.name, this.kind, this.repeatable, rules, this.teams);
 	}
 
+	/**
+	 * Returns a copy with the parameters of some teams only.
+	 * @param kept says which teams to keep
+	 * @return the smaller template
+	 */
+	public Template onlyTeams(Predicate<TeamId> kept) {
+		Map<TeamId, TeamRule> rules = new HashMap<>();
+		this.teams.forEach((team, rule) -> {
+			if (kept.test(team)) {
+				rules.put(team, rule);
+			}
+		});
+		return new Template(this.name, this.kind, this.repeatable, this.versions, rules);
+	}
+
 	/**
 	 * Returns the names of the models, in the order of their first version.
 	 * @return the models
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/backend/AgentNode.java
@@ -0,0 +1,390 @@
+package org.gullsaddle.backend;
+
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+
+import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.core.Flowable;
+import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.disposables.CompositeDisposable;
+import io.reactivex.rxjava3.subjects.CompletableSubject;
+import io.vertx.rxjava3.core.Vertx;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import org.gullsaddle.agent.Admission;
+import org.gullsaddle.agent.AdmissionAction;
+import org.gullsaddle.agent.AdmissionEvent;
+import org.gullsaddle.agent.AdmissionSettings;
+import org.gullsaddle.base.AgentInfo;
+import org.gullsaddle.base.AttemptId;
+import org.gullsaddle.base.LoadReport;
+import org.gullsaddle.base.ModelVersion;
+import org.gullsaddle.base.NodeId;
+import org.gullsaddle.base.TemplateName;
+import org.gullsaddle.base.Usage;
+import org.gullsaddle.base.Verdict;
+import org.gullsaddle.controller.LedgerController;
+import org.gullsaddle.controller.TemplateController;
+import org.gullsaddle.ledger.HeldLine;
+import org.gullsaddle.ledger.LedgerEntry;
+import org.gullsaddle.settings.Role;
+import org.gullsaddle.settings.Settings;
+import org.gullsaddle.telemetry.NodeClock;
+import org.gullsaddle.telemetry.Telemetry;
+import org.gullsaddle.template.TemplateKind;
+import org.gullsaddle.template.TemplateRevision;
+import org.gullsaddle.wire.Frame;
+import org.gullsaddle.wire.PeerLink;
+import org.gullsaddle.wire.PeerListener;
+
+/**
+ * The agent: carries out what {@link Admission} decides. Its state has one lock.
+ */
+public final class AgentNode implements PeerListener {
+
+	private static final Logger LOG = LoggerFactory.getLogger(AgentNode.class);
+
+	private static final long TICK_MILLIS = 50;
+
+	private static final long HOLD_MILLIS = 60_000;
+
+	private static final long CRASH_CHECK_MILLIS = 50;
+
+	private static final long LATE_MILLIS = 30_000;
+
+	private static final int FAILED_PROBES_DOWN = 2;
+
+	private final Settings settings;
+
+	private final NodeClock clock;
+
+	private final Telemetry telemetry;
+
+	private final Backend backend;
+
+	private final Admission admission;
+
+	private final TemplateController templates;
+
+	private final LedgerController ledger;
+
+	private final HeldLines held = new HeldLines(HOLD_MILLIS);
+
+	private final Map<NodeId, PeerLink> entries = new ConcurrentHashMap<>();
+
+	private final Map<AttemptId, Run> runs = new HashMap<>();
+
+	private final Queue<AdmissionEvent> events = new ArrayDeque<>();
+
+	private final CompositeDisposable loops = new CompositeDisposable();
+
+	private final CompletableSubject drained = CompletableSubject.create();
+
+	private boolean handling;
+
+	private int failedProbes;
+
+	private Set<ModelVersion> announced = Set.of();
+
+	/**
+	 * Makes an agent that does nothing yet.
+	 * @param vertx where to run
+	 * @param settings the node's settings, of the role agent
+	 * @param clock the node's clocks
+	 * @param telemetry the node's metrics
+	 * @param templates the templates in force
+	 * @param ledger the node's ledger
+	 */
+	public AgentNode(Vertx vertx, Settings settings, NodeClock clock, Telemetry telemetry, TemplateController templates,
+			LedgerController ledger) {
+		this.settings = settings;
+		this.clock = clock;
+		this.telemetry = telemetry;
+		this.templates = templates;
+		this.ledger = ledger;
+		Settings.Agent agent = settings.agent().orElseThrow();
+		BackendHttp http = new BackendHttp(vertx, agent.backend(), agent.slots());
+		this.backend = (agent.kind() == TemplateKind.CHAT) ? new EngineBackend(http)
+				: new ServiceBackend(http, agent.versions());
+		this.admission = new Admission(new AdmissionSettings(settings.node(), agent.maxQueued(),
+				AdmissionSettings.of(settings.node()).expectedMillis()));
+		templates.listen(this::templateChanged);
+	}
+
+	/**
+	 * Starts asking the backend server for its health, and writing the ledger.
+	 */
+	public void start() {
+		long probe = this.settings.agent().orElseThrow().probeMillis();
+		this.loops.add(Flowable.interval(0, probe, TimeUnit.MILLISECONDS)
+			.onBackpressureDrop()
+			.concatMapSingle((tick) -> probe())
+			.subscribe(this::probed));
+		this.loops.add(
+				Flowable.interval(TICK_MILLIS, TimeUnit.MILLISECONDS).onBackpressureDrop().subscribe((tick) -> tick()));
+		this.loops.add(this.ledger.run(Flowable.interval(1, TimeUnit.SECONDS)).subscribe());
+		this.loops.add(this.templates.load().ignoreElement().onErrorComplete().subscribe());
+		this.telemetry.gauge("queue.running", () -> load().running());
+		this.telemetry.gauge("queue.waiting", () -> load().waiting());
+		this.telemetry.gauge("ledger.held", this::heldLines);
+	}
+
+	/**
+	 * Stops gracefully: takes no new work, lets what runs end, and leaves nothing
+	 * unbilled.
+	 * @return done when nothing runs and the ledger is written
+	 */
+	public Completable drain() {
+		return Completable.fromAction(() -> handle(new AdmissionEvent.DrainStarted()))
+			.andThen(this.drained)
+			.andThen(awaitRecorded())
+			.andThen(Completable.fromAction(this::writeAllHeld))
+			.andThen(Completable.defer(this.ledger::flush));
+	}
+
+	/**
+	 * Stops at once.
+	 */
+	public void stop() {
+		this.loops.dispose();
+	}
+
+	/**
+	 * Says whether the backend server can be given work.
+	 * @return true if it answers and is not leaving
+	 */
+	public synchronized boolean ready() {
+		return !this.admission.draining() && !this.admission.versions().isEmpty();
+	}
+
+	@Override
+	public void up(PeerLink link) {
+		if (link.peerRole() != Role.ENTRY) {
+			link.close();
+			return;
+		}
+		PeerLink earlier = this.entries.put(link.peer(), link);
+		if (earlier != null) {
+			earlier.close();
+		}
+		link.send(status());
+		link.send(inForce());
+	}
+
+	@Override
+	public void down(PeerLink link) {
+		if (this.entries.remove(link.peer(), link)) {
+			handle(new AdmissionEvent.EntryDown(link.peer()));
+		}
+	}
+
+	@Override
+	public void frame(PeerLink link, Frame frame) {
+		switch (frame) {
+			case Frame.Dispatched sent -> handle(new AdmissionEvent.Dispatched(link.peer(), sent.dispatch(),
+					link.toLocal(sent.dispatch().deadline())));
+			case Frame.Cancel cancel -> handle(new AdmissionEvent.Cancelled(cancel.attempt()));
+			case Frame.Credit credit -> credit(credit);
+			case Frame.Recorded recorded -> recorded(recorded);
+			case Frame.Templates pushed -> {
+				pushed.revisions().forEach(this.templates::apply);
+				link.send(inForce());
+			}
+			default -> LOG.atDebug().addKeyValue("frame", frame.getClass().getSimpleName()).log("frame ignored");
+		}
+	}
+
+	private void templateChanged(TemplateRevision revision) {
+		handle(new AdmissionEvent.TemplateChanged(revision));
+	}
+
+	private void handle(AdmissionEvent event) {
+		synchronized (this) {
+			this.events.add(event);
+			if (this.handling) {
+				return;
+			}
+			this.handling = true;
+			while (!this.events.isEmpty()) {
+				for (AdmissionAction action : this.admission.handle(this.clock.now(), this.events.poll())) {
+					carryOut(action);
+				}
+			}
+			this.handling = false;
+		}
+	}
+
+	private void carryOut(AdmissionAction action) {
+		switch (action) {
+			case AdmissionAction.Start start -> start(start);
+			case AdmissionAction.Abort abort -> abort(abort.attempt());
+			case AdmissionAction.Accept accept ->
+				send(accept.entry(), new Frame.Accepted(accept.attempt(), accept.ahead()));
+			case AdmissionAction.Refuse refuse -> {
+				this.telemetry.count("refused." + refuse.refusal().reason());
+				send(refuse.entry(), new Frame.Refused(refuse.attempt(), refuse.refusal()));
+			}
+			case AdmissionAction.SendChunk chunk ->
+				send(chunk.entry(), new Frame.Chunk(chunk.attempt(), chunk.offset(), chunk.text()));
+			case AdmissionAction.SendDone done ->
+				send(done.entry(), new Frame.Done(done.attempt(), done.completion(), done.length()));
+			case AdmissionAction.SendFailed failed -> send(failed.entry(),
+					new Frame.Failed(failed.attempt(), failed.verdict(), failed.crashed(), failed.usage()));
+			case AdmissionAction.Hold hold -> this.held.hold(
+					new HeldLine(hold.entry(), hold.dispatch().team(), hold.dispatch().template(), hold.line()),
+					this.clock.millis());
+			case AdmissionAction.AnnounceLeaving leaving ->
+				this.entries.values().forEach((link) -> link.send(new Frame.Leaving()));
+			case AdmissionAction.Drained done -> this.drained.onComplete();
+		}
+	}
+
+	private void send(NodeId entry, Frame frame) {
+		PeerLink link = this.entries.get(entry);
+		if (link != null) {
+			link.send(frame);
+		}
+	}
+
+	private void start(AdmissionAction.Start start) {
+		AttemptId attempt = start.dispatch().attempt();
+		Run run = new Run(start.dispatch(), (outcome) -> outcome(attempt, outcome));
+		this.runs.put(attempt, run);
+		long left = start.deadline() - this.clock.millis();
+		// A call that must not be repeated may outlive its deadline, so that its end is
+		// known.
+		long limit = start.dispatch().repeatable() ? left : left + LATE_MILLIS;
+		this.backend.run(start.dispatch())
+			.mergeWith(Completable.timer(Math.min(limit, TimeUnit.DAYS.toMillis(1)), TimeUnit.MILLISECONDS)
+				.andThen(Completable.error(new BackendException("deadline passed", Verdict.MAY_HAVE_RUN, null))))
+			.takeUntil((event) -> event instanceof BackendEvent.End)
+			.subscribe(run);
+	}
+
+	private void abort(AttemptId attempt) {
+		Run run = this.runs.get(attempt);
+		if (run != null) {
+			run.abort();
+		}
+	}
+
+	private void credit(Frame.Credit credit) {
+		Run run;
+		synchronized (this) {
+			run = this.runs.get(credit.attempt());
+		}
+		if (run != null) {
+			run.credit(credit.characters());
+		}
+	}
+
+	private void outcome(AttemptId attempt, Run.Outcome outcome) {
+		switch (outcome) {
+			case Run.Outcome.Part part -> handle(new AdmissionEvent.BackendChunk(attempt, part.text()));
+			case Run.Outcome.Ended ended -> {
+				forget(attempt);
+				handle(new AdmissionEvent.BackendDone(attempt, ended.completion()));
+			}
+			case Run.Outcome.Broke broke -> {
+				forget(attempt);
+				broke(attempt, broke);
+			}
+		}
+	}
+
+	/**
+	 * Tells a crash from other failures by asking the backend server whether it lives.
+	 */
+	private void broke(AttemptId attempt, Run.Outcome.Broke broke) {
+		LOG.atInfo().addKeyValue("attempt", attempt).addKeyValue("reason", broke.reason()).log("attempt broke off");
+		if (broke.verdict() == Verdict.NOT_RUN || broke.reason().equals("stopped")) {
+			failed(attempt, broke.verdict(), false, broke.usage());
+			return;
+		}
+		this.loops.add(Single.timer(CRASH_CHECK_MILLIS, TimeUnit.MILLISECONDS)
+			.flatMap((tick) -> this.backend.probe())
+			.map((versions) -> false)
+			.onErrorReturnItem(true)
+			.subscribe((crashed) -> failed(attempt, broke.verdict(), crashed, broke.usage())));
+	}
+
+	private void failed(AttemptId attempt, Verdict verdict, boolean crashed, Usage usage) {
+		handle(new AdmissionEvent.BackendFailed(attempt, verdict, crashed, usage));
+	}
+
+	private synchronized void forget(AttemptId attempt) {
+		this.runs.remove(attempt);
+	}
+
+	private synchronized void recorded(Frame.Recorded recorded) {
+		this.held.recorded(recorded.requests());
+	}
+
+	private Single<Boolean> probe() {
+		return this.backend.probe().map((versions) -> {
+			handle(new AdmissionEvent.BackendUp(versions, this.settings.agent().orElseThrow().slots()));
+			return true;
+		}).onErrorReturnItem(false);
+	}
+
+	private void probed(boolean alive) {
+		this.failedProbes = alive ? 0 : this.failedProbes + 1;
+		if (this.failedProbes == FAILED_PROBES_DOWN) {
+			LOG.warn("backend server does not answer");
+			handle(new AdmissionEvent.BackendDown());
+		}
+		Frame.Status status = status();
+		boolean changed = !status.agent().versions().equals(this.announced);
+		this.announced = status.agent().versions();
+		Frame report = changed ? status : new Frame.Load(status.agent().load());
+		this.entries.values().forEach((link) -> link.send(report));
+	}
+
+	private void tick() {
+		handle(new AdmissionEvent.Tick());
+		synchronized (this) {
+			for (HeldLine line : this.held.due(this.clock.millis(), this.entries.keySet())) {
+				this.ledger.append(new LedgerEntry.Part(line));
+			}
+		}
+	}
+
+	private Completable awaitRecorded() {
+		return Flowable.interval(TICK_MILLIS, TimeUnit.MILLISECONDS)
+			.takeUntil((tick) -> heldLines() == 0 || this.entries.isEmpty())
+			.ignoreElements()
+			.timeout(2, TimeUnit.SECONDS)
+			.onErrorComplete();
+	}
+
+	private synchronized void writeAllHeld() {
+		this.held.all().forEach((line) -> this.ledger.append(new LedgerEntry.Part(line)));
+	}
+
+	private synchronized int heldLines() {
+		return this.held.size();
+	}
+
+	private synchronized LoadReport load() {
+		return this.admission.load();
+	}
+
+	private synchronized Frame.Status status() {
+		AgentInfo info = new AgentInfo(this.settings.node(), this.settings.region(), this.settings.dataCenter(),
+				this.admission.versions(), this.admission.load());
+		return new Frame.Status(info, this.admission.draining());
+	}
+
+	private Frame.InForce inForce() {
+		Map<TemplateName, Long> revisions = new HashMap<>();
+		this.templates.all().forEach((name, revision) -> revisions.put(name, revision.revision()));
+		return new Frame.InForce(revisions);
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/backend/BackendEvent.java
@@ -0,0 +1,22 @@
+package org.gullsaddle.backend;
+
+import org.gullsaddle.base.Completion;
+
+/**
+ * What a backend server answers.
+ */
+sealed interface BackendEvent {
+
+	/**
+	 * A part of the answer.
+	 */
+	record Part(String text) implements BackendEvent {
+	}
+
+	/**
+	 * The answer's end.
+	 */
+	record End(Completion completion) implements BackendEvent {
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/backend/HeldLines.java
@@ -0,0 +1,78 @@
+package org.gullsaddle.backend;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.gullsaddle.base.NodeId;
+import org.gullsaddle.base.RequestId;
+import org.gullsaddle.ledger.HeldLine;
+
+/**
+ * The lines of attempts that ran here and whose request's record is not known to be in
+ * the store.
+ * <p>
+ * The entry answers the caller before its record is in the store, and may die in between;
+ * the request would then be served and never billed. The agent holds the line since
+ * before the answer's end left it, and writes it itself once the entry has had its time.
+ * Both copies may then be written; bills count them once.
+ */
+final class HeldLines {
+
+	private final long patienceMillis;
+
+	private final Map<RequestId, List<Held>> lines = new LinkedHashMap<>();
+
+	HeldLines(long patienceMillis) {
+		this.patienceMillis = patienceMillis;
+	}
+
+	void hold(HeldLine line, long now) {
+		this.lines.computeIfAbsent(line.line().attempt().request(), (id) -> new ArrayList<>()).add(new Held(line, now));
+	}
+
+	void recorded(List<RequestId> requests) {
+		requests.forEach(this.lines::remove);
+	}
+
+	/**
+	 * Takes out the lines to write: those held for too long, and those of entries that
+	 * are gone.
+	 */
+	List<HeldLine> due(long now, Set<NodeId> connected) {
+		List<HeldLine> due = new ArrayList<>();
+		Iterator<List<Held>> each = this.lines.values().iterator();
+		while (each.hasNext()) {
+			List<Held> held = each.next();
+			if (held.stream().anyMatch((one) -> isDue(one, now, connected))) {
+				held.forEach((one) -> due.add(one.line()));
+				each.remove();
+			}
+		}
+		return due;
+	}
+
+	List<HeldLine> all() {
+		List<HeldLine> all = new ArrayList<>();
+		this.lines.values().forEach((held) -> held.forEach((one) -> all.add(one.line())));
+		this.lines.clear();
+		return all;
+	}
+
+	int size() {
+		return this.lines.size();
+	}
+
+	private boolean isDue(Held held, long now, Set<NodeId> connected) {
+		long waited = now - held.since();
+		boolean gone = !connected.contains(held.line().entry());
+		return waited > this.patienceMillis || (gone && waited > this.patienceMillis / 10);
+	}
+
+	private record Held(HeldLine line, long since) {
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/controller/ConflictException.java
@@ -0,0 +1,28 @@
+package org.gullsaddle.controller;
+
+import java.util.Optional;
+
+import org.gullsaddle.template.TemplateRevision;
+
+/**
+ * A template was changed by someone else since the revision that a change was made from.
+ */
+public class ConflictException extends Exception {
+
+	private final transient Optional<TemplateRevision> present;
+
+	ConflictException(Optional<TemplateRevision> present) {
+		super(present.map((held) -> "the template is at revision " + held.revision() + ", changed by " + held.author())
+			.orElse("the template does not exist"));
+		this.present = present;
+	}
+
+	/**
+	 * Returns the revision found.
+	 * @return the revision, or empty if the template does not exist
+	 */
+	public Optional<TemplateRevision> present() {
+		return this.present;
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/controller/GrantController.java
@@ -0,0 +1,104 @@
+package org.gullsaddle.controller;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
+
+import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.core.Flowable;
+import io.reactivex.rxjava3.core.Single;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import org.gullsaddle.allowance.GrantDocument;
+import org.gullsaddle.allowance.GrantKeeper;
+import org.gullsaddle.base.Json;
+import org.gullsaddle.store.Store;
+import org.gullsaddle.telemetry.NodeClock;
+
+/**
+ * Keeps this entry's parts of the allowances in step with the store.
+ */
+public final class GrantController {
+
+	private static final Logger LOG = LoggerFactory.getLogger(GrantController.class);
+
+	private static final int CONFLICTS = 5;
+
+	private final Store store;
+
+	private final String key;
+
+	private final NodeClock clock;
+
+	private final GrantKeeper keeper;
+
+	/**
+	 * Makes a controller.
+	 * @param store the store
+	 * @param prefix the start of the system's keys
+	 * @param clock the node's clocks
+	 * @param keeper decides the shares
+	 */
+	public GrantController(Store store, String prefix, NodeClock clock, GrantKeeper keeper) {
+		this.store = store;
+		this.key = prefix + "grants";
+		this.clock = clock;
+		this.keeper = keeper;
+	}
+
+	/**
+	 * Renews and adjusts the shares, again and again, until cancelled.
+	 * @param every what starts each round
+	 * @return never done
+	 */
+	public Completable run(Flowable<?> every) {
+		return every.onBackpressureDrop().concatMapCompletable((tick) -> round(CONFLICTS).onErrorComplete());
+	}
+
+	/**
+	 * Gives all shares back.
+	 * @return done when the store has taken it
+	 */
+	public Completable giveUpAll() {
+		return this.store.get(this.key).flatMapCompletable((found) -> {
+			if (found.isEmpty()) {
+				return Completable.complete();
+			}
+			GrantDocument document = this.keeper.giveUpAll(read(found), this.clock.millis());
+			return write(found, document).ignoreElement();
+		});
+	}
+
+	private Completable round(int triesLeft) {
+		long askedAt = this.clock.millis();
+		return this.store.get(this.key).flatMapCompletable((found) -> {
+			GrantDocument next = this.keeper.propose(read(found), askedAt, this.clock.millis(),
+					this.clock.wallMillis());
+			if (next == null) {
+				return Completable.complete();
+			}
+			return write(found, next).flatMapCompletable((revision) -> {
+				if (revision.isPresent()) {
+					this.keeper.accepted(this.clock.millis());
+					return Completable.complete();
+				}
+				this.keeper.abandoned();
+				return (triesLeft > 0) ? round(triesLeft - 1) : Completable.complete();
+			});
+		}).doOnError((failure) -> {
+			this.keeper.abandoned();
+			LOG.atWarn().addKeyValue("reason", failure.getMessage()).log("allowances not renewed");
+		});
+	}
+
+	private Single<Optional<Long>> write(Optional<Store.StoredValue> found, GrantDocument document) {
+		return this.store.write(this.key, found.map(Store.StoredValue::revision).orElse(0L),
+				List.of(new Store.Put(this.key, Json.write(document))));
+	}
+
+	private static GrantDocument read(Optional<Store.StoredValue> found) throws IOException {
+		return found.isPresent() ? Json.read(found.get().value(), GrantDocument.class) : GrantDocument.EMPTY;
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/controller/LedgerController.java
@@ -0,0 +1,167 @@
+package org.gullsaddle.controller;
+
+import java.time.Instant;
+import java.time.ZoneOffset;
+import java.time.format.DateTimeFormatter;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.core.Flowable;
+import io.reactivex.rxjava3.core.Single;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import org.gullsaddle.base.Json;
+import org.gullsaddle.base.RequestId;
+import org.gullsaddle.ledger.LedgerEntry;
+import org.gullsaddle.ledger.LedgerWriter;
+import org.gullsaddle.ledger.Segment;
+import org.gullsaddle.store.Store;
+import org.gullsaddle.telemetry.NodeClock;
+
+/**
+ * Writes a node's ledger entries to the store in batches. Thread-safe.
+ */
+public final class LedgerController {
+
+	private static final Logger LOG = LoggerFactory.getLogger(LedgerController.class);
+
+	private static final DateTimeFormatter HOUR = DateTimeFormatter.ofPattern("yyyyMMddHH").withZone(ZoneOffset.UTC);
+
+	private static final int MAX_PENDING = 50_000;
+
+	private final Store store;
+
+	private final String prefix;
+
+	private final NodeClock clock;
+
+	private final LedgerWriter writer;
+
+	private final Consumer<List<RequestId>> recorded;
+
+	private String key;
+
+	/**
+	 * Makes a controller.
+	 * @param store the store
+	 * @param prefix the start of the system's keys
+	 * @param clock the node's clocks
+	 * @param writer the ledger writer's name, which no other run of any node may have
+	 * @param recorded hears of the requests whose entries are in the store
+	 */
+	public LedgerController(Store store, String prefix, NodeClock clock, String writer,
+			Consumer<List<RequestId>> recorded) {
+		this.store = store;
+		this.prefix = prefix;
+		this.clock = clock;
+		this.writer = new LedgerWriter(writer, MAX_PENDING);
+		this.recorded = recorded;
+	}
+
+	/**
+	 * Adds an entry.
+	 * @param entry the entry
+	 */
+	public synchronized void append(LedgerEntry entry) {
+		this.writer.append(entry);
+	}
+
+	/**
+	 * Says whether more requests may be let in.
+	 * @return true if there is room for their records
+	 */
+	public synchronized boolean hasRoom() {
+		return this.writer.hasRoom();
+	}
+
+	/**
+	 * Returns how many entries are not known to be in the store.
+	 * @return the number
+	 */
+	public synchronized int waiting() {
+		return this.writer.waiting();
+	}
+
+	/**
+	 * Writes what waits, until nothing does or the store fails.
+	 * @return done when nothing waits; an error if the store failed
+	 */
+	public Completable flush() {
+		return Completable.defer(() -> {
+			Optional<Segment> segment = next();
+			if (segment.isEmpty()) {
+				return Completable.complete();
+			}
+			return write(segment.get()).andThen(Completable.defer(this::flush));
+		});
+	}
+
+	/**
+	 * Writes what waits, again and again, until cancelled.
+	 * @param every what starts each round
+	 * @return never done
+	 */
+	public Completable run(Flowable<?> every) {
+		return every.onBackpressureDrop()
+			.concatMapCompletable((tick) -> flush()
+				.doOnError((failure) -> LOG.atWarn()
+					.addKeyValue("waiting", waiting())
+					.addKeyValue("reason", failure.getMessage())
+					.log("ledger not written"))
+				.onErrorComplete());
+	}
+
+	private synchronized Optional<Segment> next() {
+		Optional<Segment> segment = this.writer.next();
+		if (segment.isPresent() && this.key == null) {
+			// The hour is part of the key, and must not change while the write is in
+			// doubt.
+			this.key = this.prefix + "ledger/" + HOUR.format(Instant.ofEpochMilli(this.clock.wallMillis())) + "/"
+					+ segment.get().writer() + "/" + String.format("%010d", segment.get().sequence());
+		}
+		return segment;
+	}
+
+	private Completable write(Segment segment) {
+		String target = this.key;
+		Store.Put put = new Store.Put(target, Json.write(segment));
+		Store.Put head = new Store.Put(this.prefix + "heads/" + segment.writer(),
+				Json.write(new Head(segment.writer(), segment.sequence(), segment.head())));
+		return this.store.write(target, 0, List.of(put, head))
+			.flatMap((revision) -> revision.isPresent() ? Single.just(true) : isOurs(target, segment))
+			.flatMapCompletable((ours) -> ours ? Completable.fromAction(this::written)
+					: Completable.error(new IllegalStateException("another writer uses the key " + target)));
+	}
+
+	/**
+	 * Says whether the segment is there already, from a write whose answer was lost.
+	 */
+	private Single<Boolean> isOurs(String target, Segment segment) {
+		return this.store.get(target)
+			.map((found) -> found.isPresent()
+					&& Json.read(found.get().value(), Segment.class).head().equals(segment.head()));
+	}
+
+	private void written() {
+		List<RequestId> requests;
+		synchronized (this) {
+			requests = this.writer.written();
+			this.key = null;
+		}
+		this.recorded.accept(requests);
+	}
+
+	/**
+	 * The last segment of a writer, kept apart so that a missing end shows.
+	 *
+	 * @param writer the writer
+	 * @param sequence the number of its last segment
+	 * @param hash the hash of its last entry
+	 */
+	public record Head(String writer, long sequence, String hash) {
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/controller/MemberController.java
@@ -0,0 +1,224 @@
+package org.gullsaddle.controller;
+
+import java.io.IOException;
+import java.net.URI;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.core.Flowable;
+import io.reactivex.rxjava3.core.Single;
+import io.vertx.ext.web.client.WebClientOptions;
+import io.vertx.rxjava3.core.Vertx;
+import io.vertx.rxjava3.ext.web.client.WebClient;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import org.gullsaddle.base.Json;
+import org.gullsaddle.base.NodeId;
+import org.gullsaddle.settings.Address;
+import org.gullsaddle.settings.Role;
+import org.gullsaddle.settings.Settings;
+import org.gullsaddle.wire.Frame;
+import org.gullsaddle.wire.PeerDialer;
+import org.gullsaddle.wire.PeerLink;
+import org.gullsaddle.wire.PeerListener;
+
+/**
+ * Keeps links to all other nodes on the platform's VM list. Thread-safe.
+ * <p>
+ * The list lags: it names VMs that are gone and lacks new ones. It only says whom to dial
+ * and who is leaving; whether a node lives, its link tells.
+ */
+public final class MemberController {
+
+	private static final Logger LOG = LoggerFactory.getLogger(MemberController.class);
+
+	private static final long TIMEOUT_MILLIS = 1000;
+
+	private final WebClient client;
+
+	private final URI url;
+
+	private final long pollMillis;
+
+	private final NodeId self;
+
+	private final PeerDialer dialer;
+
+	private final PeerListener listener;
+
+	private final Consumer<NodeId> leaving;
+
+	private final Map<NodeId, PeerLink> links = new HashMap<>();
+
+	private final Set<NodeId> dialing = new HashSet<>();
+
+	private volatile Set<NodeId> listed = Set.of();
+
+	private volatile Set<NodeId> entries = Set.of();
+
+	/**
+	 * Makes a controller.
+	 * @param vertx where to run
+	 * @param settings the node's settings
+	 * @param dialer dials the other nodes
+	 * @param listener hears of the links
+	 * @param leaving hears of nodes that the list says are leaving, on each reading
+	 */
+	public MemberController(Vertx vertx, Settings settings, PeerDialer dialer, PeerListener listener,
+			Consumer<NodeId> leaving) {
+		this.url = settings.vms().url();
+		this.pollMillis = settings.vms().pollMillis();
+		this.self = settings.node();
+		this.dialer = dialer;
+		this.listener = listener;
+		this.leaving = leaving;
+		this.client = WebClient.create(vertx,
+				new WebClientOptions().setDefaultHost(this.url.getHost()).setDefaultPort(this.url.getPort()));
+	}
+
+	/**
+	 * Reads the list and dials, again and again, until cancelled.
+	 * @return never done
+	 */
+	public Completable run() {
+		return Flowable.interval(0, this.pollMillis, TimeUnit.MILLISECONDS)
+			.onBackpressureDrop()
+			.concatMapCompletable((tick) -> read().doOnSuccess(this::follow)
+				.ignoreElement()
+				.doOnError(
+						(failure) -> LOG.atDebug().addKeyValue("reason", failure.getMessage()).log("VM list not read"))
+				.onErrorComplete());
+	}
+
+	/**
+	 * Returns the link to a node.
+	 * @param node the node
+	 * @return the link, or null if there is none
+	 */
+	public synchronized PeerLink link(NodeId node) {
+		return this.links.get(node);
+	}
+
+	/**
+	 * Returns all links that are up.
+	 * @return a snapshot
+	 */
+	public synchronized Map<NodeId, PeerLink> links() {
+		return Map.copyOf(this.links);
+	}
+
+	/**
+	 * Returns the nodes on the list at its last reading, without this one.
+	 * @return the nodes
+	 */
+	public Set<NodeId> listed() {
+		return this.listed;
+	}
+
+	/**
+	 * Returns the entries on the list at its last reading, without this node.
+	 * @return the entries
+	 */
+	public Set<NodeId> entries() {
+		return this.entries;
+	}
+
+	private Single<JsonNode> read() {
+		return this.client.get(this.url.getPath())
+			.rxSend()
+			.timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+			.map((response) -> Json.tree(response.bodyAsString()));
+	}
+
+	private void follow(JsonNode list) throws IOException {
+		Set<NodeId> seen = new HashSet<>();
+		Set<NodeId> seenEntries = new HashSet<>();
+		for (JsonNode vm : list) {
+			NodeId node = new NodeId(vm.path("id").asText());
+			if (node.equals(this.self)) {
+				continue;
+			}
+			seen.add(node);
+			if (vm.path("role").asText().equals(Role.ENTRY.toString())) {
+				seenEntries.add(node);
+			}
+			if (vm.path("state").asText().equals("leaving")) {
+				this.leaving.accept(node);
+			}
+			dial(node, Address.of(vm.path("address").asText()));
+		}
+		this.listed = Set.copyOf(seen);
+		this.entries = Set.copyOf(seenEntries);
+	}
+
+	private void dial(NodeId node, Address address) {
+		synchronized (this) {
+			if (this.links.containsKey(node) || !this.dialing.add(node)) {
+				return;
+			}
+		}
+		this.dialer.dial(address, new Tracker(node)).onFailure((failure) -> dialed(node));
+	}
+
+	private synchronized void dialed(NodeId node) {
+		this.dialing.remove(node);
+	}
+
+	/**
+	 * Follows one link from its dialing to its end.
+	 */
+	private final class Tracker implements PeerListener {
+
+		private final NodeId node;
+
+		Tracker(NodeId node) {
+			this.node = node;
+		}
+
+		@Override
+		public void up(PeerLink link) {
+			if (!link.peer().equals(this.node)) {
+				LOG.atWarn().addKeyValue("listed", this.node).addKeyValue("peer", link.peer()).log("wrong name listed");
+				link.close();
+				return;
+			}
+			synchronized (MemberController.this) {
+				MemberController.this.dialing.remove(this.node);
+				MemberController.this.links.put(link.peer(), link);
+			}
+			MemberController.this.listener.up(link);
+		}
+
+		@Override
+		public void frame(PeerLink link, Frame frame) {
+			MemberController.this.listener.frame(link, frame);
+		}
+
+		@Override
+		public void down(PeerLink link) {
+			synchronized (MemberController.this) {
+				MemberController.this.links.remove(link.peer(), link);
+			}
+			if (link.peer().equals(this.node)) {
+				MemberController.this.listener.down(link);
+			}
+			else {
+				failed(link);
+			}
+		}
+
+		@Override
+		public void failed(PeerLink link) {
+			dialed(this.node);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/controller/RegisterController.java
@@ -0,0 +1,175 @@
+package org.gullsaddle.controller;
+
+import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.concurrent.atomic.AtomicLong;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.subjects.SingleSubject;
+
+import org.gullsaddle.base.Json;
+import org.gullsaddle.register.Entry;
+import org.gullsaddle.register.Operation;
+import org.gullsaddle.register.RegisterAction;
+import org.gullsaddle.register.RegisterEvent;
+import org.gullsaddle.register.RegisterShard;
+import org.gullsaddle.store.Store;
+import org.gullsaddle.telemetry.NodeClock;
+
+/**
+ * A register spread over several values in the store. Thread-safe; each shard has its own
+ * lock.
+ */
+public final class RegisterController {
+
+	private static final int MAX_ENTRIES = 4000;
+
+	private final Store store;
+
+	private final NodeClock clock;
+
+	private final List<Shard> shards = new ArrayList<>();
+
+	private final AtomicLong ids = new AtomicLong();
+
+	/**
+	 * Makes a register.
+	 * @param store the store
+	 * @param prefix the start of the keys of the register's values
+	 * @param clock the node's clocks
+	 * @param shards over how many values to spread it; the same on every node
+	 * @param retentionMillis how long an entry is kept after its last change, in
+	 * milliseconds
+	 */
+	public RegisterController(Store store, String prefix, NodeClock clock, int shards, long retentionMillis) {
+		this.store = store;
+		this.clock = clock;
+		for (int i = 0; i < shards; i++) {
+			this.shards.add(new Shard(prefix + i, new RegisterShard(MAX_ENTRIES, retentionMillis)));
+		}
+	}
+
+	/**
+	 * Carries out an operation.
+	 * @param operation the operation
+	 * @param withinMillis how long its answer may take, in milliseconds;
+	 * {@link Long#MAX_VALUE} to try until it is done
+	 * @return the entry that its key has then, or empty; an
+	 * {@link RegisterUnavailableException} if it could not be settled in time
+	 */
+	public Single<Optional<Entry>> submit(Operation operation, long withinMillis) {
+		long id = this.ids.incrementAndGet();
+		long deadline = (withinMillis == Long.MAX_VALUE) ? Long.MAX_VALUE : this.clock.millis() + withinMillis;
+		Shard shard = shard(operation.key());
+		SingleSubject<Optional<Entry>> answer = SingleSubject.create();
+		shard.handle(new RegisterEvent.Submitted(id, operation, deadline), id, answer);
+		return answer;
+	}
+
+	/**
+	 * Lets time pass: ends what waited too long and tries again what failed.
+	 */
+	public void tick() {
+		this.shards.forEach((shard) -> shard.handle(new RegisterEvent.Tick()));
+	}
+
+	private Shard shard(String key) {
+		long hash = Hashing.komihash5_0().hashCharsToLong(key);
+		return this.shards.get((int) Long.remainderUnsigned(hash, this.shards.size()));
+	}
+
+	/**
+	 * One value of the register.
+	 */
+	private final class Shard {
+
+		private final String key;
+
+		private final RegisterShard core;
+
+		private final Map<Long, SingleSubject<Optional<Entry>>> waiting = new HashMap<>();
+
+		private final Queue<RegisterEvent> events = new ArrayDeque<>();
+
+		private boolean handling;
+
+		Shard(String key, RegisterShard core) {
+			this.key = key;
+			this.core = core;
+		}
+
+		void handle(RegisterEvent event, long id, SingleSubject<Optional<Entry>> answer) {
+			synchronized (this) {
+				this.waiting.put(id, answer);
+			}
+			handle(event);
+		}
+
+		void handle(RegisterEvent event) {
+			List<Runnable> answers = new ArrayList<>();
+			synchronized (this) {
+				this.events.add(event);
+				if (this.handling) {
+					return;
+				}
+				this.handling = true;
+				while (!this.events.isEmpty()) {
+					long now = RegisterController.this.clock.millis();
+					long wall = RegisterController.this.clock.wallMillis();
+					for (RegisterAction action : this.core.handle(now, wall, this.events.poll())) {
+						carryOut(action, answers);
+					}
+				}
+				this.handling = false;
+			}
+			// Whoever is answered may submit again; no lock is held then.
+			answers.forEach(Runnable::run);
+		}
+
+		private void carryOut(RegisterAction action, List<Runnable> answers) {
+			switch (action) {
+				case RegisterAction.Read read -> read();
+				case RegisterAction.Write write -> write(write);
+				case RegisterAction.Answer answer -> {
+					SingleSubject<Optional<Entry>> subject = this.waiting.remove(answer.id());
+					answers.add(() -> subject.onSuccess(Optional.ofNullable(answer.entry())));
+				}
+				case RegisterAction.Unavailable unavailable -> {
+					SingleSubject<Optional<Entry>> subject = this.waiting.remove(unavailable.id());
+					answers.add(() -> subject.onError(new RegisterUnavailableException()));
+				}
+			}
+		}
+
+		private void read() {
+			RegisterController.this.store.get(this.key)
+				.map((found) -> found.isPresent() ? decode(found.get())
+						: (RegisterEvent) new RegisterEvent.WasRead(0, List.of()))
+				.onErrorReturnItem(new RegisterEvent.ReadFailed())
+				.subscribe(this::handle);
+		}
+
+		private RegisterEvent decode(Store.StoredValue value) throws IOException {
+			Entry[] entries = Json.read(value.value(), Entry[].class);
+			return new RegisterEvent.WasRead(value.revision(), List.of(entries));
+		}
+
+		private void write(RegisterAction.Write write) {
+			Store.Put put = new Store.Put(this.key, Json.write(write.entries()));
+			RegisterController.this.store.write(this.key, write.expectedRevision(), List.of(put))
+				.map((revision) -> revision.isPresent() ? (RegisterEvent) new RegisterEvent.Written(revision.get())
+						: new RegisterEvent.Conflicted())
+				.onErrorReturnItem(new RegisterEvent.WriteUnknown())
+				.subscribe(this::handle);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/controller/TemplateController.java
@@ -0,0 +1,259 @@
+package org.gullsaddle.controller;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.core.Flowable;
+import io.reactivex.rxjava3.core.Single;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import org.gullsaddle.base.Json;
+import org.gullsaddle.base.TemplateName;
+import org.gullsaddle.store.Store;
+import org.gullsaddle.store.StoreException;
+import org.gullsaddle.telemetry.NodeClock;
+import org.gullsaddle.template.Template;
+import org.gullsaddle.template.TemplateBook;
+import org.gullsaddle.template.TemplateRevision;
+
+/**
+ * Keeps the templates in force, from the store and from peers, and changes them by
+ * compare-and-swap. Thread-safe.
+ */
+public final class TemplateController {
+
+	private static final Logger LOG = LoggerFactory.getLogger(TemplateController.class);
+
+	private static final long RETRY_MILLIS = 500;
+
+	private static final int MAX_TEMPLATES = 10_000;
+
+	private static final int SETTLE_ATTEMPTS = 5;
+
+	private final Store store;
+
+	private final String prefix;
+
+	private final NodeClock clock;
+
+	private final TemplateBook book = new TemplateBook();
+
+	private final List<Consumer<TemplateRevision>> listeners = new CopyOnWriteArrayList<>();
+
+	private volatile long storeHeardAt = Long.MIN_VALUE;
+
+	/**
+	 * Makes a controller that knows no template.
+	 * @param store the store
+	 * @param prefix the start of the system's keys
+	 * @param clock the node's clocks
+	 */
+	public TemplateController(Store store, String prefix, NodeClock clock) {
+		this.store = store;
+		this.prefix = prefix;
+		this.clock = clock;
+	}
+
+	/**
+	 * Adds who hears of each revision that comes into force here.
+	 * @param listener the listener, called while no other revision is taken in
+	 */
+	public void listen(Consumer<TemplateRevision> listener) {
+		this.listeners.add(listener);
+	}
+
+	/**
+	 * Takes in a revision, unless it is not newer than the one held.
+	 * @param revision the revision
+	 * @return true if it is now in force
+	 */
+	public synchronized boolean apply(TemplateRevision revision) {
+		if (!this.book.apply(revision)) {
+			return false;
+		}
+		LOG.atInfo()
+			.addKeyValue("template", revision.template().name())
+			.addKeyValue("revision", revision.revision())
+			.log("template in force");
+		this.listeners.forEach((listener) -> listener.accept(revision));
+		return true;
+	}
+
+	/**
+	 * Returns the templates in force.
+	 * @return a snapshot
+	 */
+	public synchronized Map<TemplateName, TemplateRevision> all() {
+		return this.book.all();
+	}
+
+	/**
+	 * Returns a template in force.
+	 * @param name its name
+	 * @return its revision, or empty if there is none
+	 */
+	public synchronized Optional<TemplateRevision> get(TemplateName name) {
+		return this.book.get(name);
+	}
+
+	/**
+	 * Returns how long ago the store was last heard of.
+	 * @return milliseconds
+	 */
+	public long storeAge() {
+		long heard = this.storeHeardAt;
+		return (heard == Long.MIN_VALUE) ? Long.MAX_VALUE : this.clock.millis() - heard;
+	}
+
+	/**
+	 * Reads the templates once.
+	 * @return the store's revision that they were read at
+	 */
+	public Single<Long> load() {
+		return this.store.list(templates(), "", MAX_TEMPLATES).map((listing) -> {
+			heard();
+			listing.values().forEach(this::take);
+			return listing.revision();
+		});
+	}
+
+	/**
+	 * Reads the templates and watches them, again and again, until cancelled.
+	 * <p>
+	 * A watch that is cut off says nothing, as does one where nothing changes. The store
+	 * is therefore also read on each tick, which bounds how long a lost change stays
+	 * unseen and tells how fresh the configuration is.
+	 * @param every what starts each reading
+	 * @return never done
+	 */
+	public Completable run(Flowable<?> every) {
+		Completable watch = load().flatMapPublisher((revision) -> this.store.watch(templates(), revision + 1))
+			.doOnNext(this::take)
+			.ignoreElements()
+			.doOnError((failure) -> LOG.atDebug().addKeyValue("reason", failure.getMessage()).log("watch broken"))
+			.onErrorComplete()
+			.delay(RETRY_MILLIS, TimeUnit.MILLISECONDS)
+			.repeat();
+		Completable read = every.onBackpressureDrop()
+			.concatMapCompletable((tick) -> load().ignoreElement().onErrorComplete());
+		return Completable.mergeArray(watch, read);
+	}
+
+	/**
+	 * Changes a template.
+	 * @param template the template
+	 * @param yaml its text
+	 * @param expected the number of the revision that the change was made from, 0 for a
+	 * new template
+	 * @param author who changes it
+	 * @return the new revision; a {@link ConflictException} if the template has another
+	 * revision, a {@link StoreException} if the store cannot say whether it was taken
+	 */
+	public Single<TemplateRevision> change(Template template, String yaml, long expected, String author) {
+		TemplateRevision next = new TemplateRevision(expected + 1, UUID.randomUUID().toString(), author,
+				this.clock.wallMillis(), yaml, template);
+		return stored(template.name()).flatMap((held) -> write(next, held, expected)).doOnSuccess(this::apply);
+	}
+
+	/**
+	 * Returns a template's earlier and present revisions from the store.
+	 * @param name the template
+	 * @param limit how many at most
+	 * @return the revisions, oldest first
+	 */
+	public Single<List<TemplateRevision>> history(TemplateName name, int limit) {
+		return this.store.list(this.prefix + "history/" + name + "/", "", limit).map((listing) -> {
+			List<TemplateRevision> revisions = new ArrayList<>();
+			for (Store.StoredValue value : listing.values()) {
+				revisions.add(Json.read(value.value(), TemplateRevision.class));
+			}
+			return revisions;
+		});
+	}
+
+	private Single<TemplateRevision> write(TemplateRevision next, Optional<Held> held, long expected) {
+		long present = held.map((one) -> one.revision().revision()).orElse(0L);
+		if (present != expected) {
+			return Single.error(new ConflictException(held.map(Held::revision)));
+		}
+		TemplateName name = next.template().name();
+		String value = Json.write(next);
+		List<Store.Put> puts = List.of(new Store.Put(key(name), value),
+				new Store.Put(this.prefix + "history/" + name + "/" + String.format("%010d", next.revision()), value));
+		return this.store.write(key(name), held.map(Held::storeRevision).orElse(0L), puts)
+			.flatMap((revision) -> revision.isPresent() ? Single.just(next) : settle(next))
+			.onErrorResumeNext((failure) -> (failure instanceof StoreException lost && lost.unknown())
+					? settle(next).onErrorResumeNext((again) -> Single.error(failure)) : Single.error(failure));
+	}
+
+	/**
+	 * Finds out whether a change was taken whose answer was lost or was a conflict.
+	 * <p>
+	 * A change that was taken and then replaced by another operator's is found by its
+	 * change id in the history, which is written together with it and never written over.
+	 */
+	private Single<TemplateRevision> settle(TemplateRevision next) {
+		String key = this.prefix + "history/" + next.template().name() + "/" + String.format("%010d", next.revision());
+		return this.store.get(key).flatMap((found) -> {
+			if (found.isEmpty()) {
+				return Single.<TemplateRevision>error(new StoreException("the change was not taken", false, null));
+			}
+			TemplateRevision taken = Json.read(found.get().value(), TemplateRevision.class);
+			return taken.changeId().equals(next.changeId()) ? Single.just(taken)
+					: Single.error(new ConflictException(Optional.of(taken)));
+		})
+			.retryWhen((failures) -> failures.zipWith(Flowable.range(1, SETTLE_ATTEMPTS), (failure, count) -> failure)
+				.concatMap((failure) -> (failure instanceof StoreException)
+						? Flowable.timer(RETRY_MILLIS, TimeUnit.MILLISECONDS) : Flowable.error(failure))
+				.concatWith(Flowable
+					.error(new StoreException("the store does not say whether the change was taken", true, null))));
+	}
+
+	private Single<Optional<Held>> stored(TemplateName name) {
+		return this.store.get(key(name)).map((found) -> {
+			if (found.isEmpty()) {
+				return Optional.empty();
+			}
+			return Optional
+				.of(new Held(Json.read(found.get().value(), TemplateRevision.class), found.get().revision()));
+		});
+	}
+
+	private void take(Store.StoredValue value) {
+		heard();
+		try {
+			apply(Json.read(value.value(), TemplateRevision.class));
+		}
+		catch (IOException | IllegalArgumentException ex) {
+			LOG.atError()
+				.addKeyValue("key", value.key())
+				.addKeyValue("reason", ex.getMessage())
+				.log("unreadable template left aside");
+		}
+	}
+
+	private void heard() {
+		this.storeHeardAt = this.clock.millis();
+	}
+
+	private String templates() {
+		return this.prefix + "templates/";
+	}
+
+	private String key(TemplateName name) {
+		return templates() + name;
+	}
+
+	private record Held(TemplateRevision revision, long storeRevision) {
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/entry/AcceptedPeers.java
@@ -0,0 +1,38 @@
+package org.gullsaddle.entry;
+
+import org.gullsaddle.settings.Role;
+import org.gullsaddle.wire.Frame;
+import org.gullsaddle.wire.PeerLink;
+import org.gullsaddle.wire.PeerListener;
+
+/**
+ * Links that other entries dialed: they bring templates and suspicions, and take no work.
+ */
+final class AcceptedPeers implements PeerListener {
+
+	private final EntryNode node;
+
+	AcceptedPeers(EntryNode node) {
+		this.node = node;
+	}
+
+	@Override
+	public void up(PeerLink link) {
+		if (link.peerRole() != Role.ENTRY) {
+			link.close();
+		}
+	}
+
+	@Override
+	public void frame(PeerLink link, Frame frame) {
+		if (frame instanceof Frame.Templates || frame instanceof Frame.Suspect) {
+			this.node.frame(link, frame);
+		}
+	}
+
+	@Override
+	public void down(PeerLink link) {
+		// This node dials the other one itself, and hears there whether it lives.
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/entry/Claims.java
@@ -0,0 +1,109 @@
+package org.gullsaddle.entry;
+
+import java.io.IOException;
+import java.util.Map;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.ConcurrentHashMap;
+
+import io.reactivex.rxjava3.core.Single;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import org.gullsaddle.base.Fingerprint;
+import org.gullsaddle.base.Json;
+import org.gullsaddle.base.RequestId;
+import org.gullsaddle.base.TeamId;
+import org.gullsaddle.controller.RegisterController;
+import org.gullsaddle.register.Entry;
+import org.gullsaddle.register.Operation;
+import org.gullsaddle.route.CallOutcome;
+import org.gullsaddle.route.ClaimAnswer;
+
+/**
+ * Claims on idempotency keys, agreed between all entries through the store. Thread-safe.
+ */
+final class Claims {
+
+	private static final Logger LOG = LoggerFactory.getLogger(Claims.class);
+
+	private static final long CLAIM_MILLIS = 1500;
+
+	/** A longer answer is not kept; the call sent again is told that it may have run. */
+	private static final int MAX_KEPT_ANSWER = 32_768;
+
+	private final RegisterController register;
+
+	private final Map<RequestId, Mine> mine = new ConcurrentHashMap<>();
+
+	Claims(RegisterController register) {
+		this.register = register;
+	}
+
+	Single<ClaimAnswer> claim(RequestId request, TeamId team, String key, Fingerprint content) {
+		String nonce = UUID.randomUUID().toString();
+		this.mine.put(request, new Mine(nonce, content));
+		String value = Json.write(new Claim(request, content, null));
+		return this.register.submit(new Operation.Put(key(team, key), nonce, value), CLAIM_MILLIS)
+			.map((entry) -> answer(entry, nonce, content))
+			.onErrorReturnItem(new ClaimAnswer.Unavailable())
+			.doOnSuccess((answer) -> {
+				if (!(answer instanceof ClaimAnswer.Granted)) {
+					this.mine.remove(request);
+				}
+			});
+	}
+
+	void settle(RequestId request, TeamId team, String key, CallOutcome outcome) {
+		Mine claimed = this.mine.remove(request);
+		if (claimed == null || outcome.text().length() > MAX_KEPT_ANSWER) {
+			return;
+		}
+		String value = Json.write(new Claim(request, claimed.content(), outcome));
+		finish(request, new Operation.Update(key(team, key), claimed.nonce(), value));
+	}
+
+	void release(RequestId request, TeamId team, String key) {
+		Mine claimed = this.mine.remove(request);
+		if (claimed != null) {
+			finish(request, new Operation.Remove(key(team, key), claimed.nonce()));
+		}
+	}
+
+	private void finish(RequestId request, Operation operation) {
+		this.register.submit(operation, Long.MAX_VALUE)
+			.subscribe((entry) -> LOG.atDebug().addKeyValue("request", request).log("claim settled"),
+					(failure) -> LOG.atWarn().addKeyValue("request", request).log("claim not settled"));
+	}
+
+	private static ClaimAnswer answer(Optional<Entry> entry, String nonce, Fingerprint content) throws IOException {
+		if (entry.isEmpty()) {
+			return new ClaimAnswer.Unavailable();
+		}
+		if (entry.get().nonce().equals(nonce)) {
+			return new ClaimAnswer.Granted();
+		}
+		Claim claim = Json.read(entry.get().value(), Claim.class);
+		if (!claim.content().equals(content)) {
+			return new ClaimAnswer.ContentDiffers();
+		}
+		return (claim.outcome() != null) ? new ClaimAnswer.Finished(claim.outcome()) : new ClaimAnswer.InUse();
+	}
+
+	private static String key(TeamId team, String key) {
+		return team + "/" + key;
+	}
+
+	/**
+	 * A claim that this node put and has not settled.
+	 */
+	private record Mine(String nonce, Fingerprint content) {
+	}
+
+	/**
+	 * What is kept under a key.
+	 */
+	record Claim(RequestId request, Fingerprint content, CallOutcome outcome) {
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/entry/EntryServices.java
@@ -0,0 +1,40 @@
+package org.gullsaddle.entry;
+
+import org.gullsaddle.base.Dispatch;
+import org.gullsaddle.base.Fingerprint;
+import org.gullsaddle.base.NodeId;
+import org.gullsaddle.ledger.RequestRecord;
+import org.gullsaddle.wire.Frame;
+
+/**
+ * What a shard carries its actions out with.
+ */
+interface EntryServices {
+
+	Claims claims();
+
+	Sessions sessions();
+
+	Rater rater();
+
+	/**
+	 * Sends an attempt; false if there is no link, and nothing was written.
+	 */
+	boolean dispatch(NodeId agent, Dispatch dispatch);
+
+	/**
+	 * Sends a frame, if there is a link.
+	 */
+	void send(NodeId agent, Frame frame);
+
+	/**
+	 * Tells this node's other shards and all other nodes of a suspicion.
+	 */
+	void suspect(Fingerprint fingerprint, int level);
+
+	/**
+	 * Writes a request's record to the ledger and gives its permit back.
+	 */
+	void record(RequestRecord record);
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/entry/Exchange.java
@@ -0,0 +1,183 @@
+package org.gullsaddle.entry;
+
+import io.vertx.core.json.JsonObject;
+import io.vertx.ext.web.RoutingContext;
+
+import org.gullsaddle.allowance.Permit;
+import org.gullsaddle.base.ModelVersion;
+import org.gullsaddle.base.RequestId;
+import org.gullsaddle.base.SessionId;
+import org.gullsaddle.base.TeamId;
+import org.gullsaddle.base.TemplateName;
+import org.gullsaddle.clock.Moment;
+
+/**
+ * A caller's request on its way through the filters; each adds what it finds out.
+ */
+final class Exchange {
+
+	private final RoutingContext context;
+
+	private final RequestId id;
+
+	private final Moment arrival;
+
+	private TeamId team;
+
+	private TemplateName template;
+
+	private JsonObject chat;
+
+	private boolean stream;
+
+	private long promptTokens;
+
+	private long maxTokens;
+
+	private String body;
+
+	private String content;
+
+	private long prefixHash;
+
+	private boolean repeatable = true;
+
+	private String idempotencyKey;
+
+	private long deadline;
+
+	private SessionId session;
+
+	private ModelVersion pinned;
+
+	private Permit permit;
+
+	Exchange(RoutingContext context, RequestId id, Moment arrival) {
+		this.context = context;
+		this.id = id;
+		this.arrival = arrival;
+	}
+
+	RoutingContext context() {
+		return this.context;
+	}
+
+	RequestId id() {
+		return this.id;
+	}
+
+	Moment arrival() {
+		return this.arrival;
+	}
+
+	String header(String name) {
+		return this.context.request().getHeader(name);
+	}
+
+	TeamId team() {
+		return this.team;
+	}
+
+	void team(TeamId value) {
+		this.team = value;
+	}
+
+	TemplateName template() {
+		return this.template;
+	}
+
+	void template(TemplateName value) {
+		this.template = value;
+	}
+
+	JsonObject chat() {
+		return this.chat;
+	}
+
+	void chat(JsonObject value, boolean streamed, long prompt, long max) {
+		this.chat = value;
+		this.stream = streamed;
+		this.promptTokens = prompt;
+		this.maxTokens = max;
+	}
+
+	boolean stream() {
+		return this.stream;
+	}
+
+	long promptTokens() {
+		return this.promptTokens;
+	}
+
+	long maxTokens() {
+		return this.maxTokens;
+	}
+
+	String body() {
+		return this.body;
+	}
+
+	/**
+	 * Sets what is handed to the backend server, and the content that tells whether two
+	 * requests are the same.
+	 */
+	void body(String value, String sameness, long prefix) {
+		this.body = value;
+		this.content = sameness;
+		this.prefixHash = prefix;
+	}
+
+	String content() {
+		return this.content;
+	}
+
+	long prefixHash() {
+		return this.prefixHash;
+	}
+
+	boolean repeatable() {
+		return this.repeatable;
+	}
+
+	String idempotencyKey() {
+		return this.idempotencyKey;
+	}
+
+	void onceOnly(String key) {
+		this.repeatable = false;
+		this.idempotencyKey = key;
+	}
+
+	long deadline() {
+		return this.deadline;
+	}
+
+	void deadline(long value) {
+		this.deadline = value;
+	}
+
+	SessionId session() {
+		return this.session;
+	}
+
+	void session(SessionId value) {
+		this.session = value;
+	}
+
+	ModelVersion pinned() {
+		return this.pinned;
+	}
+
+	void pinned(ModelVersion value) {
+		this.pinned = value;
+	}
+
+	Permit permit() {
+		return this.permit;
+	}
+
+	void permit(Permit value) {
+		this.permit = value;
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/entry/Filters.java
@@ -0,0 +1,306 @@
+package org.gullsaddle.entry;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.json.DecodeException;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+
+import org.gullsaddle.allowance.AllowanceBook;
+import org.gullsaddle.base.Json;
+import org.gullsaddle.base.Refusal;
+import org.gullsaddle.base.RefusalReason;
+import org.gullsaddle.base.ServiceCall;
+import org.gullsaddle.base.SessionId;
+import org.gullsaddle.base.TeamId;
+import org.gullsaddle.base.TemplateName;
+import org.gullsaddle.base.Usage;
+import org.gullsaddle.settings.AccessKey;
+import org.gullsaddle.template.TeamRule;
+import org.gullsaddle.template.Template;
+import org.gullsaddle.template.TemplateKind;
+import org.gullsaddle.template.TemplateRevision;
+import org.gullsaddle.template.VersionRule;
+
+/**
+ * The filters, in the order that {@link CallerApi} chains them.
+ */
+final class Filters {
+
+	private static final String BEARER = "Bearer ";
+
+	private static final long STOPPING_COME_BACK_MILLIS = 500;
+
+	private static final long LEDGER_COME_BACK_MILLIS = 5000;
+
+	private static final int MAX_MESSAGES = 1000;
+
+	private static final int DEFAULT_MAX_TOKENS = 1024;
+
+	private static final int LIMIT_MAX_TOKENS = 32_768;
+
+	private static final int CHARACTERS_PER_TOKEN = 3;
+
+	private static final long MAX_DEADLINE_MILLIS = 3_600_000;
+
+	private static final Set<String> ROLES = Set.of("system", "developer", "user", "assistant", "tool");
+
+	/** What a caller may set and the engine is handed as it is. */
+	private static final List<String> PASSED_ON = List.of("temperature", "top_p", "stop", "seed", "frequency_penalty",
+			"presence_penalty");
+
+	private static final Set<String> READS = Set.of("GET", "HEAD");
+
+	private Filters() {
+	}
+
+	/**
+	 * Refuses everything while the node stops.
+	 */
+	record Running(EntryNode node) implements Filter {
+
+		@Override
+		public void apply(Exchange exchange) throws RefusedException {
+			if (this.node.stopping()) {
+				throw new RefusedException(Refusal.notRun(RefusalReason.STOPPING, STOPPING_COME_BACK_MILLIS),
+						"this node is stopping");
+			}
+		}
+
+	}
+
+	/**
+	 * Finds the team by the caller's key.
+	 */
+	record Team(List<AccessKey<TeamId>> keys) implements Filter {
+
+		@Override
+		public void apply(Exchange exchange) throws RefusedException {
+			String header = exchange.header("Authorization");
+			Optional<TeamId> team = (header != null && header.startsWith(BEARER))
+					? AccessKey.owner(this.keys, header.substring(BEARER.length()).strip()) : Optional.empty();
+			exchange.team(team
+				.orElseThrow(() -> new RefusedException(RefusalReason.UNAUTHENTICATED, "the API key is not known")));
+		}
+
+	}
+
+	/**
+	 * Reads a chat completion's body.
+	 */
+	record Chat() implements Filter {
+
+		@Override
+		public void apply(Exchange exchange) throws RefusedException {
+			JsonObject body = body(exchange);
+			try {
+				exchange.template(new TemplateName(body.getString("model", "")));
+				JsonArray messages = messages(body);
+				int maxTokens = maxTokens(body);
+				JsonObject chat = new JsonObject().put("messages", messages).put("max_tokens", maxTokens);
+				PASSED_ON.stream().filter(body::containsKey).forEach((name) -> chat.put(name, body.getValue(name)));
+				String text = chat.encode();
+				exchange.chat(chat, body.getBoolean("stream", false), text.length() / CHARACTERS_PER_TOKEN + 1,
+						maxTokens);
+				exchange.body(text, exchange.template() + text,
+						Hashing.komihash5_0().hashCharsToLong(messages.getJsonObject(0).encode()));
+			}
+			catch (IllegalArgumentException | ClassCastException ex) {
+				throw new RefusedException(RefusalReason.INVALID, "request body: " + ex.getMessage());
+			}
+		}
+
+		private static JsonObject body(Exchange exchange) throws RefusedException {
+			try {
+				JsonObject body = exchange.context().body().asJsonObject();
+				if (body == null) {
+					throw new RefusedException(RefusalReason.INVALID, "request body: must be a JSON object");
+				}
+				return body;
+			}
+			catch (DecodeException | ClassCastException ex) {
+				throw new RefusedException(RefusalReason.INVALID, "request body: must be a JSON object");
+			}
+		}
+
+		private static JsonArray messages(JsonObject body) {
+			JsonArray messages = body.getJsonArray("messages", new JsonArray());
+			if (messages.isEmpty() || messages.size() > MAX_MESSAGES) {
+				throw new IllegalArgumentException("messages must have 1 to " + MAX_MESSAGES + " items");
+			}
+			for (int i = 0; i < messages.size(); i++) {
+				JsonObject message = messages.getJsonObject(i);
+				String role = message.getString("role", "");
+				if (!ROLES.contains(role)) {
+					throw new IllegalArgumentException("messages[" + i + "].role must be one of " + ROLES);
+				}
+				if (!(message.getValue("content") instanceof String)) {
+					throw new IllegalArgumentException("messages[" + i + "].content must be a text");
+				}
+			}
+			return messages;
+		}
+
+		private static int maxTokens(JsonObject body) {
+			Integer given = body.getInteger("max_completion_tokens", body.getInteger("max_tokens"));
+			int maxTokens = (given != null) ? given : DEFAULT_MAX_TOKENS;
+			if (maxTokens < 1 || maxTokens > LIMIT_MAX_TOKENS) {
+				throw new IllegalArgumentException("max_tokens must be between 1 and " + LIMIT_MAX_TOKENS);
+			}
+			return maxTokens;
+		}
+
+	}
+
+	/**
+	 * Reads a call to a plain service.
+	 */
+	record Service() implements Filter {
+
+		@Override
+		public void apply(Exchange exchange) throws RefusedException {
+			try {
+				exchange.template(new TemplateName(exchange.context().pathParam("template")));
+				String method = exchange.context().request().method().name();
+				String key = Optional.ofNullable(exchange.header(Headers.IDEMPOTENCY_KEY)).orElse("");
+				String type = Optional.ofNullable(exchange.header("Content-Type")).orElse("application/octet-stream");
+				Buffer body = exchange.context().body().buffer();
+				String text = (body != null) ? body.toString(StandardCharsets.ISO_8859_1) : "";
+				ServiceCall call = new ServiceCall(method, path(exchange), type, key, text);
+				exchange.body(Json.write(call), exchange.template() + " " + method + " " + call.path() + " " + text, 0);
+				if (!READS.contains(method)) {
+					exchange.onceOnly(key);
+				}
+			}
+			catch (IllegalArgumentException ex) {
+				throw new RefusedException(RefusalReason.INVALID, "call: " + ex.getMessage());
+			}
+		}
+
+		private static String path(Exchange exchange) {
+			String start = "/v1/services/" + exchange.template();
+			String rest = exchange.context().request().uri().substring(start.length());
+			return rest.startsWith("/") ? rest : "/" + rest;
+		}
+
+	}
+
+	/**
+	 * Checks the template and the idempotency key, and sets the deadline.
+	 */
+	record Rules(EntryNode node, TemplateKind kind) implements Filter {
+
+		@Override
+		public void apply(Exchange exchange) throws RefusedException {
+			TemplateRevision revision = this.node.template(exchange.template()).orElse(null);
+			TeamRule team = (revision != null) ? revision.template().team(exchange.team()).orElse(null) : null;
+			if (team == null || revision.template().kind() != this.kind) {
+				throw new RefusedException(RefusalReason.NO_TEMPLATE,
+						"there is no template '" + exchange.template() + "' for this key");
+			}
+			if (!exchange.repeatable()) {
+				checkKey(exchange, revision.template());
+			}
+			exchange.deadline(exchange.arrival().millis() + timeout(exchange, team));
+		}
+
+		private static void checkKey(Exchange exchange, Template template) throws RefusedException {
+			if (exchange.idempotencyKey().isEmpty() && !template.repeatable()) {
+				throw new RefusedException(RefusalReason.KEY_REQUIRED,
+						"this call may run at most once and needs the header " + Headers.IDEMPOTENCY_KEY);
+			}
+			if (exchange.idempotencyKey().length() > 128) {
+				throw new RefusedException(RefusalReason.INVALID,
+						Headers.IDEMPOTENCY_KEY + " must have at most 128 characters");
+			}
+		}
+
+		private static long timeout(Exchange exchange, TeamRule team) throws RefusedException {
+			String header = exchange.header(Headers.TIMEOUT);
+			if (header == null) {
+				return team.deadlineMillis();
+			}
+			if (!header.matches("[1-9]\\d{0,9}") || Long.parseLong(header) > MAX_DEADLINE_MILLIS) {
+				throw new RefusedException(RefusalReason.INVALID,
+						Headers.TIMEOUT + " must be a number of milliseconds from 1 to " + MAX_DEADLINE_MILLIS);
+			}
+			return Long.parseLong(header);
+		}
+
+	}
+
+	/**
+	 * Reads the session and the version that it has.
+	 */
+	record Session(Sessions sessions) implements Filter {
+
+		@Override
+		public void apply(Exchange exchange) throws RefusedException {
+			String id = exchange.header(Headers.SESSION_ID);
+			String token = exchange.header(Headers.SESSION_TOKEN);
+			try {
+				if (id != null) {
+					exchange.session(new SessionId(id));
+				}
+			}
+			catch (IllegalArgumentException ex) {
+				throw new RefusedException(RefusalReason.INVALID, Headers.SESSION_ID + ": " + ex.getMessage());
+			}
+			Optional<Sessions.Token> read = (token != null)
+					? this.sessions.read(token, exchange.team(), exchange.template()) : Optional.empty();
+			if (read.isPresent() && (id == null || read.get().session().equals(exchange.session()))) {
+				exchange.session(read.get().session());
+				exchange.pinned(read.get().version());
+			}
+		}
+
+	}
+
+	/**
+	 * Refuses while the ledger has no room: what cannot be recorded is not run.
+	 */
+	record Ledger(EntryNode node) implements Filter {
+
+		@Override
+		public void apply(Exchange exchange) throws RefusedException {
+			if (!this.node.ledgerHasRoom()) {
+				throw new RefusedException(Refusal.notRun(RefusalReason.STORE_UNAVAILABLE, LEDGER_COME_BACK_MILLIS),
+						"records cannot be written for now");
+			}
+		}
+
+	}
+
+	/**
+	 * Takes the request's part of its team's allowance.
+	 */
+	record Allowance(EntryNode node, AllowanceBook book) implements Filter {
+
+		@Override
+		public void apply(Exchange exchange) throws RefusedException {
+			Template template = this.node.template(exchange.template()).orElseThrow().template();
+			Usage most = new Usage(exchange.promptTokens(), exchange.maxTokens());
+			// A cascade pays for each of its stages.
+			long cost = template.versions()
+				.stream()
+				.map(VersionRule::price)
+				.mapToLong((price) -> price.of(most))
+				.sorted()
+				.skip(Math.max(0, template.versions().size() - 2))
+				.sum();
+			AllowanceBook.Result result = this.book.take(exchange.template(), exchange.team(), cost,
+					this.node.clock().millis(), this.node.clock().wallMillis());
+			if (result.refusal().isPresent()) {
+				throw new RefusedException(result.refusal().get(), "the team's allowance is used up for now");
+			}
+			exchange.permit(result.permit().orElseThrow());
+		}
+
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/entry/Rater.java
@@ -0,0 +1,53 @@
+package org.gullsaddle.entry;
+
+import java.net.URI;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.concurrent.TimeUnit;
+
+import io.reactivex.rxjava3.core.Single;
+import io.vertx.core.json.JsonObject;
+import io.vertx.rxjava3.core.Vertx;
+import io.vertx.rxjava3.ext.web.client.WebClient;
+
+import org.gullsaddle.base.ModelVersion;
+
+/**
+ * Asks the platform's rating service. Thread-safe.
+ */
+final class Rater {
+
+	private static final long TIMEOUT_MILLIS = 2000;
+
+	private final WebClient client;
+
+	private final Optional<URI> url;
+
+	Rater(Vertx vertx, Optional<URI> url) {
+		this.url = url;
+		this.client = WebClient.create(vertx);
+	}
+
+	/**
+	 * Rates an answer; empty if no rating came in time.
+	 */
+	Single<OptionalDouble> rate(ModelVersion version, String prompt, String answer) {
+		if (this.url.isEmpty()) {
+			return Single.just(OptionalDouble.empty());
+		}
+		JsonObject body = new JsonObject().put("version", version.toString())
+			.put("prompt", prompt)
+			.put("answer", answer);
+		return this.client.postAbs(this.url.get().toString())
+			.rxSendJsonObject(body)
+			.timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+			.map((response) -> score(response.bodyAsJsonObject()))
+			.onErrorReturnItem(OptionalDouble.empty());
+	}
+
+	private static OptionalDouble score(JsonObject answer) {
+		Double score = answer.getDouble("score");
+		return (score != null && score >= 0 && score <= 1) ? OptionalDouble.of(score) : OptionalDouble.empty();
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/entry/RouterShard.java
@@ -0,0 +1,140 @@
+package org.gullsaddle.entry;
+
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Queue;
+
+import org.gullsaddle.base.AttemptId;
+import org.gullsaddle.base.NodeId;
+import org.gullsaddle.base.RequestId;
+import org.gullsaddle.base.Usage;
+import org.gullsaddle.base.Verdict;
+import org.gullsaddle.route.IncomingRequest;
+import org.gullsaddle.route.Router;
+import org.gullsaddle.route.RouterAction;
+import org.gullsaddle.route.RouterEvent;
+import org.gullsaddle.telemetry.NodeClock;
+import org.gullsaddle.wire.Frame;
+
+/**
+ * A part of the entry's requests, under its own lock: carries out what its {@link Router}
+ * decides.
+ */
+final class RouterShard {
+
+	private final Router router;
+
+	private final EntryServices services;
+
+	private final NodeClock clock;
+
+	private final Map<RequestId, CallerAnswer> callers = new HashMap<>();
+
+	private final Map<RequestId, Current> currents = new HashMap<>();
+
+	private final Queue<RouterEvent> events = new ArrayDeque<>();
+
+	private boolean handling;
+
+	RouterShard(Router router, EntryServices services, NodeClock clock) {
+		this.router = router;
+		this.services = services;
+		this.clock = clock;
+	}
+
+	synchronized void submit(IncomingRequest request, CallerAnswer answer) {
+		this.callers.put(request.id(), answer);
+		handle(new RouterEvent.Arrived(request));
+	}
+
+	/**
+	 * Decides on an event and carries the actions out, in their order. An event that an
+	 * action leads to at once waits until the actions before it are done.
+	 */
+	synchronized void handle(RouterEvent event) {
+		this.events.add(event);
+		if (this.handling) {
+			return;
+		}
+		this.handling = true;
+		try {
+			while (!this.events.isEmpty()) {
+				RouterEvent next = this.events.poll();
+				boolean delivered = false;
+				for (RouterAction action : this.router.handle(this.clock.now(), next)) {
+					carryOut(action);
+					delivered |= action instanceof RouterAction.Deliver;
+				}
+				if (next instanceof RouterEvent.AttemptChunk chunk && !delivered) {
+					// Kept for a rating, or of an attempt that no longer counts: no
+					// caller will take it.
+					credit(chunk.attempt().request(), chunk.text().length());
+				}
+			}
+		}
+		finally {
+			this.handling = false;
+		}
+	}
+
+	synchronized int openRequests() {
+		return this.router.openRequests();
+	}
+
+	private void carryOut(RouterAction action) {
+		switch (action) {
+			case RouterAction.Claim claim -> this.services.claims()
+				.claim(claim.request(), claim.team(), claim.key(), claim.content())
+				.subscribe((answer) -> handle(new RouterEvent.ClaimAnswered(claim.request(), answer)));
+			case RouterAction.SettleClaim settle ->
+				this.services.claims().settle(settle.request(), settle.team(), settle.key(), settle.outcome());
+			case RouterAction.ReleaseClaim release ->
+				this.services.claims().release(release.request(), release.team(), release.key());
+			case RouterAction.Pin pin -> this.services.sessions()
+				.pin(pin)
+				.subscribe((version) -> handle(new RouterEvent.PinAnswered(pin.request(), version)));
+			case RouterAction.Send send -> send(send);
+			case RouterAction.Cancel cancel -> this.services.send(cancel.agent(), new Frame.Cancel(cancel.attempt()));
+			case RouterAction.Deliver deliver -> deliver(deliver);
+			case RouterAction.Complete complete -> this.callers.get(complete.request())
+				.complete(complete.servedBy(), complete.completion(), complete.costMicros());
+			case RouterAction.Refuse refuse -> this.callers.get(refuse.request()).refuse(refuse.refusal());
+			case RouterAction.Rate rate -> this.services.rater()
+				.rate(rate.version(), rate.prompt(), rate.answer())
+				.subscribe((score) -> handle(new RouterEvent.AnswerRated(rate.attempt(), score)));
+			case RouterAction.Suspect suspect -> this.services.suspect(suspect.fingerprint(), suspect.crashes());
+			case RouterAction.Record record -> {
+				this.callers.remove(record.record().request());
+				this.currents.remove(record.record().request());
+				this.services.record(record.record());
+			}
+		}
+	}
+
+	private void send(RouterAction.Send send) {
+		AttemptId attempt = send.dispatch().attempt();
+		this.currents.put(attempt.request(), new Current(send.agent(), attempt));
+		if (!this.services.dispatch(send.agent(), send.dispatch())) {
+			// No link, so nothing was written: this attempt surely does not run.
+			handle(new RouterEvent.AttemptFailed(attempt, Verdict.NOT_RUN, false, Usage.NONE));
+		}
+	}
+
+	private void deliver(RouterAction.Deliver deliver) {
+		int characters = deliver.text().length();
+		this.callers.get(deliver.request())
+			.deliver(deliver.version(), deliver.text(), () -> credit(deliver.request(), characters));
+	}
+
+	private synchronized void credit(RequestId request, int characters) {
+		Current current = this.currents.get(request);
+		if (current != null) {
+			this.services.send(current.agent(), new Frame.Credit(current.attempt(), characters));
+		}
+	}
+
+	private record Current(NodeId agent, AttemptId attempt) {
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/entry/ServiceAnswer.java
@@ -0,0 +1,57 @@
+package org.gullsaddle.entry;
+
+import java.nio.charset.StandardCharsets;
+
+import io.vertx.core.Context;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerResponse;
+
+import org.gullsaddle.base.Completion;
+import org.gullsaddle.base.ModelVersion;
+import org.gullsaddle.base.Refusal;
+import org.gullsaddle.base.Verdict;
+
+/**
+ * Answers a call to a plain service with what the service answered.
+ */
+final class ServiceAnswer implements CallerAnswer {
+
+	private final Exchange exchange;
+
+	private final Context context;
+
+	private final StringBuilder whole = new StringBuilder();
+
+	ServiceAnswer(Exchange exchange, Context context) {
+		this.exchange = exchange;
+		this.context = context;
+	}
+
+	@Override
+	public void deliver(ModelVersion version, String text, Runnable taken) {
+		this.context.runOnContext((ignored) -> {
+			this.whole.append(text);
+			taken.run();
+		});
+	}
+
+	@Override
+	public void complete(String servedBy, Completion completion, long costMicros) {
+		this.context.runOnContext((ignored) -> {
+			HttpServerResponse response = this.exchange.context().response();
+			response.setStatusCode(completion.status())
+				.putHeader("Content-Type", completion.contentType())
+				.putHeader(Headers.REQUEST_ID, this.exchange.id().value())
+				.putHeader(Headers.SERVED_BY, servedBy)
+				.putHeader(Headers.VERDICT, Verdict.RAN.toString())
+				.putHeader(Headers.COST, String.valueOf(costMicros))
+				.end(Buffer.buffer(this.whole.toString().getBytes(StandardCharsets.ISO_8859_1)));
+		});
+	}
+
+	@Override
+	public void refuse(Refusal refusal) {
+		this.context.runOnContext((ignored) -> Refusals.write(this.exchange, refusal, ""));
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/entry/Sessions.java
@@ -0,0 +1,112 @@
+package org.gullsaddle.entry;
+
+import java.nio.charset.StandardCharsets;
+import java.security.GeneralSecurityException;
+import java.security.MessageDigest;
+import java.util.Base64;
+import java.util.Optional;
+import java.util.UUID;
+
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+
+import io.reactivex.rxjava3.core.Single;
+
+import org.gullsaddle.base.ModelVersion;
+import org.gullsaddle.base.SessionId;
+import org.gullsaddle.base.TeamId;
+import org.gullsaddle.base.TemplateName;
+import org.gullsaddle.controller.RegisterController;
+import org.gullsaddle.register.Entry;
+import org.gullsaddle.register.Operation;
+import org.gullsaddle.route.RouterAction;
+
+/**
+ * Which version each session has: in a signed token that the caller hands back, and in
+ * the store for callers that send only the session's id. Thread-safe.
+ */
+final class Sessions {
+
+	private static final String ALGORITHM = "HmacSHA256";
+
+	private static final long PIN_MILLIS = 1500;
+
+	private final RegisterController register;
+
+	private final byte[] key;
+
+	Sessions(RegisterController register, byte[] key) {
+		this.register = register;
+		this.key = key.clone();
+	}
+
+	/**
+	 * Settles a session's version.
+	 * <p>
+	 * While the store is down nobody can change a template either, and every entry
+	 * proposes the same version for a session from the same revision; the proposal can
+	 * then be taken without the store.
+	 */
+	Single<ModelVersion> pin(RouterAction.Pin pin) {
+		String name = pin.team() + "/" + pin.template() + "/" + pin.session();
+		String nonce = UUID.randomUUID().toString();
+		String value = pin.proposed().toString();
+		Operation operation = (pin.replacing() != null)
+				? new Operation.Replace(name, nonce, value, pin.replacing().toString())
+				: new Operation.Put(name, nonce, value);
+		return this.register.submit(operation, PIN_MILLIS)
+			.map((entry) -> entry.map(Entry::value).map(ModelVersion::of).orElse(pin.proposed()))
+			.onErrorReturnItem(pin.proposed());
+	}
+
+	String token(TeamId team, TemplateName template, SessionId session, ModelVersion version) {
+		String text = String.join("|", team.value(), template.value(), session.value(), version.toString());
+		return encode(text.getBytes(StandardCharsets.UTF_8)) + "." + encode(sign(text));
+	}
+
+	/**
+	 * Reads a token; one that was not signed with the key, or for another team or
+	 * template, is none.
+	 */
+	Optional<Token> read(String token, TeamId team, TemplateName template) {
+		int dot = token.indexOf('.');
+		if (dot <= 0) {
+			return Optional.empty();
+		}
+		try {
+			String text = new String(Base64.getUrlDecoder().decode(token.substring(0, dot)), StandardCharsets.UTF_8);
+			byte[] signature = Base64.getUrlDecoder().decode(token.substring(dot + 1));
+			String[] parts = text.split("\\|", -1);
+			if (!MessageDigest.isEqual(signature, sign(text)) || parts.length != 4 || !parts[0].equals(team.value())
+					|| !parts[1].equals(template.value())) {
+				return Optional.empty();
+			}
+			return Optional.of(new Token(new SessionId(parts[2]), ModelVersion.of(parts[3])));
+		}
+		catch (IllegalArgumentException ex) {
+			return Optional.empty();
+		}
+	}
+
+	private byte[] sign(String text) {
+		try {
+			Mac mac = Mac.getInstance(ALGORITHM);
+			mac.init(new SecretKeySpec(this.key, ALGORITHM));
+			return mac.doFinal(text.getBytes(StandardCharsets.UTF_8));
+		}
+		catch (GeneralSecurityException ex) {
+			throw new IllegalStateException("every Java platform has " + ALGORITHM, ex);
+		}
+	}
+
+	private static String encode(byte[] bytes) {
+		return Base64.getUrlEncoder().withoutPadding().encodeToString(bytes);
+	}
+
+	/**
+	 * What a signed token says.
+	 */
+	record Token(SessionId session, ModelVersion version) {
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/wire/Frame.java
@@ -0,0 +1,238 @@
+package org.gullsaddle.wire;
+
+import java.util.List;
+import java.util.Map;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+
+import org.gullsaddle.base.AgentInfo;
+import org.gullsaddle.base.AttemptId;
+import org.gullsaddle.base.Completion;
+import org.gullsaddle.base.Dispatch;
+import org.gullsaddle.base.Fingerprint;
+import org.gullsaddle.base.LoadReport;
+import org.gullsaddle.base.NodeId;
+import org.gullsaddle.base.Refusal;
+import org.gullsaddle.base.RequestId;
+import org.gullsaddle.base.TemplateName;
+import org.gullsaddle.base.Usage;
+import org.gullsaddle.base.Verdict;
+import org.gullsaddle.settings.Role;
+import org.gullsaddle.template.TemplateRevision;
+
+/**
+ * A message between two nodes. A kind that a node does not know is read as
+ * {@link Unknown} and skipped, so that versions of the program can differ.
+ */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "k", defaultImpl = Frame.Unknown.class)
+@JsonSubTypes({ @JsonSubTypes.Type(value = Frame.Challenge.class, name = "challenge"),
+		@JsonSubTypes.Type(value = Frame.Hello.class, name = "hello"),
+		@JsonSubTypes.Type(value = Frame.Welcome.class, name = "welcome"),
+		@JsonSubTypes.Type(value = Frame.Ping.class, name = "ping"),
+		@JsonSubTypes.Type(value = Frame.Pong.class, name = "pong"),
+		@JsonSubTypes.Type(value = Frame.Status.class, name = "status"),
+		@JsonSubTypes.Type(value = Frame.Load.class, name = "load"),
+		@JsonSubTypes.Type(value = Frame.Leaving.class, name = "leaving"),
+		@JsonSubTypes.Type(value = Frame.Dispatched.class, name = "dispatch"),
+		@JsonSubTypes.Type(value = Frame.Cancel.class, name = "cancel"),
+		@JsonSubTypes.Type(value = Frame.Credit.class, name = "credit"),
+		@JsonSubTypes.Type(value = Frame.Accepted.class, name = "accepted"),
+		@JsonSubTypes.Type(value = Frame.Refused.class, name = "refused"),
+		@JsonSubTypes.Type(value = Frame.Chunk.class, name = "chunk"),
+		@JsonSubTypes.Type(value = Frame.Done.class, name = "done"),
+		@JsonSubTypes.Type(value = Frame.Failed.class, name = "failed"),
+		@JsonSubTypes.Type(value = Frame.Recorded.class, name = "recorded"),
+		@JsonSubTypes.Type(value = Frame.Templates.class, name = "templates"),
+		@JsonSubTypes.Type(value = Frame.InForce.class, name = "in-force"),
+		@JsonSubTypes.Type(value = Frame.Suspect.class, name = "suspect") })
+public sealed interface Frame {
+
+	/**
+	 * The accepting side's first frame.
+	 *
+	 * @param protocol the version it speaks
+	 * @param node its name
+	 * @param role its role
+	 * @param nonce random text that the answer must prove itself over
+	 */
+	record Challenge(int protocol, NodeId node, Role role, String nonce) implements Frame {
+	}
+
+	/**
+	 * The dialing side's answer.
+	 *
+	 * @param protocol the version it speaks
+	 * @param node its name
+	 * @param role its role
+	 * @param nonce random text that the other side must prove itself over
+	 * @param proof shows that it knows the key
+	 * @param clock its monotonic time in milliseconds
+	 */
+	record Hello(int protocol, NodeId node, Role role, String nonce, String proof, long clock) implements Frame {
+	}
+
+	/**
+	 * The accepting side's proof; the link is up.
+	 *
+	 * @param proof shows that it knows the key
+	 */
+	record Welcome(String proof) implements Frame {
+	}
+
+	/**
+	 * Asks whether the other side lives.
+	 *
+	 * @param clock the sender's monotonic time in milliseconds
+	 * @param storeAge how long ago the sender last heard of the store, in milliseconds;
+	 * -1 if it does not ask the store
+	 */
+	record Ping(long clock, long storeAge) implements Frame {
+	}
+
+	/**
+	 * Answers a {@link Ping}.
+	 *
+	 * @param echo the ping's clock
+	 * @param clock the sender's monotonic time in milliseconds
+	 */
+	record Pong(long echo, long clock) implements Frame {
+	}
+
+	/**
+	 * What an agent serves.
+	 *
+	 * @param agent the agent
+	 * @param leaving whether it takes no new work
+	 */
+	record Status(AgentInfo agent, boolean leaving) implements Frame {
+	}
+
+	/**
+	 * An agent's load.
+	 *
+	 * @param load the load
+	 */
+	record Load(LoadReport load) implements Frame {
+	}
+
+	/**
+	 * An agent takes no new work from now on.
+	 */
+	record Leaving() implements Frame {
+	}
+
+	/**
+	 * An attempt for an agent.
+	 *
+	 * @param dispatch the attempt
+	 */
+	record Dispatched(Dispatch dispatch) implements Frame {
+	}
+
+	/**
+	 * Stop an attempt.
+	 *
+	 * @param attempt the attempt
+	 */
+	record Cancel(AttemptId attempt) implements Frame {
+	}
+
+	/**
+	 * More of an answer may be sent.
+	 *
+	 * @param attempt the attempt
+	 * @param characters how many characters were taken by the caller
+	 */
+	record Credit(AttemptId attempt, int characters) implements Frame {
+	}
+
+	/**
+	 * An attempt is queued or running.
+	 *
+	 * @param attempt the attempt
+	 * @param ahead how many go before it
+	 */
+	record Accepted(AttemptId attempt, int ahead) implements Frame {
+	}
+
+	/**
+	 * An attempt was not and will not be run.
+	 *
+	 * @param attempt the attempt
+	 * @param refusal why
+	 */
+	record Refused(AttemptId attempt, Refusal refusal) implements Frame {
+	}
+
+	/**
+	 * A part of an answer.
+	 *
+	 * @param attempt the attempt
+	 * @param offset how many characters of the whole answer come before it
+	 * @param text the part
+	 */
+	record Chunk(AttemptId attempt, long offset, String text) implements Frame {
+	}
+
+	/**
+	 * An answer's end.
+	 *
+	 * @param attempt the attempt
+	 * @param completion how it closed
+	 * @param length how many characters the whole answer has
+	 */
+	record Done(AttemptId attempt, Completion completion, long length) implements Frame {
+	}
+
+	/**
+	 * An attempt broke off.
+	 *
+	 * @param attempt the attempt
+	 * @param verdict whether it may have run
+	 * @param crashed whether the backend server died
+	 * @param usage the tokens used as far as known
+	 */
+	record Failed(AttemptId attempt, Verdict verdict, boolean crashed, Usage usage) implements Frame {
+	}
+
+	/**
+	 * The records of these requests are in the store; what was held for them may go.
+	 *
+	 * @param requests the requests
+	 */
+	record Recorded(List<RequestId> requests) implements Frame {
+	}
+
+	/**
+	 * Revisions of templates, for whoever has older ones.
+	 *
+	 * @param revisions the revisions
+	 */
+	record Templates(List<TemplateRevision> revisions) implements Frame {
+	}
+
+	/**
+	 * The revisions in force on the sender.
+	 *
+	 * @param revisions the number of the revision by template
+	 */
+	record InForce(Map<TemplateName, Long> revisions) implements Frame {
+	}
+
+	/**
+	 * A request was running when a backend server crashed.
+	 *
+	 * @param fingerprint the request's team and content
+	 * @param level how strong the suspicion is
+	 */
+	record Suspect(Fingerprint fingerprint, int level) implements Frame {
+	}
+
+	/**
+	 * A frame of a kind that this program does not know.
+	 */
+	record Unknown() implements Frame {
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/wire/PeerDialer.java
@@ -0,0 +1,48 @@
+package org.gullsaddle.wire;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+
+import org.gullsaddle.settings.Address;
+
+/**
+ * Dials other nodes.
+ */
+public final class PeerDialer {
+
+	private static final int CONNECT_MILLIS = 1000;
+
+	private final Vertx vertx;
+
+	private final NetClient client;
+
+	private final PeerIdentity self;
+
+	/**
+	 * Makes a dialer.
+	 * @param vertx where to run
+	 * @param self who this node is
+	 */
+	public PeerDialer(Vertx vertx, PeerIdentity self) {
+		this.vertx = vertx;
+		this.self = self;
+		this.client = vertx.createNetClient(new NetClientOptions().setConnectTimeout(CONNECT_MILLIS));
+	}
+
+	/**
+	 * Dials a node once.
+	 * @param address where it listens
+	 * @param listener hears of the link
+	 * @return done once connected; the listener hears when the link is up
+	 */
+	public Future<PeerLink> dial(Address address, PeerListener listener) {
+		return this.client.connect(address.port(), address.host()).map((socket) -> {
+			PeerLink link = new PeerLink(this.vertx, socket, this.self, listener, false);
+			link.start();
+			return link;
+		});
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/wire/Proof.java
@@ -0,0 +1,60 @@
+package org.gullsaddle.wire;
+
+import java.nio.charset.StandardCharsets;
+import java.security.GeneralSecurityException;
+import java.security.MessageDigest;
+import java.security.SecureRandom;
+import java.util.HexFormat;
+
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+
+/**
+ * Proves knowledge of the shared key over both sides' nonces and names.
+ * <p>
+ * Whoever can reach a node's port could otherwise dispatch work in any team's name. A
+ * proof over the other side's fresh nonce cannot be replayed, and its label keeps one
+ * side's proof from being handed back as the other's.
+ */
+final class Proof {
+
+	private static final String ALGORITHM = "HmacSHA256";
+
+	private static final int NONCE_BYTES = 16;
+
+	private static final SecureRandom RANDOM = new SecureRandom();
+
+	private final byte[] key;
+
+	Proof(byte[] key) {
+		this.key = key.clone();
+	}
+
+	static String nonce() {
+		byte[] bytes = new byte[NONCE_BYTES];
+		RANDOM.nextBytes(bytes);
+		return HexFormat.of().formatHex(bytes);
+	}
+
+	String of(String label, String... parts) {
+		try {
+			Mac mac = Mac.getInstance(ALGORITHM);
+			mac.init(new SecretKeySpec(this.key, ALGORITHM));
+			mac.update(label.getBytes(StandardCharsets.UTF_8));
+			for (String part : parts) {
+				mac.update((byte) 0);
+				mac.update(part.getBytes(StandardCharsets.UTF_8));
+			}
+			return HexFormat.of().formatHex(mac.doFinal());
+		}
+		catch (GeneralSecurityException ex) {
+			throw new IllegalStateException("every Java platform has " + ALGORITHM, ex);
+		}
+	}
+
+	boolean matches(String given, String label, String... parts) {
+		byte[] expected = of(label, parts).getBytes(StandardCharsets.UTF_8);
+		return MessageDigest.isEqual(expected, String.valueOf(given).getBytes(StandardCharsets.UTF_8));
+	}
+
+}
