Fuzzing of the decision core against an oracle; crash suspicions survive their entry

Cause: the guarantees were not yet judged under faults. The first run found a content that killed three backend servers: the entry that knew of the first two crashes was killed, and its successor started the count anew. Ruled out: keeping suspicions in the store, as it may be down just then; a lease.

--- a/core/src/main/java/org/gullsaddle/agent/Admission.java
+++ b/core/src/main/java/org/gullsaddle/agent/Admission.java
@@ -10,6 +10,7 @@
 import org.gullsaddle.base.AttemptId;
 import org.gullsaddle.base.Completion;
 import org.gullsaddle.base.Dispatch;
+import org.gullsaddle.base.Fingerprint;
 import org.gullsaddle.base.LoadReport;
 import org.gullsaddle.base.ModelVersion;
 import org.gullsaddle.base.Refusal;
@@ -18,6 +19,7 @@
 import org.gullsaddle.base.Verdict;
 import org.gullsaddle.clock.Moment;
 import org.gullsaddle.ledger.AttemptLine;
+import org.gullsaddle.suspect.SuspectBook;
 import org.gullsaddle.template.Template;
 import org.gullsaddle.template.TemplateBook;
 import org.gullsaddle.template.TemplateRevision;
@@ -47,6 +49,8 @@
 
 	private final TemplateBook templates = new TemplateBook();
 
+	private final SuspectBook suspects = new SuspectBook();
+
 	private final FairQueue queue = new FairQueue();
 
 	private final Map<AttemptId, Work> running = new LinkedHashMap<>();
@@ -104,6 +108,7 @@
 			case AdmissionEvent.BackendUp backend -> backendUp(now, backend);
 			case AdmissionEvent.BackendDown down -> backendDown();
 			case AdmissionEvent.TemplateChanged changed -> this.templates.apply(changed.revision());
+			case AdmissionEvent.SuspectLearned learned -> this.suspects.learn(learned.fingerprint(), learned.level());
 			case AdmissionEvent.DrainStarted drain -> drain();
 			case AdmissionEvent.Tick tick -> startNext(now);
 		}
@@ -137,6 +142,14 @@
 		return this.templates;
 	}
 
+	/**
+	 * Returns what is remembered of crashes, to tell an entry that has just been linked.
+	 * @return how strong each suspicion is
+	 */
+	public Map<Fingerprint, Integer> suspects() {
+		return this.suspects.all();
+	}
+
 	/**
 	 * Says whether new work is refused because the backend server is leaving.
 	 * @return true once draining
@@ -179,6 +192,9 @@
 		if (!permitted(dispatch)) {
 			return Optional.of(Refusal.notRun(RefusalReason.FORBIDDEN, COME_BACK_MILLIS));
 		}
+		if (this.suspects.convicted(dispatch.fingerprint())) {
+			return Optional.of(Refusal.notRun(RefusalReason.POISON, 0));
+		}
 		if (now.millis() >= work.deadline()) {
 			return Optional.of(Refusal.notRun(RefusalReason.DEADLINE, COME_BACK_MILLIS));
 		}
@@ -248,11 +264,16 @@
 		if (this.running.isEmpty()) {
 			return true;
 		}
-		boolean suspectRuns = this.running.values().stream().anyMatch((other) -> other.dispatch().alone());
-		return !suspectRuns && !work.dispatch().alone() && this.running.size() < this.slots;
+		boolean suspectRuns = this.running.values().stream().anyMatch(Work::alone);
+		return !suspectRuns && !mustBeAlone(work) && this.running.size() < this.slots;
+	}
+
+	private boolean mustBeAlone(Work work) {
+		return work.dispatch().alone() || this.suspects.suspected(work.dispatch().fingerprint());
 	}
 
 	private void start(Moment now, Work work) {
+		work.alone(mustBeAlone(work));
 		work.start(now.millis(), now.stamp());
 		this.running.put(work.attempt(), work);
 		this.actions.add(new AdmissionAction.Start(work.dispatch(), work.deadline()));
@@ -306,6 +327,9 @@
 		}
 		this.meanMillis += SMOOTHING * (now.millis() - work.startMillis() - this.meanMillis);
 		Completion completion = event.completion();
+		if (work.alone()) {
+			this.suspects.clear(work.dispatch().fingerprint());
+		}
 		hold(now, work, Verdict.RAN, "done", completion.usage());
 		this.actions.add(new AdmissionAction.SendDone(work.entry(), event.attempt(), completion, work.length()));
 		startNext(now);
@@ -316,6 +340,10 @@
 		if (work == null) {
 			return;
 		}
+		if (event.crashed()) {
+			int level = this.suspects.crashed(work.dispatch().fingerprint(), work.alone());
+			this.actions.add(new AdmissionAction.AnnounceSuspect(work.dispatch().fingerprint(), level));
+		}
 		if (event.verdict() != Verdict.NOT_RUN) {
 			hold(now, work, event.verdict(), event.crashed() ? CRASHED : "backend-failed", event.usage());
 		}
--- a/core/src/main/java/org/gullsaddle/agent/AdmissionAction.java
+++ b/core/src/main/java/org/gullsaddle/agent/AdmissionAction.java
@@ -3,6 +3,7 @@
 import org.gullsaddle.base.AttemptId;
 import org.gullsaddle.base.Completion;
 import org.gullsaddle.base.Dispatch;
+import org.gullsaddle.base.Fingerprint;
 import org.gullsaddle.base.NodeId;
 import org.gullsaddle.base.Refusal;
 import org.gullsaddle.base.Usage;
@@ -98,6 +99,15 @@
 	record Hold(NodeId entry, Dispatch dispatch, AttemptLine line) implements AdmissionAction {
 	}
 
+	/**
+	 * Tell every entry that an attempt ran when the backend server crashed.
+	 *
+	 * @param fingerprint the attempt's team and content
+	 * @param level how strong the suspicion is
+	 */
+	record AnnounceSuspect(Fingerprint fingerprint, int level) implements AdmissionAction {
+	}
+
 	/**
 	 * Tell every entry that the backend server takes no new work.
 	 */
--- a/core/src/main/java/org/gullsaddle/agent/AdmissionEvent.java
+++ b/core/src/main/java/org/gullsaddle/agent/AdmissionEvent.java
@@ -5,6 +5,7 @@
 import org.gullsaddle.base.AttemptId;
 import org.gullsaddle.base.Completion;
 import org.gullsaddle.base.Dispatch;
+import org.gullsaddle.base.Fingerprint;
 import org.gullsaddle.base.ModelVersion;
 import org.gullsaddle.base.NodeId;
 import org.gullsaddle.base.Usage;
@@ -96,6 +97,15 @@
 	record TemplateChanged(TemplateRevision revision) implements AdmissionEvent {
 	}
 
+	/**
+	 * An entry knows of a crash elsewhere.
+	 *
+	 * @param fingerprint the team and content that ran
+	 * @param level how strong the suspicion is
+	 */
+	record SuspectLearned(Fingerprint fingerprint, int level) implements AdmissionEvent {
+	}
+
 	/**
 	 * The VM is to leave, or the agent to stop.
 	 */
--- a/daemon/src/main/java/org/gullsaddle/backend/HeldLines.java
+++ b/core/src/main/java/org/gullsaddle/agent/HeldLines.java
@@ -1,4 +1,4 @@
-package org.gullsaddle.backend;
+package org.gullsaddle.agent;
 
 import java.util.ArrayList;
 import java.util.Iterator;
@@ -18,31 +18,48 @@
  * The entry answers the caller before its record is in the store, and may die in between;
  * the request would then be served and never billed. The agent holds the line since
  * before the answer's end left it, and writes it itself once the entry has had its time.
- * Both copies may then be written; bills count them once.
+ * Both copies may then be written; bills count them once. Single-threaded.
  */
-final class HeldLines {
+public final class HeldLines {
 
 	private final long patienceMillis;
 
 	private final Map<RequestId, List<Held>> lines = new LinkedHashMap<>();
 
-	HeldLines(long patienceMillis) {
+	/**
+	 * Makes a holder of no lines.
+	 * @param patienceMillis how long an entry that is linked has, in milliseconds; one
+	 * that is gone has a tenth of it
+	 */
+	public HeldLines(long patienceMillis) {
 		this.patienceMillis = patienceMillis;
 	}
 
-	void hold(HeldLine line, long now) {
+	/**
+	 * Holds a line.
+	 * @param line the line
+	 * @param now the time in milliseconds on the monotonic clock
+	 */
+	public void hold(HeldLine line, long now) {
 		this.lines.computeIfAbsent(line.line().attempt().request(), (id) -> new ArrayList<>()).add(new Held(line, now));
 	}
 
-	void recorded(List<RequestId> requests) {
+	/**
+	 * Lets go of the lines of requests whose record is in the store.
+	 * @param requests the requests
+	 */
+	public void recorded(List<RequestId> requests) {
 		requests.forEach(this.lines::remove);
 	}
 
 	/**
 	 * Takes out the lines to write: those held for too long, and those of entries that
 	 * are gone.
+	 * @param now the time in milliseconds on the monotonic clock
+	 * @param connected the entries that are linked
+	 * @return the lines
 	 */
-	List<HeldLine> due(long now, Set<NodeId> connected) {
+	public List<HeldLine> due(long now, Set<NodeId> connected) {
 		List<HeldLine> due = new ArrayList<>();
 		Iterator<List<Held>> each = this.lines.values().iterator();
 		while (each.hasNext()) {
@@ -55,14 +72,22 @@
 		return due;
 	}
 
-	List<HeldLine> all() {
+	/**
+	 * Takes out all lines.
+	 * @return the lines
+	 */
+	public List<HeldLine> all() {
 		List<HeldLine> all = new ArrayList<>();
 		this.lines.values().forEach((held) -> held.forEach((one) -> all.add(one.line())));
 		this.lines.clear();
 		return all;
 	}
 
-	int size() {
+	/**
+	 * Returns how many requests have lines held.
+	 * @return the number
+	 */
+	public int size() {
 		return this.lines.size();
 	}
 
--- a/core/src/main/java/org/gullsaddle/agent/Work.java
+++ b/core/src/main/java/org/gullsaddle/agent/Work.java
@@ -29,6 +29,8 @@
 
 	private boolean cancelled;
 
+	private boolean alone;
+
 	Work(NodeId entry, Dispatch dispatch, long deadline, long arrival) {
 		this.entry = entry;
 		this.dispatch = dispatch;
@@ -86,6 +88,14 @@
 		return this.startStamp;
 	}
 
+	boolean alone() {
+		return this.alone;
+	}
+
+	void alone(boolean nothingBeside) {
+		this.alone = nothingBeside;
+	}
+
 	boolean cancelled() {
 		return this.cancelled;
 	}
--- a/core/src/main/java/org/gullsaddle/route/Gate.java
+++ b/core/src/main/java/org/gullsaddle/route/Gate.java
@@ -5,6 +5,7 @@
 import org.gullsaddle.base.Refusal;
 import org.gullsaddle.base.RefusalReason;
 import org.gullsaddle.clock.Moment;
+import org.gullsaddle.suspect.SuspectBook;
 import org.gullsaddle.template.CutOffBehaviour;
 import org.gullsaddle.template.TeamRule;
 import org.gullsaddle.template.TemplateBook;
--- a/core/src/main/java/org/gullsaddle/route/Router.java
+++ b/core/src/main/java/org/gullsaddle/route/Router.java
@@ -19,6 +19,7 @@
 import org.gullsaddle.base.Usage;
 import org.gullsaddle.base.Verdict;
 import org.gullsaddle.clock.Moment;
+import org.gullsaddle.suspect.SuspectBook;
 import org.gullsaddle.template.Template;
 import org.gullsaddle.template.TemplateBook;
 import org.gullsaddle.template.TemplateRevision;
--- /dev/null
+++ b/core/src/test/java/org/gullsaddle/fuzz/FaultyStore.java
@@ -0,0 +1,142 @@
+package org.gullsaddle.fuzz;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/**
+ * A store whose calls wait until a step says what becomes of them: answered, refused,
+ * applied with the answer lost, or applied only after the caller gave up.
+ */
+final class FaultyStore {
+
+	private final Map<String, Value> values = new HashMap<>();
+
+	private final List<Call> calls = new ArrayList<>();
+
+	private final List<Call> late = new ArrayList<>();
+
+	private long revision;
+
+	void read(String key, Consumer<Result> then) {
+		this.calls.add(new Call(key, -1, null, then));
+	}
+
+	void write(String key, long expected, Object content, Consumer<Result> then) {
+		this.calls.add(new Call(key, expected, content, then));
+	}
+
+	int waiting() {
+		return this.calls.size();
+	}
+
+	/**
+	 * Ends one waiting call; even {@code fate} numbers answer it, so that most calls
+	 * succeed.
+	 */
+	void answer(int pick, int fate) {
+		if (this.calls.isEmpty()) {
+			return;
+		}
+		Call call = this.calls.remove(pick % this.calls.size());
+		switch (fate) {
+			case 1 -> call.then().accept(new Result.Failed());
+			case 3 -> {
+				apply(call);
+				call.then().accept(new Result.Failed());
+			}
+			case 5 -> {
+				this.late.add(call);
+				call.then().accept(new Result.Failed());
+			}
+			default -> call.then().accept(apply(call));
+		}
+	}
+
+	/**
+	 * Lets a write take effect whose caller was told long ago that it failed.
+	 */
+	void applyLate(int pick) {
+		if (!this.late.isEmpty()) {
+			apply(this.late.remove(pick % this.late.size()));
+		}
+	}
+
+	/**
+	 * Forgets what a node that died would have been told.
+	 */
+	void answerAll() {
+		while (!this.calls.isEmpty()) {
+			answer(0, 0);
+		}
+	}
+
+	Object get(String key) {
+		Value value = this.values.get(key);
+		return (value != null) ? value.content() : null;
+	}
+
+	List<Object> under(String prefix) {
+		List<Object> found = new ArrayList<>();
+		this.values.forEach((key, value) -> {
+			if (key.startsWith(prefix)) {
+				found.add(value.content());
+			}
+		});
+		return found;
+	}
+
+	private Result apply(Call call) {
+		Value present = this.values.get(call.key());
+		long held = (present != null) ? present.revision() : 0;
+		if (call.content() == null) {
+			return new Result.Read(held, (present != null) ? present.content() : null);
+		}
+		if (held != call.expected()) {
+			return new Result.Conflict();
+		}
+		this.revision++;
+		this.values.put(call.key(), new Value(this.revision, call.content()));
+		return new Result.Written(this.revision);
+	}
+
+	/**
+	 * What a call came to.
+	 */
+	sealed interface Result {
+
+		/**
+		 * The value read.
+		 */
+		record Read(long revision, Object content) implements Result {
+		}
+
+		/**
+		 * The write was taken.
+		 */
+		record Written(long revision) implements Result {
+		}
+
+		/**
+		 * The write was refused.
+		 */
+		record Conflict() implements Result {
+		}
+
+		/**
+		 * Nothing is known.
+		 */
+		record Failed() implements Result {
+		}
+
+	}
+
+	private record Value(long revision, Object content) {
+	}
+
+	private record Call(String key, long expected, Object content, Consumer<Result> then) {
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/gullsaddle/fuzz/FuzzAgent.java
@@ -0,0 +1,266 @@
+package org.gullsaddle.fuzz;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+
+import org.gullsaddle.agent.Admission;
+import org.gullsaddle.agent.AdmissionAction;
+import org.gullsaddle.agent.AdmissionEvent;
+import org.gullsaddle.agent.AdmissionSettings;
+import org.gullsaddle.agent.HeldLines;
+import org.gullsaddle.base.AttemptId;
+import org.gullsaddle.base.Completion;
+import org.gullsaddle.base.Dispatch;
+import org.gullsaddle.base.ModelVersion;
+import org.gullsaddle.base.NodeId;
+import org.gullsaddle.base.TeamId;
+import org.gullsaddle.base.Usage;
+import org.gullsaddle.base.Verdict;
+import org.gullsaddle.ledger.HeldLine;
+import org.gullsaddle.ledger.LedgerEntry;
+import org.gullsaddle.ledger.LedgerWriter;
+import org.gullsaddle.ledger.Segment;
+import org.gullsaddle.template.TemplateRevision;
+import org.gullsaddle.template.VersionState;
+
+/**
+ * An agent's core and its backend server, which goes on by one part at each step.
+ */
+final class FuzzAgent implements Oracle.AgentView {
+
+	private static final int SLOTS = 2;
+
+	private static final int PART = 4;
+
+	final NodeId id;
+
+	final Set<ModelVersion> versions;
+
+	private final World world;
+
+	private final Admission admission;
+
+	private final LedgerWriter ledger;
+
+	private final HeldLines held = new HeldLines(2000);
+
+	private final String run;
+
+	private final Map<AttemptId, Job> jobs = new LinkedHashMap<>();
+
+	private boolean draining;
+
+	private boolean flushing;
+
+	private boolean dead;
+
+	FuzzAgent(World world, NodeId id, String run, Set<ModelVersion> versions) {
+		this.world = world;
+		this.id = id;
+		this.run = run;
+		this.versions = versions;
+		this.admission = world.admission(new AdmissionSettings(id, 4, 100));
+		this.ledger = new LedgerWriter(run, 1000);
+		handle(new AdmissionEvent.BackendUp(versions, SLOTS));
+	}
+
+	Admission admission() {
+		return this.admission;
+	}
+
+	boolean dead() {
+		return this.dead;
+	}
+
+	void die() {
+		this.dead = true;
+		this.jobs.clear();
+	}
+
+	int running() {
+		return this.jobs.size();
+	}
+
+	void drain() {
+		this.draining = true;
+		handle(new AdmissionEvent.DrainStarted());
+	}
+
+	@Override
+	public boolean allowed(String team, String version) {
+		return template((held) -> held.template()
+			.team(new TeamId(team))
+			.map((rule) -> rule.versions().contains(ModelVersion.of(version)))
+			.orElse(false));
+	}
+
+	@Override
+	public boolean withdrawn(String version) {
+		return template((held) -> held.template()
+			.rule(ModelVersion.of(version))
+			.map((rule) -> rule.state() == VersionState.WITHDRAWN)
+			.orElse(true));
+	}
+
+	@Override
+	public boolean draining() {
+		return this.draining;
+	}
+
+	private boolean template(Predicate<TemplateRevision> question) {
+		return this.admission.templates().get(World.TEMPLATE).map(question::test).orElse(false);
+	}
+
+	void handle(AdmissionEvent event) {
+		if (this.dead) {
+			return;
+		}
+		for (AdmissionAction action : this.admission.handle(this.world.now(), event)) {
+			carryOut(action);
+		}
+		this.world.oracle.inForce(this.run, this.admission.templates().revisionOf(World.TEMPLATE));
+	}
+
+	void recorded(World.Message.Recorded recorded) {
+		this.held.recorded(List.of(recorded.request()));
+	}
+
+	void tick() {
+		handle(new AdmissionEvent.Tick());
+		for (HeldLine line : this.held.due(this.world.now().millis(), this.world.entriesOf(this.id))) {
+			this.ledger.append(new LedgerEntry.Part(line));
+		}
+		flush();
+	}
+
+	/**
+	 * Writes all that is held, as on a graceful stop.
+	 */
+	void writeAll() {
+		this.held.all().forEach((line) -> this.ledger.append(new LedgerEntry.Part(line)));
+		flush();
+	}
+
+	private void flush() {
+		Segment segment = this.ledger.next().orElse(null);
+		if (segment == null || this.flushing || this.dead) {
+			return;
+		}
+		this.flushing = true;
+		String key = "ledger/" + this.run + "/" + segment.sequence();
+		this.world.store.write(key, 0, segment, (result) -> {
+			this.flushing = false;
+			if (result instanceof FaultyStore.Result.Written || result instanceof FaultyStore.Result.Conflict) {
+				this.ledger.written();
+			}
+		});
+	}
+
+	/**
+	 * Lets the backend server go on with one of its jobs.
+	 */
+	void progress(int pick) {
+		if (this.jobs.isEmpty()) {
+			return;
+		}
+		Job job = new ArrayList<>(this.jobs.values()).get(pick % this.jobs.size());
+		if (job.dispatch.body().contains("poison")) {
+			crash(job);
+			return;
+		}
+		String rest = job.rest();
+		AttemptId attempt = job.dispatch.attempt();
+		if (rest.isEmpty()) {
+			this.jobs.remove(attempt);
+			handle(new AdmissionEvent.BackendDone(attempt,
+					new Completion(200, "text/plain", "stop", World.usage(job.dispatch.body()))));
+			return;
+		}
+		String part = rest.substring(0, Math.min(PART, rest.length()));
+		job.sent += part.length();
+		handle(new AdmissionEvent.BackendChunk(attempt, part));
+	}
+
+	/**
+	 * Breaks one job off, as a backend server that answers with an error does.
+	 */
+	void breakOff(int pick) {
+		if (!this.jobs.isEmpty()) {
+			AttemptId attempt = new ArrayList<>(this.jobs.keySet()).get(pick % this.jobs.size());
+			this.jobs.remove(attempt);
+			handle(new AdmissionEvent.BackendFailed(attempt, Verdict.MAY_HAVE_RUN, false, Usage.NONE));
+		}
+	}
+
+	private void crash(Job poison) {
+		String body = poison.dispatch.body();
+		this.world.oracle.crashed(poison.dispatch.team().value(), body);
+		List<AttemptId> lost = List.copyOf(this.jobs.keySet());
+		this.jobs.clear();
+		handle(new AdmissionEvent.BackendDown());
+		lost.forEach(
+				(attempt) -> handle(new AdmissionEvent.BackendFailed(attempt, Verdict.MAY_HAVE_RUN, true, Usage.NONE)));
+		handle(new AdmissionEvent.BackendUp(this.versions, SLOTS));
+	}
+
+	private void carryOut(AdmissionAction action) {
+		switch (action) {
+			case AdmissionAction.Start start -> start(start.dispatch());
+			case AdmissionAction.Abort abort -> {
+				this.jobs.remove(abort.attempt());
+				this.world.later(() -> handle(
+						new AdmissionEvent.BackendFailed(abort.attempt(), Verdict.MAY_HAVE_RUN, false, Usage.NONE)));
+			}
+			case AdmissionAction.Accept accept -> {
+				// the entry does not act on it
+			}
+			case AdmissionAction.Refuse refuse -> this.world.toEntry(this.id, refuse.entry(), action);
+			case AdmissionAction.SendChunk chunk -> this.world.toEntry(this.id, chunk.entry(), action);
+			case AdmissionAction.SendDone done -> this.world.toEntry(this.id, done.entry(), action);
+			case AdmissionAction.SendFailed failed -> this.world.toEntry(this.id, failed.entry(), action);
+			case AdmissionAction.Hold hold -> this.held.hold(
+					new HeldLine(hold.entry(), hold.dispatch().team(), hold.dispatch().template(), hold.line()),
+					this.world.now().millis());
+			case AdmissionAction.AnnounceSuspect suspect -> this.world.announce(this.id, suspect);
+			case AdmissionAction.AnnounceLeaving leaving -> this.world.leaving(this.id);
+			case AdmissionAction.Drained drained -> this.world.oracle.drained(this.id.value(), this.jobs.size());
+		}
+	}
+
+	private void start(Dispatch dispatch) {
+		this.jobs.put(dispatch.attempt(), new Job(dispatch));
+		this.world.oracle.started(dispatch.attempt().request().value(), this.id.value(), dispatch.version().toString(),
+				dispatch.resume(), this);
+	}
+
+	static Set<ModelVersion> versions(String... names) {
+		Set<ModelVersion> versions = new TreeSet<>();
+		for (String name : names) {
+			versions.add(ModelVersion.of(name));
+		}
+		return versions;
+	}
+
+	private static final class Job {
+
+		private final Dispatch dispatch;
+
+		private int sent;
+
+		Job(Dispatch dispatch) {
+			this.dispatch = dispatch;
+			this.sent = dispatch.resume().length();
+		}
+
+		String rest() {
+			return World.answer(this.dispatch.version().toString(), this.dispatch.body()).substring(this.sent);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/gullsaddle/fuzz/FuzzEntry.java
@@ -0,0 +1,301 @@
+package org.gullsaddle.fuzz;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.Queue;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
+
+import org.gullsaddle.base.AttemptId;
+import org.gullsaddle.base.Completion;
+import org.gullsaddle.base.Fingerprint;
+import org.gullsaddle.base.ModelVersion;
+import org.gullsaddle.base.NodeId;
+import org.gullsaddle.base.RequestId;
+import org.gullsaddle.base.Usage;
+import org.gullsaddle.base.Verdict;
+import org.gullsaddle.ledger.AttemptLine;
+import org.gullsaddle.ledger.LedgerEntry;
+import org.gullsaddle.ledger.LedgerWriter;
+import org.gullsaddle.ledger.Segment;
+import org.gullsaddle.register.Entry;
+import org.gullsaddle.register.Operation;
+import org.gullsaddle.register.RegisterAction;
+import org.gullsaddle.register.RegisterEvent;
+import org.gullsaddle.register.RegisterShard;
+import org.gullsaddle.route.CallOutcome;
+import org.gullsaddle.route.ClaimAnswer;
+import org.gullsaddle.route.IncomingRequest;
+import org.gullsaddle.route.Router;
+import org.gullsaddle.route.RouterAction;
+import org.gullsaddle.route.RouterEvent;
+import org.gullsaddle.route.RouterSettings;
+
+/**
+ * An entry's core with the thinnest wiring: actions go to the world's queues.
+ */
+final class FuzzEntry {
+
+	private static final long DAY_MILLIS = 86_400_000;
+
+	private static final long OPERATION_MILLIS = 1500;
+
+	final NodeId id;
+
+	final LedgerWriter ledger;
+
+	private final World world;
+
+	private final String run;
+
+	private final Router router;
+
+	private final RegisterShard claims = new RegisterShard(1000, DAY_MILLIS);
+
+	private final RegisterShard pins = new RegisterShard(1000, DAY_MILLIS);
+
+	private final Map<Long, Consumer<RegisterAction>> waiting = new HashMap<>();
+
+	private final Map<RequestId, Mine> mine = new HashMap<>();
+
+	private final Map<RequestId, Set<NodeId>> holders = new HashMap<>();
+
+	private final Queue<RouterEvent> events = new ArrayDeque<>();
+
+	private long operations;
+
+	private boolean handling;
+
+	private boolean flushing;
+
+	private boolean dead;
+
+	FuzzEntry(World world, NodeId id, String run, long seed) {
+		this.world = world;
+		this.id = id;
+		this.run = run;
+		this.ledger = new LedgerWriter(run, 1000);
+		this.router = new Router(RouterSettings.in("west", "west-1").ratedShare(0.2).lateEndMillis(5000).build(),
+				new Random(seed));
+	}
+
+	void die() {
+		this.dead = true;
+	}
+
+	boolean dead() {
+		return this.dead;
+	}
+
+	int open() {
+		return this.router.openRequests();
+	}
+
+	void submit(IncomingRequest request) {
+		handle(new RouterEvent.Arrived(request));
+	}
+
+	void handle(RouterEvent event) {
+		if (this.dead) {
+			return;
+		}
+		this.events.add(event);
+		if (this.handling) {
+			return;
+		}
+		this.handling = true;
+		while (!this.events.isEmpty()) {
+			for (RouterAction action : this.router.handle(this.world.now(), this.events.poll())) {
+				carryOut(action);
+			}
+		}
+		this.handling = false;
+	}
+
+	void tick() {
+		handle(new RouterEvent.Tick());
+		register("claims", this.claims, new RegisterEvent.Tick());
+		register("pins", this.pins, new RegisterEvent.Tick());
+		flush();
+	}
+
+	void flush() {
+		Segment segment = this.ledger.next().orElse(null);
+		if (segment == null || this.flushing || this.dead) {
+			return;
+		}
+		this.flushing = true;
+		String key = "ledger/" + this.run + "/" + segment.sequence();
+		this.world.store.write(key, 0, segment, (result) -> {
+			this.flushing = false;
+			boolean there = this.world.store.get(key) != null && result instanceof FaultyStore.Result.Conflict;
+			if (!this.dead && (result instanceof FaultyStore.Result.Written || there)) {
+				recorded(this.ledger.written());
+			}
+		});
+	}
+
+	private void recorded(List<RequestId> requests) {
+		for (RequestId request : requests) {
+			for (NodeId agent : this.holders.getOrDefault(request, Set.of())) {
+				this.world.toAgent(this.id, agent, new World.Message.Recorded(request));
+			}
+			this.holders.remove(request);
+		}
+	}
+
+	private void carryOut(RouterAction action) {
+		switch (action) {
+			case RouterAction.Claim claim -> claim(claim);
+			case RouterAction.SettleClaim settle -> {
+				Mine claimed = this.mine.remove(settle.request());
+				submit(new Operation.Update(key(settle), claimed.nonce(),
+						Kept.write(claimed.content(), settle.outcome())), Long.MAX_VALUE, (answer) -> {
+						});
+			}
+			case RouterAction.ReleaseClaim release -> {
+				Mine claimed = this.mine.remove(release.request());
+				if (claimed != null) {
+					submit(new Operation.Remove(release.team() + "/" + release.key(), claimed.nonce()), Long.MAX_VALUE,
+							(answer) -> {
+							});
+				}
+			}
+			case RouterAction.Pin pin -> pin(pin);
+			case RouterAction.Send send -> {
+				if (!this.world.toAgent(this.id, send.agent(), new World.Message.Dispatched(send.dispatch()))) {
+					handle(new RouterEvent.AttemptFailed(send.dispatch().attempt(), Verdict.NOT_RUN, false,
+							Usage.NONE));
+				}
+			}
+			case RouterAction.Cancel cancel ->
+				this.world.toAgent(this.id, cancel.agent(), new World.Message.Cancel(cancel.attempt()));
+			case RouterAction.Deliver deliver ->
+				this.world.oracle.delivered(deliver.request().value(), deliver.version().toString(), deliver.text());
+			case RouterAction.Complete complete ->
+				this.world.oracle.completed(complete.request().value(), complete.servedBy());
+			case RouterAction.Refuse refuse ->
+				this.world.oracle.refused(refuse.request().value(), refuse.refusal().verdict().toString());
+			case RouterAction.Rate rate -> this.world.rate(this, rate);
+			case RouterAction.Suspect suspect -> this.world.suspect(this.id, suspect.fingerprint(), suspect.crashes());
+			case RouterAction.Record record -> {
+				Set<NodeId> agents = new HashSet<>();
+				record.record().attempts().stream().map(AttemptLine::agent).forEach(agents::add);
+				this.holders.put(record.record().request(), agents);
+				this.ledger.append(new LedgerEntry.Whole(record.record()));
+			}
+		}
+	}
+
+	private void claim(RouterAction.Claim claim) {
+		String nonce = this.run + "-" + this.operations;
+		this.mine.put(claim.request(), new Mine(nonce, claim.content()));
+		submit(new Operation.Put(claim.team() + "/" + claim.key(), nonce, Kept.write(claim.content(), null)),
+				OPERATION_MILLIS, (answer) -> {
+					ClaimAnswer result = (answer instanceof RegisterAction.Answer found && found.entry() != null)
+							? Kept.read(found.entry(), nonce, claim.content()) : new ClaimAnswer.Unavailable();
+					if (!(result instanceof ClaimAnswer.Granted)) {
+						this.mine.remove(claim.request());
+					}
+					handle(new RouterEvent.ClaimAnswered(claim.request(), result));
+				});
+	}
+
+	private void pin(RouterAction.Pin pin) {
+		String name = pin.team() + "/" + pin.session();
+		String nonce = this.run + "-" + this.operations;
+		String value = pin.proposed().toString();
+		Operation operation = (pin.replacing() != null)
+				? new Operation.Replace(name, nonce, value, pin.replacing().toString())
+				: new Operation.Put(name, nonce, value);
+		submit(operation, OPERATION_MILLIS, (answer) -> {
+			boolean settled = answer instanceof RegisterAction.Answer found && found.entry() != null;
+			ModelVersion version = settled ? ModelVersion.of(((RegisterAction.Answer) answer).entry().value())
+					: pin.proposed();
+			handle(new RouterEvent.PinAnswered(pin.request(), version));
+		});
+	}
+
+	private void submit(Operation operation, long within, Consumer<RegisterAction> then) {
+		boolean isPin = operation.key().contains("session");
+		this.operations++;
+		this.waiting.put(this.operations, then);
+		long deadline = (within == Long.MAX_VALUE) ? Long.MAX_VALUE : this.world.now().millis() + within;
+		register(isPin ? "pins" : "claims", isPin ? this.pins : this.claims,
+				new RegisterEvent.Submitted(this.operations, operation, deadline));
+	}
+
+	private void register(String name, RegisterShard shard, RegisterEvent event) {
+		if (this.dead) {
+			return;
+		}
+		long now = this.world.now().millis();
+		for (RegisterAction action : shard.handle(now, now, event)) {
+			switch (action) {
+				case RegisterAction.Read read -> this.world.store.read(name,
+						(result) -> register(name, shard, (result instanceof FaultyStore.Result.Failed)
+								? new RegisterEvent.ReadFailed() : event(result)));
+				case RegisterAction.Write write -> this.world.store.write(name, write.expectedRevision(),
+						write.entries(), (result) -> register(name, shard, event(result)));
+				case RegisterAction.Answer answer -> this.waiting.remove(answer.id()).accept(answer);
+				case RegisterAction.Unavailable gone -> this.waiting.remove(gone.id()).accept(gone);
+			}
+		}
+	}
+
+	@SuppressWarnings("unchecked")
+	private static RegisterEvent event(FaultyStore.Result result) {
+		return switch (result) {
+			case FaultyStore.Result.Read read -> new RegisterEvent.WasRead(read.revision(),
+					(read.content() != null) ? (List<Entry>) read.content() : new ArrayList<>());
+			case FaultyStore.Result.Written written -> new RegisterEvent.Written(written.revision());
+			case FaultyStore.Result.Conflict conflict -> new RegisterEvent.Conflicted();
+			case FaultyStore.Result.Failed failed -> new RegisterEvent.WriteUnknown();
+		};
+	}
+
+	private static String key(RouterAction.SettleClaim settle) {
+		return settle.team() + "/" + settle.key();
+	}
+
+	void rated(AttemptId attempt, OptionalDouble score) {
+		handle(new RouterEvent.AnswerRated(attempt, score));
+	}
+
+	private record Mine(String nonce, Fingerprint content) {
+	}
+
+	/**
+	 * The value of a claim: its content and, once settled, its answer.
+	 */
+	private static final class Kept {
+
+		private static final String SETTLED = "=";
+
+		static String write(Fingerprint content, CallOutcome outcome) {
+			return (outcome != null) ? content.value() + SETTLED + outcome.request() + SETTLED + outcome.servedBy()
+					+ SETTLED + outcome.text() : content.value();
+		}
+
+		static ClaimAnswer read(Entry entry, String nonce, Fingerprint content) {
+			if (entry.nonce().equals(nonce)) {
+				return new ClaimAnswer.Granted();
+			}
+			String[] parts = entry.value().split(SETTLED);
+			if (!parts[0].equals(content.value())) {
+				return new ClaimAnswer.ContentDiffers();
+			}
+			return (parts.length == 1) ? new ClaimAnswer.InUse()
+					: new ClaimAnswer.Finished(new CallOutcome(new RequestId(parts[1]), parts[2],
+							new Completion(200, "text/plain", "", Usage.NONE), parts[3]));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/gullsaddle/fuzz/FuzzRun.java
@@ -0,0 +1,120 @@
+package org.gullsaddle.fuzz;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Fuzzes for a given time; the longer run beside the fixed scenarios of the tests. Prints
+ * the seed and the shrunk steps of a scenario that breaks a guarantee.
+ */
+public final class FuzzRun {
+
+	private static final int STEPS = 200;
+
+	private static final int TOTAL_WEIGHT = total();
+
+	private FuzzRun() {
+	}
+
+	/**
+	 * Runs until the time is over or a guarantee is broken.
+	 * @param args the seconds and the first seed
+	 */
+	public static void main(String[] args) {
+		long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(Long.parseLong(args[0]));
+		long seed = Long.parseLong(args[1]);
+		long steps = 0;
+		long faults = 0;
+		while (System.nanoTime() < end) {
+			List<Move> moves = moves(new Random(seed));
+			World world = run(moves);
+			steps += moves.size();
+			faults += world.faults();
+			if (!world.oracle.violations().isEmpty()) {
+				report(seed, moves);
+				System.out.println("fuzz: " + steps + " steps, " + faults + " faults, 1 violations");
+				System.exit(1);
+			}
+			seed++;
+		}
+		System.out.println("fuzz: " + steps + " steps, " + faults + " faults, 0 violations");
+	}
+
+	private static void report(long seed, List<Move> moves) {
+		List<Move> shrunk = shrink(moves);
+		System.out.println("seed " + seed + ": " + run(shrunk).oracle.violations());
+		System.out.println("steps: " + String.join(", ", shrunk.stream().map(Move::toString).toList()));
+	}
+
+	/**
+	 * Leaves out what is not needed to break the same guarantee.
+	 */
+	private static List<Move> shrink(List<Move> moves) {
+		String broken = guarantee(run(moves));
+		List<Move> left = moves;
+		for (int size = left.size() / 2; size >= 1; size /= 2) {
+			for (int at = 0; at + size <= left.size();) {
+				List<Move> fewer = new ArrayList<>(left.subList(0, at));
+				fewer.addAll(left.subList(at + size, left.size()));
+				World world = run(fewer);
+				if (!world.oracle.violations().isEmpty() && guarantee(world).equals(broken)) {
+					left = fewer;
+				}
+				else {
+					at += size;
+				}
+			}
+		}
+		return left;
+	}
+
+	private static String guarantee(World world) {
+		return world.oracle.violations().get(0).split(":")[0];
+	}
+
+	private static World run(List<Move> moves) {
+		World world = new World();
+		moves.forEach((move) -> move.step().apply(world, move.pick()));
+		world.settle();
+		return world;
+	}
+
+	private static List<Move> moves(Random random) {
+		List<Move> moves = new ArrayList<>();
+		for (int i = 0; i < STEPS; i++) {
+			moves.add(new Move(step(random.nextInt(TOTAL_WEIGHT)), random.nextInt(1000)));
+		}
+		return moves;
+	}
+
+	private static Step step(int at) {
+		int rest = at;
+		for (Step step : Step.values()) {
+			rest -= step.weight();
+			if (rest < 0) {
+				return step;
+			}
+		}
+		throw new IllegalArgumentException("beyond the weights: " + at);
+	}
+
+	private static int total() {
+		int total = 0;
+		for (Step step : Step.values()) {
+			total += step.weight();
+		}
+		return total;
+	}
+
+	private record Move(Step step, int pick) {
+
+		@Override
+		public String toString() {
+			return this.step + " " + this.pick;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/gullsaddle/fuzz/GuaranteesFuzzTests.java
@@ -0,0 +1,53 @@
+package org.gullsaddle.fuzz;
+
+import java.util.function.Supplier;
+
+import net.jqwik.api.AfterFailureMode;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.state.Action;
+import net.jqwik.api.state.ActionChain;
+import net.jqwik.api.state.ActionChainArbitrary;
+import net.jqwik.api.state.Transformer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Every guarantee under any order of kills, cuts, pauses, lost answers, late writes,
+ * races and repeats that the steps come up with.
+ */
+class GuaranteesFuzzTests {
+
+	private static final int STEPS = 150;
+
+	@Property(tries = 400, seed = "20261203", shrinking = ShrinkingMode.BOUNDED,
+			afterFailure = AfterFailureMode.PREVIOUS_SEED)
+	void guaranteesHoldUnderAnyFaults(@ForAll("scenarios") ActionChain<World> chain) {
+		World world = chain.run();
+		assertThat(world.settle()).isEmpty();
+	}
+
+	@Provide
+	Arbitrary<ActionChain<World>> scenarios() {
+		return chains(World::new);
+	}
+
+	static Arbitrary<ActionChain<World>> chains(Supplier<World> start) {
+		ActionChainArbitrary<World> chains = ActionChain.startWith(start);
+		for (Step step : Step.values()) {
+			chains = chains.withAction(step.weight(), action(step));
+		}
+		return chains.withMaxTransformations(STEPS);
+	}
+
+	private static Action.Independent<World> action(Step step) {
+		return () -> Arbitraries.integers()
+			.between(0, 999)
+			.map((pick) -> Transformer.mutate(step + " " + pick, (world) -> step.apply(world, pick)));
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/gullsaddle/fuzz/Oracle.java
@@ -0,0 +1,243 @@
+package org.gullsaddle.fuzz;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Judges what was seen from outside: what callers were told, what backend servers were
+ * given, which configuration was where. Knows nothing of how the system decides.
+ */
+final class Oracle {
+
+	private final List<String> violations = new ArrayList<>();
+
+	private final Map<String, Seen> requests = new HashMap<>();
+
+	private final Map<String, Integer> runsByKey = new HashMap<>();
+
+	private final Map<String, Set<String>> sessions = new HashMap<>();
+
+	private final Set<String> everWithdrawn = new HashSet<>();
+
+	private final Map<String, Long> revisions = new HashMap<>();
+
+	private final Map<String, Integer> crashes = new HashMap<>();
+
+	private final Map<String, Integer> copiesAtCrash = new HashMap<>();
+
+	void sent(String request, String team, String session, String key, String body) {
+		this.requests.put(request, new Seen(team, session, key, body));
+	}
+
+	/**
+	 * A backend server is handed a request.
+	 */
+	void started(String request, String agent, String version, String resume, AgentView view) {
+		Seen seen = this.requests.get(request);
+		seen.runs++;
+		if (!view.allowed(seen.team, version)) {
+			violate("allowed-version", request + " of " + seen.team + " ran on " + version);
+		}
+		if (view.withdrawn(version)) {
+			violate("withdrawn-version", request + " ran on " + version + " at " + agent);
+		}
+		if (view.draining()) {
+			violate("leaving", request + " was started at " + agent + " which is leaving");
+		}
+		if (seen.toldNotRun) {
+			violate("not-run-is-true", request + " was started after its caller was told it was not run");
+		}
+		if (seen.key != null && this.runsByKey.merge(seen.team + "/" + seen.key, 1, Integer::sum) > 1) {
+			violate("at-most-once", "key " + seen.key + " ran again with " + request);
+		}
+		if (!World.answer(version, seen.body).startsWith(resume)) {
+			violate("whole-answer", request + " was resumed from another answer");
+		}
+	}
+
+	void delivered(String request, String version, String text) {
+		Seen seen = this.requests.get(request);
+		if (seen.ended) {
+			violate("one-answer", request + " got a part after its end");
+		}
+		if (!seen.text.isEmpty() && !seen.version.equals(version)) {
+			violate("whole-answer", request + " mixes " + seen.version + " and " + version);
+		}
+		seen.version = version;
+		seen.text.append(text);
+	}
+
+	void completed(String request, String servedBy) {
+		Seen seen = this.requests.get(request);
+		end(request, seen);
+		seen.served = true;
+		if (!seen.text.toString().equals(World.answer(servedBy, seen.body))) {
+			violate("whole-answer", request + " got '" + seen.text + "' from " + servedBy);
+		}
+		if (seen.runs == 0 && seen.key == null) {
+			violate("whole-answer", request + " was answered and never ran");
+		}
+		if (seen.session != null) {
+			Set<String> versions = this.sessions.computeIfAbsent(seen.team + "/" + seen.session,
+					(id) -> new HashSet<>());
+			versions.add(servedBy);
+			long kept = versions.stream().filter((version) -> !this.everWithdrawn.contains(version)).count();
+			if (kept > 1) {
+				violate("session", seen.session + " had " + versions);
+			}
+		}
+	}
+
+	void refused(String request, String verdict) {
+		Seen seen = this.requests.get(request);
+		end(request, seen);
+		if (verdict.equals("not-run")) {
+			seen.toldNotRun = true;
+			if (seen.runs > 0) {
+				violate("not-run-is-true", request + " was told not run and ran " + seen.runs + " times");
+			}
+		}
+	}
+
+	void callerLost(String request) {
+		this.requests.get(request).ended = true;
+	}
+
+	void withdrawn(String version) {
+		this.everWithdrawn.add(version);
+	}
+
+	void inForce(String node, long revision) {
+		Long before = this.revisions.put(node, revision);
+		if (before != null && before > revision) {
+			violate("never-reverts", node + " went from " + before + " to " + revision);
+		}
+	}
+
+	/**
+	 * A node was started anew and knows nothing.
+	 */
+	void restarted(String node) {
+		this.revisions.remove(node);
+	}
+
+	void drained(String agent, int running) {
+		if (running > 0) {
+			violate("graceful-stop", agent + " says it is drained and runs " + running);
+		}
+	}
+
+	/**
+	 * A backend server died of a team's content; other copies of it may be under way.
+	 */
+	void crashed(String team, String body) {
+		String content = team + "/" + body;
+		int others = (int) this.requests.values()
+			.stream()
+			.filter((seen) -> seen.team.equals(team) && seen.body.equals(body) && !seen.ended)
+			.count() - 1;
+		int count = this.crashes.merge(content, 1, Integer::sum);
+		int copies = this.copiesAtCrash.merge(content, others, Math::max);
+		if (count > 2 + copies) {
+			violate("poison", content + " killed " + count + " backend servers, with at most " + copies
+					+ " other copies under way");
+		}
+	}
+
+	/**
+	 * The bills at the end, when every node has written what it had.
+	 */
+	void billed(Map<String, List<Long>> bills) {
+		this.requests.forEach((request, seen) -> {
+			List<Long> found = bills.getOrDefault(request, List.of());
+			if (found.size() > 1) {
+				violate("billed-once", request + " has " + found.size() + " bills");
+			}
+			if (seen.served && found.isEmpty()) {
+				violate("billed-once", request + " was served and has no bill");
+			}
+			if (seen.toldNotRun && found.stream().anyMatch((cost) -> cost > 0)) {
+				violate("billed-once", request + " was not run and is billed " + found);
+			}
+			if (seen.served && seen.runs == 1 && !found.isEmpty()
+					&& found.get(0) != World.cost(seen.version, seen.body)) {
+				violate("billed-once", request + " is billed " + found + " for one run");
+			}
+		});
+	}
+
+	/**
+	 * Every caller whose entry lived was answered.
+	 */
+	void allAnswered() {
+		this.requests.forEach((request, seen) -> {
+			if (!seen.ended) {
+				violate("one-answer", request + " never got its final answer");
+			}
+		});
+	}
+
+	List<String> violations() {
+		return this.violations;
+	}
+
+	private void end(String request, Seen seen) {
+		if (seen.ended) {
+			violate("one-answer", request + " got two final answers");
+		}
+		seen.ended = true;
+	}
+
+	private void violate(String guarantee, String what) {
+		this.violations.add(guarantee + ": " + what);
+	}
+
+	/**
+	 * What the oracle may know of an agent: the configuration that reached it.
+	 */
+	interface AgentView {
+
+		boolean allowed(String team, String version);
+
+		boolean withdrawn(String version);
+
+		boolean draining();
+
+	}
+
+	private static final class Seen {
+
+		private final String team;
+
+		private final String session;
+
+		private final String key;
+
+		private final String body;
+
+		private final StringBuilder text = new StringBuilder();
+
+		private String version = "";
+
+		private int runs;
+
+		private boolean ended;
+
+		private boolean served;
+
+		private boolean toldNotRun;
+
+		Seen(String team, String session, String key, String body) {
+			this.team = team;
+			this.session = session;
+			this.key = key;
+			this.body = body;
+		}
+
+	}
+
+}
--- a/daemon/src/main/java/org/gullsaddle/backend/AgentNode.java
+++ b/daemon/src/main/java/org/gullsaddle/backend/AgentNode.java
@@ -21,8 +21,10 @@
 import org.gullsaddle.agent.AdmissionAction;
 import org.gullsaddle.agent.AdmissionEvent;
 import org.gullsaddle.agent.AdmissionSettings;
+import org.gullsaddle.agent.HeldLines;
 import org.gullsaddle.base.AgentInfo;
 import org.gullsaddle.base.AttemptId;
+import org.gullsaddle.base.Fingerprint;
 import org.gullsaddle.base.LoadReport;
 import org.gullsaddle.base.ModelVersion;
 import org.gullsaddle.base.NodeId;
@@ -173,6 +175,7 @@
 		if (earlier != null) {
 			earlier.close();
 		}
+		suspects().forEach((fingerprint, level) -> link.send(new Frame.Suspect(fingerprint, level)));
 		link.send(status());
 		link.send(inForce());
 	}
@@ -191,6 +194,8 @@
 					link.toLocal(sent.dispatch().deadline())));
 			case Frame.Cancel cancel -> handle(new AdmissionEvent.Cancelled(cancel.attempt()));
 			case Frame.Credit credit -> credit(credit);
+			case Frame.Suspect suspect ->
+				handle(new AdmissionEvent.SuspectLearned(suspect.fingerprint(), suspect.level()));
 			case Frame.Recorded recorded -> recorded(recorded);
 			case Frame.Templates pushed -> {
 				pushed.revisions().forEach(this.templates::apply);
@@ -239,6 +244,8 @@
 			case AdmissionAction.Hold hold -> this.held.hold(
 					new HeldLine(hold.entry(), hold.dispatch().team(), hold.dispatch().template(), hold.line()),
 					this.clock.millis());
+			case AdmissionAction.AnnounceSuspect suspect -> this.entries.values()
+				.forEach((link) -> link.send(new Frame.Suspect(suspect.fingerprint(), suspect.level())));
 			case AdmissionAction.AnnounceLeaving leaving ->
 				this.entries.values().forEach((link) -> link.send(new Frame.Leaving()));
 			case AdmissionAction.Drained done -> this.drained.onComplete();
@@ -367,6 +374,10 @@
 		this.held.all().forEach((line) -> this.ledger.append(new LedgerEntry.Part(line)));
 	}
 
+	private synchronized Map<Fingerprint, Integer> suspects() {
+		return this.admission.suspects();
+	}
+
 	private synchronized int heldLines() {
 		return this.held.size();
 	}
