Faults that the fuzzing found in the core, mended

Ruled out: waiting for the store before each answer's end (a write per answer); taking the proposed version while the store is down (a session that exists may be read by nobody then); keeping suspicions in the store. Now: an agent has another entry hold a copy of the line before the answer's end goes out; late answers are gathered whole; a session whose version the store cannot tell is refused, not run; entries and agents tell each other of crashes when they link, and count distinct crashes.

--- a/core/src/main/java/org/gullsaddle/agent/Admission.java
+++ b/core/src/main/java/org/gullsaddle/agent/Admission.java
@@ -6,20 +6,23 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
 
 import org.gullsaddle.base.AttemptId;
 import org.gullsaddle.base.Completion;
 import org.gullsaddle.base.Dispatch;
-import org.gullsaddle.base.Fingerprint;
 import org.gullsaddle.base.LoadReport;
 import org.gullsaddle.base.ModelVersion;
+import org.gullsaddle.base.NodeId;
 import org.gullsaddle.base.Refusal;
 import org.gullsaddle.base.RefusalReason;
 import org.gullsaddle.base.Usage;
 import org.gullsaddle.base.Verdict;
 import org.gullsaddle.clock.Moment;
 import org.gullsaddle.ledger.AttemptLine;
+import org.gullsaddle.ledger.HeldLine;
 import org.gullsaddle.suspect.SuspectBook;
+import org.gullsaddle.suspect.Suspicion;
 import org.gullsaddle.template.Template;
 import org.gullsaddle.template.TemplateBook;
 import org.gullsaddle.template.TemplateRevision;
@@ -43,6 +46,8 @@
 
 	private static final double SMOOTHING = 0.1;
 
+	private static final long COPY_MILLIS = 100;
+
 	private static final long COME_BACK_MILLIS = 1000;
 
 	private final AdmissionSettings settings;
@@ -66,6 +71,11 @@
 		}
 	};
 
+	/** Answers whose end waits until another entry holds a copy of their line. */
+	private final Map<AttemptId, Closing> closing = new LinkedHashMap<>();
+
+	private final Set<NodeId> entries = new TreeSet<>();
+
 	private final List<AdmissionAction> actions = new ArrayList<>();
 
 	private Set<ModelVersion> versions = Set.of();
@@ -101,6 +111,8 @@
 		switch (event) {
 			case AdmissionEvent.Dispatched dispatched -> dispatched(now, dispatched);
 			case AdmissionEvent.Cancelled cancelled -> cancelled(cancelled.attempt());
+			case AdmissionEvent.EntryUp entry -> this.entries.add(entry.entry());
+			case AdmissionEvent.CopyHeld held -> close(held.attempt());
 			case AdmissionEvent.EntryDown down -> entryDown(down);
 			case AdmissionEvent.BackendChunk chunk -> chunk(chunk);
 			case AdmissionEvent.BackendDone done -> done(now, done);
@@ -108,9 +120,12 @@
 			case AdmissionEvent.BackendUp backend -> backendUp(now, backend);
 			case AdmissionEvent.BackendDown down -> backendDown();
 			case AdmissionEvent.TemplateChanged changed -> this.templates.apply(changed.revision());
-			case AdmissionEvent.SuspectLearned learned -> this.suspects.learn(learned.fingerprint(), learned.level());
+			case AdmissionEvent.SuspectLearned learned -> this.suspects.learn(learned.suspicion());
 			case AdmissionEvent.DrainStarted drain -> drain();
-			case AdmissionEvent.Tick tick -> startNext(now);
+			case AdmissionEvent.Tick tick -> {
+				closeLate(now);
+				startNext(now);
+			}
 		}
 		noteDrained();
 		List<AdmissionAction> decided = List.copyOf(this.actions);
@@ -144,9 +159,9 @@
 
 	/**
 	 * Returns what is remembered of crashes, to tell an entry that has just been linked.
-	 * @return how strong each suspicion is
+	 * @return the suspicions
 	 */
-	public Map<Fingerprint, Integer> suspects() {
+	public List<Suspicion> suspects() {
 		return this.suspects.all();
 	}
 
@@ -299,6 +314,7 @@
 	}
 
 	private void entryDown(AdmissionEvent.EntryDown event) {
+		this.entries.remove(event.entry());
 		this.queue.removeIf((work) -> work.entry().equals(event.entry()));
 		for (Work work : this.running.values()) {
 			if (work.entry().equals(event.entry()) && !work.orphaned()) {
@@ -330,19 +346,46 @@
 		if (work.alone()) {
 			this.suspects.clear(work.dispatch().fingerprint());
 		}
-		hold(now, work, Verdict.RAN, "done", completion.usage());
-		this.actions.add(new AdmissionAction.SendDone(work.entry(), event.attempt(), completion, work.length()));
+		HeldLine line = hold(now, work, Verdict.RAN, "done", completion.usage());
+		AdmissionAction end = new AdmissionAction.SendDone(work.entry(), event.attempt(), completion, work.length());
+		this.closing.put(event.attempt(), new Closing(end, now.millis() + COPY_MILLIS));
+		Optional<NodeId> holder = this.entries.stream().filter((entry) -> !entry.equals(work.entry())).findAny();
+		holder.ifPresentOrElse((entry) -> this.actions.add(new AdmissionAction.Copy(entry, line)),
+				() -> close(event.attempt()));
 		startNext(now);
 	}
 
+	/**
+	 * Lets an answer's end go to its entry.
+	 * <p>
+	 * The entry answers the caller as soon as it has the end, and may be killed with the
+	 * agent before either has written the record; the request would be served and never
+	 * billed. With a copy at a third node that takes three at once.
+	 */
+	private void close(AttemptId attempt) {
+		Closing closed = this.closing.remove(attempt);
+		if (closed != null) {
+			this.actions.add(closed.end());
+		}
+	}
+
+	private void closeLate(Moment now) {
+		List<AttemptId> late = this.closing.entrySet()
+			.stream()
+			.filter((each) -> each.getValue().until() <= now.millis())
+			.map(Map.Entry::getKey)
+			.toList();
+		late.forEach(this::close);
+	}
+
 	private void failed(Moment now, AdmissionEvent.BackendFailed event) {
 		Work work = this.running.remove(event.attempt());
 		if (work == null) {
 			return;
 		}
 		if (event.crashed()) {
-			int level = this.suspects.crashed(work.dispatch().fingerprint(), work.alone());
-			this.actions.add(new AdmissionAction.AnnounceSuspect(work.dispatch().fingerprint(), level));
+			Suspicion known = this.suspects.crashed(work.dispatch().fingerprint(), work.attempt(), work.alone());
+			this.actions.add(new AdmissionAction.AnnounceSuspect(known));
 		}
 		if (event.verdict() != Verdict.NOT_RUN) {
 			hold(now, work, event.verdict(), event.crashed() ? CRASHED : "backend-failed", event.usage());
@@ -352,7 +395,7 @@
 		startNext(now);
 	}
 
-	private void hold(Moment now, Work work, Verdict verdict, String outcome, Usage usage) {
+	private HeldLine hold(Moment now, Work work, Verdict verdict, String outcome, Usage usage) {
 		Dispatch dispatch = work.dispatch();
 		// What a caller stopped it pays for as far as it ran; a backend server's fault is
 		// free.
@@ -360,7 +403,9 @@
 		long cost = billed ? cost(dispatch, usage) : 0;
 		AttemptLine line = new AttemptLine(work.attempt(), dispatch.version(), this.settings.id(), dispatch.revision(),
 				verdict, outcome, usage, cost, work.startStamp(), now.stamp());
-		this.actions.add(new AdmissionAction.Hold(work.entry(), dispatch, line));
+		HeldLine held = new HeldLine(work.entry(), dispatch.team(), dispatch.template(), line);
+		this.actions.add(new AdmissionAction.Hold(held));
+		return held;
 	}
 
 	private long cost(Dispatch dispatch, Usage usage) {
@@ -396,10 +441,16 @@
 	}
 
 	private void noteDrained() {
-		if (this.draining && !this.drained && this.running.isEmpty()) {
+		if (this.draining && !this.drained && this.running.isEmpty() && this.closing.isEmpty()) {
 			this.drained = true;
 			this.actions.add(new AdmissionAction.Drained());
 		}
 	}
 
+	/**
+	 * An answer's end, and when it goes without a copy.
+	 */
+	private record Closing(AdmissionAction end, long until) {
+	}
+
 }
--- a/core/src/main/java/org/gullsaddle/agent/AdmissionAction.java
+++ b/core/src/main/java/org/gullsaddle/agent/AdmissionAction.java
@@ -3,12 +3,12 @@
 import org.gullsaddle.base.AttemptId;
 import org.gullsaddle.base.Completion;
 import org.gullsaddle.base.Dispatch;
-import org.gullsaddle.base.Fingerprint;
 import org.gullsaddle.base.NodeId;
 import org.gullsaddle.base.Refusal;
 import org.gullsaddle.base.Usage;
 import org.gullsaddle.base.Verdict;
-import org.gullsaddle.ledger.AttemptLine;
+import org.gullsaddle.ledger.HeldLine;
+import org.gullsaddle.suspect.Suspicion;
 
 /**
  * Something that {@link Admission} wants done.
@@ -92,20 +92,27 @@
 	 * Keep the line of an attempt that was handed to the backend server, until the entry
 	 * has the request's record in the store, or to write it if the entry is lost.
 	 *
-	 * @param entry the entry
-	 * @param dispatch the attempt as it was sent
-	 * @param line its line
+	 * @param line the line
+	 */
+	record Hold(HeldLine line) implements AdmissionAction {
+	}
+
+	/**
+	 * Have another entry hold a copy of an attempt's line; answered by
+	 * {@link AdmissionEvent.CopyHeld}.
+	 *
+	 * @param holder the other entry
+	 * @param line the line
 	 */
-	record Hold(NodeId entry, Dispatch dispatch, AttemptLine line) implements AdmissionAction {
+	record Copy(NodeId holder, HeldLine line) implements AdmissionAction {
 	}
 
 	/**
 	 * Tell every entry that an attempt ran when the backend server crashed.
 	 *
-	 * @param fingerprint the attempt's team and content
-	 * @param level how strong the suspicion is
+	 * @param suspicion what is known against its content
 	 */
-	record AnnounceSuspect(Fingerprint fingerprint, int level) implements AdmissionAction {
+	record AnnounceSuspect(Suspicion suspicion) implements AdmissionAction {
 	}
 
 	/**
--- a/core/src/main/java/org/gullsaddle/agent/AdmissionEvent.java
+++ b/core/src/main/java/org/gullsaddle/agent/AdmissionEvent.java
@@ -5,11 +5,11 @@
 import org.gullsaddle.base.AttemptId;
 import org.gullsaddle.base.Completion;
 import org.gullsaddle.base.Dispatch;
-import org.gullsaddle.base.Fingerprint;
 import org.gullsaddle.base.ModelVersion;
 import org.gullsaddle.base.NodeId;
 import org.gullsaddle.base.Usage;
 import org.gullsaddle.base.Verdict;
+import org.gullsaddle.suspect.Suspicion;
 import org.gullsaddle.template.TemplateRevision;
 
 /**
@@ -36,6 +36,22 @@
 	record Cancelled(AttemptId attempt) implements AdmissionEvent {
 	}
 
+	/**
+	 * A link to an entry is up.
+	 *
+	 * @param entry the entry
+	 */
+	record EntryUp(NodeId entry) implements AdmissionEvent {
+	}
+
+	/**
+	 * Another entry holds a copy of an attempt's line.
+	 *
+	 * @param attempt the attempt
+	 */
+	record CopyHeld(AttemptId attempt) implements AdmissionEvent {
+	}
+
 	/**
 	 * The link to an entry is gone.
 	 *
@@ -100,10 +116,9 @@
 	/**
 	 * An entry knows of a crash elsewhere.
 	 *
-	 * @param fingerprint the team and content that ran
-	 * @param level how strong the suspicion is
+	 * @param suspicion what it knows
 	 */
-	record SuspectLearned(Fingerprint fingerprint, int level) implements AdmissionEvent {
+	record SuspectLearned(Suspicion suspicion) implements AdmissionEvent {
 	}
 
 	/**
--- a/core/src/main/java/org/gullsaddle/route/RequestState.java
+++ b/core/src/main/java/org/gullsaddle/route/RequestState.java
@@ -45,6 +45,8 @@
 
 	private Outstanding outstanding;
 
+	private boolean reached;
+
 	private AttemptId rating;
 
 	private Completion rated;
@@ -153,6 +155,7 @@
 		AttemptId attempt = new AttemptId(id(), this.attempts);
 		this.outstanding = new Outstanding(attempt, agent, version(), this.revision.revision(), alone, stamp);
 		this.tried.add(agent);
+		this.reached = false;
 		return attempt;
 	}
 
@@ -176,6 +179,17 @@
 		return closed;
 	}
 
+	boolean reached() {
+		return this.reached;
+	}
+
+	/**
+	 * Notes that the outstanding attempt is at its agent.
+	 */
+	void reach() {
+		this.reached = true;
+	}
+
 	StringBuilder received() {
 		return this.received;
 	}
--- a/core/src/main/java/org/gullsaddle/route/Router.java
+++ b/core/src/main/java/org/gullsaddle/route/Router.java
@@ -1,12 +1,8 @@
 package org.gullsaddle.route;
 
-import java.util.Comparator;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
-import java.util.PriorityQueue;
 import java.util.random.RandomGenerator;
 
 import org.gullsaddle.base.AttemptId;
@@ -20,6 +16,7 @@
 import org.gullsaddle.base.Verdict;
 import org.gullsaddle.clock.Moment;
 import org.gullsaddle.suspect.SuspectBook;
+import org.gullsaddle.suspect.Suspicion;
 import org.gullsaddle.template.Template;
 import org.gullsaddle.template.TemplateBook;
 import org.gullsaddle.template.TemplateRevision;
@@ -42,7 +39,7 @@
 
 	private static final long COME_BACK_MILLIS = 1000;
 
-	private static final long CUT_OFF_COME_BACK_MILLIS = 5000;
+	private static final long STORE_COME_BACK_MILLIS = 5000;
 
 	private static final long RATER_PAUSE_MILLIS = 5000;
 
@@ -68,9 +65,7 @@
 
 	private final Balancer balancer;
 
-	private final Map<RequestId, RequestState> open = new LinkedHashMap<>();
-
-	private final PriorityQueue<Timer> timers = new PriorityQueue<>(Comparator.comparingLong(Timer::time));
+	private final OpenRequests open = new OpenRequests();
 
 	private final Outbox outbox = new Outbox();
 
@@ -114,7 +109,8 @@
 			case RouterEvent.CallerGone gone -> callerGone(now, gone.request());
 			case RouterEvent.TemplateChanged changed -> this.templates.apply(changed.revision());
 			case RouterEvent.FreshnessChanged freshness -> this.gate.cutOff(freshness.cutOff());
-			case RouterEvent.SuspectLearned learned -> this.suspects.learn(learned.fingerprint(), learned.crashes());
+			case RouterEvent.SuspectLearned learned -> learn(learned.suspicion());
+			case RouterEvent.AttemptAccepted accepted -> this.open.accepted(accepted.attempt());
 			case RouterEvent.Tick tick -> tick(now);
 		}
 		return this.outbox.take();
@@ -128,17 +124,25 @@
 		return this.open.size();
 	}
 
+	/**
+	 * Returns what is remembered of crashes, to tell an entry that has just been linked.
+	 * @return the suspicions
+	 */
+	public List<Suspicion> suspects() {
+		return this.suspects.all();
+	}
+
 	private void arrived(Moment now, IncomingRequest request) {
 		Optional<Refusal> refusal = this.gate.check(now, request, this.open.size());
 		TemplateRevision revision = this.templates.get(request.template()).orElse(null);
 		RequestState state = new RequestState(request, revision, unit(request), now.stamp());
-		this.open.put(request.id(), state);
+		this.open.add(state);
 		if (refusal.isPresent()) {
 			giveUp(now, state, refusal.get());
 			return;
 		}
 		this.retries.earn();
-		this.timers.add(new Timer(request.deadline(), request.id()));
+		this.open.wake(request.deadline(), request.id());
 		if (request.repeatable()) {
 			choose(now, state);
 			return;
@@ -171,7 +175,7 @@
 			case ClaimAnswer.Finished finished -> repeat(now, state, finished.outcome());
 			case ClaimAnswer.ContentDiffers differs -> giveUp(now, state, Refusal.notRun(RefusalReason.KEY_REUSED, 0));
 			case ClaimAnswer.Unavailable unavailable ->
-				giveUp(now, state, this.comeBack.later(RefusalReason.STORE_UNAVAILABLE, CUT_OFF_COME_BACK_MILLIS));
+				giveUp(now, state, this.comeBack.later(RefusalReason.STORE_UNAVAILABLE, STORE_COME_BACK_MILLIS));
 		}
 	}
 
@@ -216,12 +220,20 @@
 		if (state == null || state.answered() || state.outstanding() != null) {
 			return;
 		}
+		if (event.version().isEmpty()) {
+			// The session may have a version that this entry cannot read now. Taking
+			// another
+			// would change it in mid-session; a caller with a token does not come here.
+			giveUp(now, state, this.comeBack.later(RefusalReason.STORE_UNAVAILABLE, STORE_COME_BACK_MILLIS));
+			return;
+		}
 		refresh(state);
-		if (state.template().allows(state.team(), event.version(), true)) {
-			runPinned(now, state, event.version());
+		ModelVersion version = event.version().get();
+		if (state.template().allows(state.team(), version, true)) {
+			runPinned(now, state, version);
 		}
 		else if (state.replacePin()) {
-			pin(now, state, event.version());
+			pin(now, state, version);
 		}
 		else {
 			giveUp(now, state, this.comeBack.later(RefusalReason.NO_VERSION, COME_BACK_MILLIS));
@@ -252,6 +264,15 @@
 			return;
 		}
 		IncomingRequest request = state.request();
+		if (this.suspects.convicted(request.fingerprint())) {
+			giveUp(now, state, Refusal.notRun(RefusalReason.POISON, 0));
+			return;
+		}
+		if (this.suspects.suspected(request.fingerprint()) && this.open.underWay(request.fingerprint())) {
+			// Two copies, each alone on its backend server, would kill two at once.
+			giveUp(now, state, this.comeBack.later(RefusalReason.POISON, COME_BACK_MILLIS));
+			return;
+		}
 		Optional<NodeId> agent = this.balancer.pick(state.version(), request.prefixHash(), state.tried());
 		if (agent.isEmpty()) {
 			giveUp(now, state, this.comeBack.later(
@@ -284,8 +305,8 @@
 	}
 
 	private void chunk(Moment now, RouterEvent.AttemptChunk event) {
-		RequestState state = current(event.attempt());
-		if (state == null || state.answered()) {
+		RequestState state = this.open.current(event.attempt());
+		if (state == null || (state.answered() && state.request().repeatable())) {
 			return;
 		}
 		if (event.offset() < state.received().length()) {
@@ -297,19 +318,22 @@
 			return;
 		}
 		if (state.received().length() + event.text().length() > this.settings.maxAnswerLength()) {
+			if (state.answered()) {
+				return;
+			}
 			this.outbox.cancel(state);
 			giveUp(now, state, Refusal.notRun(RefusalReason.TOO_LARGE, 0));
 			return;
 		}
 		state.received().append(event.text());
-		if (state.lastStage()) {
+		if (state.lastStage() && !state.answered()) {
 			state.startDelivery();
 			this.outbox.add(new RouterAction.Deliver(state.id(), state.version(), event.text()));
 		}
 	}
 
 	private void done(Moment now, RouterEvent.AttemptDone event) {
-		RequestState state = current(event.attempt());
+		RequestState state = this.open.current(event.attempt());
 		if (state == null) {
 			return;
 		}
@@ -325,7 +349,9 @@
 			this.suspects.clear(state.request().fingerprint());
 		}
 		if (state.answered()) {
-			this.outbox.settleClaim(state, closed.version(), completion);
+			if (event.length() == state.received().length()) {
+				this.outbox.settleClaim(state, closed.version(), completion);
+			}
 			record(state);
 		}
 		else if (state.lastStage()) {
@@ -348,7 +374,7 @@
 
 	private void rate(Moment now, RequestState state, AttemptId attempt, ModelVersion version, Completion completion) {
 		state.awaitRating(attempt, completion);
-		this.timers.add(new Timer(now.millis() + this.settings.ratingMillis(), state.id()));
+		this.open.wake(now.millis() + this.settings.ratingMillis(), state.id());
 		this.outbox.add(new RouterAction.Rate(attempt, version, state.request().body(), state.received().toString()));
 	}
 
@@ -383,7 +409,7 @@
 	}
 
 	private void refused(Moment now, RouterEvent.AttemptRefused event) {
-		RequestState state = current(event.attempt());
+		RequestState state = this.open.current(event.attempt());
 		if (state == null) {
 			return;
 		}
@@ -417,7 +443,7 @@
 	}
 
 	private void failed(Moment now, RouterEvent.AttemptFailed event) {
-		RequestState state = current(event.attempt());
+		RequestState state = this.open.current(event.attempt());
 		if (state == null) {
 			return;
 		}
@@ -426,8 +452,8 @@
 				event.crashed() ? "backend-crashed" : "backend-failed", event.usage(), cost, now.stamp());
 		this.balancer.ended(closed.agent(), event.attempt());
 		if (event.crashed()) {
-			int level = this.suspects.crashed(state.request().fingerprint(), closed.alone());
-			this.outbox.add(new RouterAction.Suspect(state.request().fingerprint(), level));
+			this.outbox.add(new RouterAction.Suspect(
+					this.suspects.crashed(state.request().fingerprint(), event.attempt(), closed.alone())));
 		}
 		if (state.answered()) {
 			if (event.verdict() == Verdict.NOT_RUN) {
@@ -455,6 +481,9 @@
 	 * Treats the current attempt's answer as broken off, and has its agent stop it.
 	 */
 	private void broken(Moment now, RequestState state) {
+		if (state.answered()) {
+			return;
+		}
 		AttemptId attempt = state.outstanding().attempt();
 		this.outbox.add(new RouterAction.Cancel(state.outstanding().agent(), attempt));
 		failed(now, new RouterEvent.AttemptFailed(attempt, Verdict.MAY_HAVE_RUN, false, Usage.NONE));
@@ -468,6 +497,13 @@
 		}
 	}
 
+	private void learn(Suspicion suspicion) {
+		if (this.suspects.learn(suspicion)) {
+			// The node that told may have told no other, and may be dying.
+			this.outbox.add(new RouterAction.Suspect(suspicion));
+		}
+	}
+
 	private void callerGone(Moment now, RequestId request) {
 		RequestState state = this.open.get(request);
 		if (state == null || state.answered()) {
@@ -478,11 +514,8 @@
 	}
 
 	private void tick(Moment now) {
-		while (!this.timers.isEmpty() && this.timers.peek().time() <= now.millis()) {
-			RequestState state = this.open.get(this.timers.poll().request());
-			if (state != null) {
-				expire(now, state);
-			}
+		for (RequestState state : this.open.due(now.millis())) {
+			expire(now, state);
 		}
 	}
 
@@ -534,7 +567,7 @@
 			record(state);
 		}
 		else {
-			this.timers.add(new Timer(recordBy, state.id()));
+			this.open.wake(recordBy, state.id());
 		}
 	}
 
@@ -543,11 +576,6 @@
 		this.outbox.add(new RouterAction.Record(state.record()));
 	}
 
-	private RequestState current(AttemptId attempt) {
-		RequestState state = this.open.get(attempt.request());
-		return (state != null && state.isCurrent(attempt)) ? state : null;
-	}
-
 	private void refresh(RequestState state) {
 		this.templates.get(state.request().template())
 			.filter((newest) -> newest.template().team(state.team()).isPresent())
@@ -568,7 +596,4 @@
 		return Spread.unit(key);
 	}
 
-	private record Timer(long time, RequestId request) {
-	}
-
 }
--- a/core/src/main/java/org/gullsaddle/route/RouterAction.java
+++ b/core/src/main/java/org/gullsaddle/route/RouterAction.java
@@ -12,6 +12,7 @@
 import org.gullsaddle.base.TeamId;
 import org.gullsaddle.base.TemplateName;
 import org.gullsaddle.ledger.RequestRecord;
+import org.gullsaddle.suspect.Suspicion;
 
 /**
  * Something the {@link Router} wants done.
@@ -130,10 +131,9 @@
 	/**
 	 * Tell the other nodes that a request was running when a backend server crashed.
 	 *
-	 * @param fingerprint the request's team and content
-	 * @param crashes how many crashes that makes
+	 * @param suspicion what is known against its content
 	 */
-	record Suspect(Fingerprint fingerprint, int crashes) implements RouterAction {
+	record Suspect(Suspicion suspicion) implements RouterAction {
 	}
 
 	/**
--- a/core/src/main/java/org/gullsaddle/route/RouterEvent.java
+++ b/core/src/main/java/org/gullsaddle/route/RouterEvent.java
@@ -1,11 +1,11 @@
 package org.gullsaddle.route;
 
+import java.util.Optional;
 import java.util.OptionalDouble;
 
 import org.gullsaddle.base.AgentInfo;
 import org.gullsaddle.base.AttemptId;
 import org.gullsaddle.base.Completion;
-import org.gullsaddle.base.Fingerprint;
 import org.gullsaddle.base.LoadReport;
 import org.gullsaddle.base.ModelVersion;
 import org.gullsaddle.base.NodeId;
@@ -13,6 +13,7 @@
 import org.gullsaddle.base.RequestId;
 import org.gullsaddle.base.Usage;
 import org.gullsaddle.base.Verdict;
+import org.gullsaddle.suspect.Suspicion;
 import org.gullsaddle.template.TemplateRevision;
 
 /**
@@ -38,12 +39,13 @@
 	}
 
 	/**
-	 * The version of a request's session was settled.
+	 * The version of a request's session was settled, or could not be.
 	 *
 	 * @param request the request
-	 * @param version the version that the session has
+	 * @param version the version that the session has, or empty if the store could not
+	 * say
 	 */
-	record PinAnswered(RequestId request, ModelVersion version) implements RouterEvent {
+	record PinAnswered(RequestId request, Optional<ModelVersion> version) implements RouterEvent {
 	}
 
 	/**
@@ -79,6 +81,14 @@
 	record AgentDown(NodeId agent) implements RouterEvent {
 	}
 
+	/**
+	 * An agent has an attempt; it is queued or running.
+	 *
+	 * @param attempt the attempt
+	 */
+	record AttemptAccepted(AttemptId attempt) implements RouterEvent {
+	}
+
 	/**
 	 * A part of an answer came.
 	 *
@@ -155,10 +165,9 @@
 	/**
 	 * Another node saw a backend server crash while a request ran.
 	 *
-	 * @param fingerprint the request's team and content
-	 * @param crashes how many crashes that makes
+	 * @param suspicion what it knows
 	 */
-	record SuspectLearned(Fingerprint fingerprint, int crashes) implements RouterEvent {
+	record SuspectLearned(Suspicion suspicion) implements RouterEvent {
 	}
 
 	/**
--- a/core/src/main/java/org/gullsaddle/suspect/SuspectBook.java
+++ b/core/src/main/java/org/gullsaddle/suspect/SuspectBook.java
@@ -1,8 +1,12 @@
 package org.gullsaddle.suspect;
 
+import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
+import org.gullsaddle.base.AttemptId;
 import org.gullsaddle.base.Fingerprint;
 
 /**
@@ -10,22 +14,19 @@
  * <p>
  * A request that crashes each backend server that runs it would, sent again and again,
  * take down one after another. After a first crash a request runs alone, so that a second
- * crash can only be its own and bystanders are cleared; after that it is refused, however
- * often it is sent. So one content costs at most two backend servers, plus one for each
- * copy that was already under way at the first crash. Entries and agents both remember,
- * and tell each other, so that the loss of either does not start the count anew.
+ * crash can only be its own and bystanders are cleared; after a crash alone, or two
+ * crashes, it is refused, however often it is sent. So one content costs at most two
+ * backend servers, plus one for each further copy that was sent before the first crash
+ * was heard of. Entries and agents both remember, and tell each other, so that the loss
+ * of either does not start the count anew.
  */
 public final class SuspectBook {
 
 	private static final int MAX_REMEMBERED = 10_000;
 
-	private static final int SUSPECTED = 1;
-
-	private static final int CONVICTED = 2;
-
-	private final Map<Fingerprint, Integer> levels = new LinkedHashMap<>() {
+	private final Map<Fingerprint, Suspicion> suspicions = new LinkedHashMap<>() {
 		@Override
-		protected boolean removeEldestEntry(Map.Entry<Fingerprint, Integer> eldest) {
+		protected boolean removeEldestEntry(Map.Entry<Fingerprint, Suspicion> eldest) {
 			return size() > MAX_REMEMBERED;
 		}
 	};
@@ -36,35 +37,40 @@
 	 * @return true if a backend server crashed while it ran
 	 */
 	public boolean suspected(Fingerprint fingerprint) {
-		return this.levels.getOrDefault(fingerprint, 0) >= SUSPECTED;
+		return this.suspicions.containsKey(fingerprint);
 	}
 
 	/**
 	 * Says whether a request must not run at all.
 	 * @param fingerprint its team and content
-	 * @return true if a backend server crashed while it ran alone
+	 * @return true if a backend server crashed while it ran alone, or two crashed
 	 */
 	public boolean convicted(Fingerprint fingerprint) {
-		return this.levels.getOrDefault(fingerprint, 0) >= CONVICTED;
+		Suspicion suspicion = this.suspicions.get(fingerprint);
+		return suspicion != null && suspicion.convicts();
 	}
 
 	/**
 	 * Notes a crash.
 	 * @param fingerprint the team and content that ran
+	 * @param attempt the attempt
 	 * @param alone whether nothing else ran
-	 * @return how strong the suspicion is now, to tell others
+	 * @return what is known now, to tell others
 	 */
-	public int crashed(Fingerprint fingerprint, boolean alone) {
-		return this.levels.merge(fingerprint, alone ? CONVICTED : SUSPECTED, Math::max);
+	public Suspicion crashed(Fingerprint fingerprint, AttemptId attempt, boolean alone) {
+		learn(new Suspicion(fingerprint, Set.of(attempt), alone));
+		return this.suspicions.get(fingerprint);
 	}
 
 	/**
-	 * Takes in what another node remembers.
-	 * @param fingerprint the team and content
-	 * @param level how strong the suspicion is there
+	 * Takes in what another node knows. The same crash, heard of twice, counts once.
+	 * @param suspicion what it knows
+	 * @return true if any of it was new
 	 */
-	public void learn(Fingerprint fingerprint, int level) {
-		this.levels.merge(fingerprint, Math.min(level, CONVICTED), Math::max);
+	public boolean learn(Suspicion suspicion) {
+		Suspicion before = this.suspicions.get(suspicion.fingerprint());
+		Suspicion after = this.suspicions.merge(suspicion.fingerprint(), suspicion, SuspectBook::join);
+		return !after.equals(before);
 	}
 
 	/**
@@ -72,15 +78,21 @@
 	 * @param fingerprint its team and content
 	 */
 	public void clear(Fingerprint fingerprint) {
-		this.levels.remove(fingerprint);
+		this.suspicions.remove(fingerprint);
 	}
 
 	/**
 	 * Returns all that is remembered, to tell a node that starts.
-	 * @return how strong each suspicion is
+	 * @return the suspicions
 	 */
-	public Map<Fingerprint, Integer> all() {
-		return Map.copyOf(this.levels);
+	public List<Suspicion> all() {
+		return List.copyOf(this.suspicions.values());
+	}
+
+	private static Suspicion join(Suspicion one, Suspicion two) {
+		Set<AttemptId> crashes = new HashSet<>(one.crashes());
+		crashes.addAll(two.crashes());
+		return new Suspicion(one.fingerprint(), crashes, one.alone() || two.alone());
 	}
 
 }
--- a/daemon/src/main/java/org/gullsaddle/backend/AgentNode.java
+++ b/daemon/src/main/java/org/gullsaddle/backend/AgentNode.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Queue;
 import java.util.Set;
@@ -24,10 +26,10 @@
 import org.gullsaddle.agent.HeldLines;
 import org.gullsaddle.base.AgentInfo;
 import org.gullsaddle.base.AttemptId;
-import org.gullsaddle.base.Fingerprint;
 import org.gullsaddle.base.LoadReport;
 import org.gullsaddle.base.ModelVersion;
 import org.gullsaddle.base.NodeId;
+import org.gullsaddle.base.RequestId;
 import org.gullsaddle.base.TemplateName;
 import org.gullsaddle.base.Usage;
 import org.gullsaddle.base.Verdict;
@@ -37,6 +39,7 @@
 import org.gullsaddle.ledger.LedgerEntry;
 import org.gullsaddle.settings.Role;
 import org.gullsaddle.settings.Settings;
+import org.gullsaddle.suspect.Suspicion;
 import org.gullsaddle.telemetry.NodeClock;
 import org.gullsaddle.telemetry.Telemetry;
 import org.gullsaddle.template.TemplateKind;
@@ -60,6 +63,8 @@
 
 	private static final long LATE_MILLIS = 30_000;
 
+	private static final int MAX_COPIES = 20_000;
+
 	private static final int FAILED_PROBES_DOWN = 2;
 
 	private final Settings settings;
@@ -78,6 +83,13 @@
 
 	private final HeldLines held = new HeldLines(HOLD_MILLIS);
 
+	private final Map<RequestId, NodeId> copies = new LinkedHashMap<>() {
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<RequestId, NodeId> eldest) {
+			return size() > MAX_COPIES;
+		}
+	};
+
 	private final Map<NodeId, PeerLink> entries = new ConcurrentHashMap<>();
 
 	private final Map<AttemptId, Run> runs = new HashMap<>();
@@ -175,7 +187,8 @@
 		if (earlier != null) {
 			earlier.close();
 		}
-		suspects().forEach((fingerprint, level) -> link.send(new Frame.Suspect(fingerprint, level)));
+		handle(new AdmissionEvent.EntryUp(link.peer()));
+		suspects().forEach((suspicion) -> link.send(new Frame.Suspect(suspicion)));
 		link.send(status());
 		link.send(inForce());
 	}
@@ -194,8 +207,8 @@
 					link.toLocal(sent.dispatch().deadline())));
 			case Frame.Cancel cancel -> handle(new AdmissionEvent.Cancelled(cancel.attempt()));
 			case Frame.Credit credit -> credit(credit);
-			case Frame.Suspect suspect ->
-				handle(new AdmissionEvent.SuspectLearned(suspect.fingerprint(), suspect.level()));
+			case Frame.Suspect suspect -> handle(new AdmissionEvent.SuspectLearned(suspect.suspicion()));
+			case Frame.CopyHeld copy -> handle(new AdmissionEvent.CopyHeld(copy.attempt()));
 			case Frame.Recorded recorded -> recorded(recorded);
 			case Frame.Templates pushed -> {
 				pushed.revisions().forEach(this.templates::apply);
@@ -241,11 +254,13 @@
 				send(done.entry(), new Frame.Done(done.attempt(), done.completion(), done.length()));
 			case AdmissionAction.SendFailed failed -> send(failed.entry(),
 					new Frame.Failed(failed.attempt(), failed.verdict(), failed.crashed(), failed.usage()));
-			case AdmissionAction.Hold hold -> this.held.hold(
-					new HeldLine(hold.entry(), hold.dispatch().team(), hold.dispatch().template(), hold.line()),
-					this.clock.millis());
-			case AdmissionAction.AnnounceSuspect suspect -> this.entries.values()
-				.forEach((link) -> link.send(new Frame.Suspect(suspect.fingerprint(), suspect.level())));
+			case AdmissionAction.Hold hold -> this.held.hold(hold.line(), this.clock.millis());
+			case AdmissionAction.Copy copy -> {
+				this.copies.put(copy.line().line().attempt().request(), copy.holder());
+				send(copy.holder(), new Frame.Copy(copy.line()));
+			}
+			case AdmissionAction.AnnounceSuspect suspect ->
+				this.entries.values().forEach((link) -> link.send(new Frame.Suspect(suspect.suspicion())));
 			case AdmissionAction.AnnounceLeaving leaving ->
 				this.entries.values().forEach((link) -> link.send(new Frame.Leaving()));
 			case AdmissionAction.Drained done -> this.drained.onComplete();
@@ -331,6 +346,12 @@
 
 	private synchronized void recorded(Frame.Recorded recorded) {
 		this.held.recorded(recorded.requests());
+		for (RequestId request : recorded.requests()) {
+			NodeId holder = this.copies.remove(request);
+			if (holder != null) {
+				send(holder, new Frame.Recorded(List.of(request)));
+			}
+		}
 	}
 
 	private Single<Boolean> probe() {
@@ -374,7 +395,7 @@
 		this.held.all().forEach((line) -> this.ledger.append(new LedgerEntry.Part(line)));
 	}
 
-	private synchronized Map<Fingerprint, Integer> suspects() {
+	private synchronized List<Suspicion> suspects() {
 		return this.admission.suspects();
 	}
 
--- a/daemon/src/main/java/org/gullsaddle/entry/AcceptedPeers.java
+++ b/daemon/src/main/java/org/gullsaddle/entry/AcceptedPeers.java
@@ -18,7 +18,10 @@
 
 	@Override
 	public void up(PeerLink link) {
-		if (link.peerRole() != Role.ENTRY) {
+		if (link.peerRole() == Role.ENTRY) {
+			this.node.tellSuspects(link);
+		}
+		else {
 			link.close();
 		}
 	}
--- a/daemon/src/main/java/org/gullsaddle/entry/EntryNode.java
+++ b/daemon/src/main/java/org/gullsaddle/entry/EntryNode.java
@@ -21,12 +21,12 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import org.gullsaddle.agent.HeldLines;
 import org.gullsaddle.allowance.AllowanceBook;
 import org.gullsaddle.allowance.GrantKeeper;
 import org.gullsaddle.allowance.Permit;
 import org.gullsaddle.base.AttemptId;
 import org.gullsaddle.base.Dispatch;
-import org.gullsaddle.base.Fingerprint;
 import org.gullsaddle.base.NodeId;
 import org.gullsaddle.base.Refusal;
 import org.gullsaddle.base.RequestId;
@@ -39,6 +39,7 @@
 import org.gullsaddle.controller.RegisterController;
 import org.gullsaddle.controller.TemplateController;
 import org.gullsaddle.ledger.AttemptLine;
+import org.gullsaddle.ledger.HeldLine;
 import org.gullsaddle.ledger.LedgerEntry;
 import org.gullsaddle.ledger.RequestRecord;
 import org.gullsaddle.route.Router;
@@ -47,6 +48,7 @@
 import org.gullsaddle.settings.Role;
 import org.gullsaddle.settings.Settings;
 import org.gullsaddle.store.Store;
+import org.gullsaddle.suspect.Suspicion;
 import org.gullsaddle.telemetry.NodeClock;
 import org.gullsaddle.telemetry.Telemetry;
 import org.gullsaddle.template.Freshness;
@@ -67,6 +69,8 @@
 
 	private static final long FLUSH_MILLIS = 200;
 
+	private static final long HOLD_MILLIS = 60_000;
+
 	private static final int CLAIM_SHARDS = 16;
 
 	private static final int SESSION_SHARDS = 16;
@@ -114,6 +118,9 @@
 
 	private final Map<RequestId, Set<NodeId>> holders = new ConcurrentHashMap<>();
 
+	/** Lines of attempts that other entries sent; see {@link HeldLines}. */
+	private final HeldLines copies = new HeldLines(HOLD_MILLIS);
+
 	private final Map<NodeId, Map<TemplateName, Long>> inForce = new ConcurrentHashMap<>();
 
 	private final CompositeDisposable loops = new CompositeDisposable();
@@ -193,6 +200,7 @@
 			.andThen(Flowable.interval(TICK_MILLIS, TimeUnit.MILLISECONDS)
 				.takeUntil((tick) -> openRequests() == 0)
 				.ignoreElements())
+			.andThen(Completable.fromAction(this::writeAllCopies))
 			.andThen(Completable.defer(this.ledger::flush))
 			.andThen(Completable.defer(() -> this.grants.giveUpAll().onErrorComplete()));
 	}
@@ -225,6 +233,9 @@
 	@Override
 	public void up(PeerLink link) {
 		link.send(new Frame.Templates(List.copyOf(this.templates.all().values())));
+		if (link.peerRole() == Role.ENTRY) {
+			tellSuspects(link);
+		}
 	}
 
 	@Override
@@ -246,6 +257,8 @@
 			}
 			case Frame.Load load -> everywhere(new RouterEvent.AgentLoad(link.peer(), load.load()));
 			case Frame.Leaving gone -> agentLeaving(link.peer());
+			case Frame.Accepted accepted ->
+				attempt(accepted.attempt(), new RouterEvent.AttemptAccepted(accepted.attempt()));
 			case Frame.Refused refused ->
 				attempt(refused.attempt(), new RouterEvent.AttemptRefused(refused.attempt(), refused.refusal()));
 			case Frame.Chunk chunk ->
@@ -254,13 +267,17 @@
 				attempt(done.attempt(), new RouterEvent.AttemptDone(done.attempt(), done.completion(), done.length()));
 			case Frame.Failed failed -> attempt(failed.attempt(), new RouterEvent.AttemptFailed(failed.attempt(),
 					failed.verdict(), failed.crashed(), failed.usage()));
+			case Frame.Copy copy -> {
+				hold(copy.line());
+				link.send(new Frame.CopyHeld(copy.line().line().attempt()));
+			}
+			case Frame.Recorded others -> recordedElsewhere(others.requests());
 			case Frame.Templates pushed -> {
 				pushed.revisions().forEach(this.templates::apply);
 				link.send(new Frame.InForce(revisions()));
 			}
 			case Frame.InForce revisions -> this.inForce.put(link.peer(), Map.copyOf(revisions.revisions()));
-			case Frame.Suspect suspect ->
-				everywhere(new RouterEvent.SuspectLearned(suspect.fingerprint(), suspect.level()));
+			case Frame.Suspect suspect -> everywhere(new RouterEvent.SuspectLearned(suspect.suspicion()));
 			default -> LOG.atDebug().addKeyValue("frame", frame.getClass().getSimpleName()).log("frame ignored");
 		}
 	}
@@ -299,10 +316,10 @@
 	}
 
 	@Override
-	public void suspect(Fingerprint fingerprint, int level) {
+	public void suspect(Suspicion suspicion) {
 		this.shards.forEach((shard) -> Schedulers.computation()
-			.scheduleDirect(() -> shard.handle(new RouterEvent.SuspectLearned(fingerprint, level))));
-		Frame frame = new Frame.Suspect(fingerprint, level);
+			.scheduleDirect(() -> shard.handle(new RouterEvent.SuspectLearned(suspicion))));
+		Frame frame = new Frame.Suspect(suspicion);
 		this.members.links()
 			.values()
 			.stream()
@@ -499,6 +516,39 @@
 		byAgent.forEach((agent, list) -> send(agent, new Frame.Recorded(list)));
 	}
 
+	private void hold(HeldLine line) {
+		synchronized (this.copies) {
+			this.copies.hold(line, this.clock.millis());
+		}
+	}
+
+	private void recordedElsewhere(List<RequestId> requests) {
+		synchronized (this.copies) {
+			this.copies.recorded(requests);
+		}
+	}
+
+	private void writeDueCopies() {
+		List<HeldLine> due;
+		synchronized (this.copies) {
+			due = this.copies.due(this.clock.millis(), this.members.links().keySet());
+		}
+		due.forEach((line) -> this.ledger.append(new LedgerEntry.Part(line)));
+	}
+
+	private void writeAllCopies() {
+		synchronized (this.copies) {
+			this.copies.all().forEach((line) -> this.ledger.append(new LedgerEntry.Part(line)));
+		}
+	}
+
+	/**
+	 * Tells an entry that may have just started what it must not run.
+	 */
+	void tellSuspects(PeerLink link) {
+		this.shards.get(0).suspects().forEach((suspicion) -> link.send(new Frame.Suspect(suspicion)));
+	}
+
 	private void leave() {
 		this.leaving = true;
 		LOG.info("leaving: not ready any more");
--- a/daemon/src/main/java/org/gullsaddle/entry/EntryServices.java
+++ b/daemon/src/main/java/org/gullsaddle/entry/EntryServices.java
@@ -1,9 +1,9 @@
 package org.gullsaddle.entry;
 
 import org.gullsaddle.base.Dispatch;
-import org.gullsaddle.base.Fingerprint;
 import org.gullsaddle.base.NodeId;
 import org.gullsaddle.ledger.RequestRecord;
+import org.gullsaddle.suspect.Suspicion;
 import org.gullsaddle.wire.Frame;
 
 /**
@@ -30,7 +30,7 @@
 	/**
 	 * Tells this node's other shards and all other nodes of a suspicion.
 	 */
-	void suspect(Fingerprint fingerprint, int level);
+	void suspect(Suspicion suspicion);
 
 	/**
 	 * Writes a request's record to the ledger and gives its permit back.
--- a/daemon/src/main/java/org/gullsaddle/entry/RouterShard.java
+++ b/daemon/src/main/java/org/gullsaddle/entry/RouterShard.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Queue;
 
@@ -14,6 +15,7 @@
 import org.gullsaddle.route.Router;
 import org.gullsaddle.route.RouterAction;
 import org.gullsaddle.route.RouterEvent;
+import org.gullsaddle.suspect.Suspicion;
 import org.gullsaddle.telemetry.NodeClock;
 import org.gullsaddle.wire.Frame;
 
@@ -78,6 +80,10 @@
 		}
 	}
 
+	synchronized List<Suspicion> suspects() {
+		return this.router.suspects();
+	}
+
 	synchronized int openRequests() {
 		return this.router.openRequests();
 	}
@@ -103,7 +109,7 @@
 			case RouterAction.Rate rate -> this.services.rater()
 				.rate(rate.version(), rate.prompt(), rate.answer())
 				.subscribe((score) -> handle(new RouterEvent.AnswerRated(rate.attempt(), score)));
-			case RouterAction.Suspect suspect -> this.services.suspect(suspect.fingerprint(), suspect.crashes());
+			case RouterAction.Suspect suspect -> this.services.suspect(suspect.suspicion());
 			case RouterAction.Record record -> {
 				this.callers.remove(record.record().request());
 				this.currents.remove(record.record().request());
--- a/daemon/src/main/java/org/gullsaddle/entry/Sessions.java
+++ b/daemon/src/main/java/org/gullsaddle/entry/Sessions.java
@@ -4,6 +4,8 @@
 import java.security.GeneralSecurityException;
 import java.security.MessageDigest;
 import java.util.Base64;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.Optional;
 import java.util.UUID;
 
@@ -31,6 +33,15 @@
 
 	private static final long PIN_MILLIS = 1500;
 
+	private static final int MAX_REMEMBERED = 50_000;
+
+	private final Map<String, ModelVersion> settled = new LinkedHashMap<>(16, 0.75F, true) {
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<String, ModelVersion> eldest) {
+			return size() > MAX_REMEMBERED;
+		}
+	};
+
 	private final RegisterController register;
 
 	private final byte[] key;
@@ -41,22 +52,33 @@
 	}
 
 	/**
-	 * Settles a session's version.
-	 * <p>
-	 * While the store is down nobody can change a template either, and every entry
-	 * proposes the same version for a session from the same revision; the proposal can
-	 * then be taken without the store.
+	 * Settles a session's version; empty if the store cannot say. What was settled here
+	 * once needs no store: a version changes only when it is withdrawn, and then the
+	 * router asks to replace it.
 	 */
-	Single<ModelVersion> pin(RouterAction.Pin pin) {
+	Single<Optional<ModelVersion>> pin(RouterAction.Pin pin) {
 		String name = pin.team() + "/" + pin.template() + "/" + pin.session();
+		ModelVersion known = known(name);
+		if (known != null && !known.equals(pin.replacing())) {
+			return Single.just(Optional.of(known));
+		}
 		String nonce = UUID.randomUUID().toString();
 		String value = pin.proposed().toString();
 		Operation operation = (pin.replacing() != null)
 				? new Operation.Replace(name, nonce, value, pin.replacing().toString())
 				: new Operation.Put(name, nonce, value);
 		return this.register.submit(operation, PIN_MILLIS)
-			.map((entry) -> entry.map(Entry::value).map(ModelVersion::of).orElse(pin.proposed()))
-			.onErrorReturnItem(pin.proposed());
+			.map((entry) -> entry.map(Entry::value).map(ModelVersion::of))
+			.doOnSuccess((version) -> version.ifPresent((settled) -> remember(name, settled)))
+			.onErrorReturnItem(Optional.empty());
+	}
+
+	private synchronized ModelVersion known(String name) {
+		return this.settled.get(name);
+	}
+
+	private synchronized void remember(String name, ModelVersion version) {
+		this.settled.put(name, version);
 	}
 
 	String token(TeamId team, TemplateName template, SessionId session, ModelVersion version) {
--- a/daemon/src/main/java/org/gullsaddle/wire/Frame.java
+++ b/daemon/src/main/java/org/gullsaddle/wire/Frame.java
@@ -10,7 +10,6 @@
 import org.gullsaddle.base.AttemptId;
 import org.gullsaddle.base.Completion;
 import org.gullsaddle.base.Dispatch;
-import org.gullsaddle.base.Fingerprint;
 import org.gullsaddle.base.LoadReport;
 import org.gullsaddle.base.NodeId;
 import org.gullsaddle.base.Refusal;
@@ -18,7 +17,9 @@
 import org.gullsaddle.base.TemplateName;
 import org.gullsaddle.base.Usage;
 import org.gullsaddle.base.Verdict;
+import org.gullsaddle.ledger.HeldLine;
 import org.gullsaddle.settings.Role;
+import org.gullsaddle.suspect.Suspicion;
 import org.gullsaddle.template.TemplateRevision;
 
 /**
@@ -42,6 +43,8 @@
 		@JsonSubTypes.Type(value = Frame.Chunk.class, name = "chunk"),
 		@JsonSubTypes.Type(value = Frame.Done.class, name = "done"),
 		@JsonSubTypes.Type(value = Frame.Failed.class, name = "failed"),
+		@JsonSubTypes.Type(value = Frame.Copy.class, name = "copy"),
+		@JsonSubTypes.Type(value = Frame.CopyHeld.class, name = "copy-held"),
 		@JsonSubTypes.Type(value = Frame.Recorded.class, name = "recorded"),
 		@JsonSubTypes.Type(value = Frame.Templates.class, name = "templates"),
 		@JsonSubTypes.Type(value = Frame.InForce.class, name = "in-force"),
@@ -196,6 +199,22 @@
 	record Failed(AttemptId attempt, Verdict verdict, boolean crashed, Usage usage) implements Frame {
 	}
 
+	/**
+	 * Hold a copy of an attempt's line, in case its entry and its agent are both lost.
+	 *
+	 * @param line the line
+	 */
+	record Copy(HeldLine line) implements Frame {
+	}
+
+	/**
+	 * A copy is held.
+	 *
+	 * @param attempt the attempt
+	 */
+	record CopyHeld(AttemptId attempt) implements Frame {
+	}
+
 	/**
 	 * The records of these requests are in the store; what was held for them may go.
 	 *
@@ -223,10 +242,9 @@
 	/**
 	 * A request was running when a backend server crashed.
 	 *
-	 * @param fingerprint the request's team and content
-	 * @param level how strong the suspicion is
+	 * @param suspicion what is known against its content
 	 */
-	record Suspect(Fingerprint fingerprint, int level) implements Frame {
+	record Suspect(Suspicion suspicion) implements Frame {
 	}
 
 	/**
