The oracle can fail: one planted fault for each guarantee; found scenarios kept

Cause: an oracle that never fails proves nothing. Before: only the product's own faults had been seen to fail. After: twelve faults planted around the core, one a guarantee, are each caught (OracleTests); five shrunk scenarios are kept as tests.

--- /dev/null
+++ b/core/src/test/java/org/gullsaddle/fuzz/FoundByFuzzingTests.java
@@ -0,0 +1,73 @@
+package org.gullsaddle.fuzz;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Scenarios that once broke a guarantee, shrunk by the fuzzing that found them.
+ */
+class FoundByFuzzingTests {
+
+	private static void holds(String scenario) {
+		assertThat(Step.replay(new World(), scenario).settle()).isEmpty();
+	}
+
+	/**
+	 * A caller is served; then its entry and its agent are both killed before the store
+	 * has the record. It was served and never billed, as only those two held the record.
+	 */
+	@Test
+	void recordSurvivesTheLossOfItsEntryAndItsAgent() {
+		holds("KILL_AGENT 501, DELIVER 819, KILL_AGENT 637, SEND 939, DELIVER 279, DELIVER 878, DELIVER 618,"
+				+ "DELIVER 614, DELIVER 264, DELIVER 498, PROGRESS 867, PROGRESS 924, PROGRESS 798, DELIVER 172,"
+				+ "PROGRESS 318, DELIVER 920, DELIVER 451, DELIVER 241, PROGRESS 612, DELIVER 574, DELIVER 237,"
+				+ "DELIVER 743, PROGRESS 822, DELIVER 400, PROGRESS 408, DELIVER 914, KILL_AGENT 687, KILL_ENTRY 163");
+	}
+
+	/**
+	 * A session's first request comes while the store does not answer one entry; a change
+	 * reaches the other entry, which serves the session's second request. Each entry took
+	 * a version of its own choice, so that the session had two.
+	 */
+	@Test
+	void sessionKeepsItsVersionWhileTheStoreDoesNotAnswerOneEntry() {
+		holds("CHANGE 957, ORDER 948, STORE 891, SEND 946, ORDER 339, PAUSE 31, STORE 903, STORE 525, HEAR 481,"
+				+ "SEND 241");
+	}
+
+	/**
+	 * A request crashes its backend server, is tried again alone, and its caller leaves;
+	 * the same content is sent again at once. Both copies ran, each alone, and killed two
+	 * more.
+	 */
+	@Test
+	void suspectedContentRunsOnceAtATime() {
+		holds("ORDER 28, DELIVER 195, SEND 299, DELIVER 759, ORDER 186, DELIVER 623, DELIVER 327, SEND 801,"
+				+ "PROGRESS 468, ORDER 691, SEND 492, KILL_AGENT 936, CALLER_LEAVES 457, SEND 989");
+	}
+
+	/**
+	 * The entry that heard of a crash first is killed and starts anew, and the agent that
+	 * saw it is killed too. The new entry asked nobody and ran the content again.
+	 */
+	@Test
+	void wordOfACrashSurvivesTheNodesThatHeardItFirst() {
+		holds("SEND 502, SEND 842, SEND 492, DELIVER 820, DELIVER 748, DELIVER 139, DELIVER 439, KILL_ENTRY 658,"
+				+ "DELIVER 436, DELIVER 180, SEND 92, DELIVER 96, PROGRESS 369, DELIVER 863, KILL_AGENT 987,"
+				+ "KILL_ENTRY 68, SEND 230");
+	}
+
+	/**
+	 * A request waits for its session's version while its content kills two backend
+	 * servers. It was looked at only when it arrived, and killed a third.
+	 */
+	@Test
+	void contentConvictedWhileARequestWaitsIsNotRun() {
+		holds("DELIVER 826, DELIVER 76, DELIVER 466, SEND 156, DELIVER 625, DELIVER 368, SEND 211, DELIVER 93,"
+				+ "DELIVER 950, DELIVER 535, DELIVER 542, DELIVER 455, SEND 529, DELIVER 250, DELIVER 136,"
+				+ "DELIVER 978, DELIVER 818, PROGRESS 234, DELIVER 912, DELIVER 573, DELIVER 454, DELIVER 616,"
+				+ "PROGRESS 302, SEND 851, DELIVER 440, DELIVER 868, DELIVER 751, DELIVER 744");
+	}
+
+}
--- a/core/src/test/java/org/gullsaddle/fuzz/FuzzAgent.java
+++ b/core/src/test/java/org/gullsaddle/fuzz/FuzzAgent.java
@@ -60,6 +60,8 @@
 
 	private final Map<RequestId, NodeId> copies = new HashMap<>();
 
+	private TemplateRevision heard;
+
 	private boolean draining;
 
 	private boolean flushing;
@@ -96,6 +98,12 @@
 
 	void drain() {
 		this.draining = true;
+		if (this.world.plant == Plant.DRAIN_IS_IGNORED) {
+			return;
+		}
+		if (this.world.plant == Plant.DRAINED_TOO_EARLY) {
+			this.world.oracle.drained(this.id.value(), this.jobs.size());
+		}
 		handle(new AdmissionEvent.DrainStarted());
 	}
 
@@ -121,7 +129,7 @@
 	}
 
 	private boolean template(Predicate<TemplateRevision> question) {
-		return this.admission.templates().get(World.TEMPLATE).map(question::test).orElse(false);
+		return this.heard != null && question.test(this.heard);
 	}
 
 	void handle(AdmissionEvent event) {
@@ -131,10 +139,28 @@
 		if (event instanceof AdmissionEvent.CopyHeld copy) {
 			this.secured.add(copy.attempt());
 		}
+		if (event instanceof AdmissionEvent.TemplateChanged changed) {
+			boolean first = this.heard == null;
+			hear(changed.revision());
+			if (!first && this.world.plant == Plant.AGENT_HEARS_NO_CHANGES) {
+				return;
+			}
+		}
 		for (AdmissionAction action : this.admission.handle(this.world.now(), event)) {
 			carryOut(action);
 		}
-		this.world.oracle.inForce(this.run, this.admission.templates().revisionOf(World.TEMPLATE));
+		if (this.world.plant != Plant.CONFIGURATION_FOLLOWS_ARRIVAL) {
+			this.world.oracle.inForce(this.run, this.admission.templates().revisionOf(World.TEMPLATE));
+		}
+	}
+
+	private void hear(TemplateRevision revision) {
+		if (this.heard == null || this.heard.revision() < revision.revision()) {
+			this.heard = revision;
+		}
+		if (this.world.plant == Plant.CONFIGURATION_FOLLOWS_ARRIVAL) {
+			this.world.oracle.inForce(this.run, revision.revision());
+		}
 	}
 
 	void recorded(Message.Recorded recorded) {
@@ -208,7 +234,9 @@
 		if (!this.jobs.isEmpty()) {
 			AttemptId attempt = new ArrayList<>(this.jobs.keySet()).get(pick % this.jobs.size());
 			this.jobs.remove(attempt);
-			handle(new AdmissionEvent.BackendFailed(attempt, Verdict.MAY_HAVE_RUN, false, Usage.NONE));
+			Verdict verdict = (this.world.plant == Plant.FAILURES_CLAIM_NOT_RUN) ? Verdict.NOT_RUN
+					: Verdict.MAY_HAVE_RUN;
+			handle(new AdmissionEvent.BackendFailed(attempt, verdict, false, Usage.NONE));
 		}
 	}
 
@@ -218,8 +246,9 @@
 		List<AttemptId> lost = List.copyOf(this.jobs.keySet());
 		this.jobs.clear();
 		handle(new AdmissionEvent.BackendDown());
+		boolean told = this.world.plant != Plant.CRASHES_ARE_NOT_TOLD;
 		lost.forEach(
-				(attempt) -> handle(new AdmissionEvent.BackendFailed(attempt, Verdict.MAY_HAVE_RUN, true, Usage.NONE)));
+				(attempt) -> handle(new AdmissionEvent.BackendFailed(attempt, Verdict.MAY_HAVE_RUN, told, Usage.NONE)));
 		handle(new AdmissionEvent.BackendUp(this.versions, SLOTS));
 	}
 
@@ -264,8 +293,9 @@
 
 	private void start(Dispatch dispatch) {
 		this.jobs.put(dispatch.attempt(), new Job(dispatch));
-		this.world.oracle.started(dispatch.attempt().request().value(), this.id.value(), dispatch.version().toString(),
-				dispatch.resume(), this);
+		boolean another = this.world.plant == Plant.RUNS_ANOTHER_VERSION;
+		this.world.oracle.started(dispatch.attempt().request().value(), this.id.value(),
+				another ? "large@v1" : dispatch.version().toString(), dispatch.resume(), this);
 	}
 
 	static Set<ModelVersion> versions(String... names) {
--- a/core/src/test/java/org/gullsaddle/fuzz/FuzzEntry.java
+++ b/core/src/test/java/org/gullsaddle/fuzz/FuzzEntry.java
@@ -218,24 +218,38 @@
 			}
 			case RouterAction.Cancel cancel ->
 				this.world.toAgent(this.id, cancel.agent(), new Message.Cancel(cancel.attempt()));
-			case RouterAction.Deliver deliver ->
-				this.world.oracle.delivered(deliver.request().value(), deliver.version().toString(), deliver.text());
+			case RouterAction.Deliver deliver -> deliver(deliver);
 			case RouterAction.Complete complete ->
 				this.world.oracle.completed(complete.request().value(), complete.servedBy());
-			case RouterAction.Refuse refuse ->
-				this.world.oracle.refused(refuse.request().value(), refuse.refusal().verdict().toString());
+			case RouterAction.Refuse refuse -> refuse(refuse);
 			case RouterAction.Rate rate -> this.world.rate(this, rate);
 			case RouterAction.Suspect suspect -> this.world.suspect(this.id, suspect.suspicion());
 			case RouterAction.Record record -> {
 				Set<NodeId> agents = new HashSet<>();
 				record.record().attempts().stream().map(AttemptLine::agent).forEach(agents::add);
 				this.holders.put(record.record().request(), agents);
-				this.ledger.append(new LedgerEntry.Whole(record.record()));
+				if (this.world.plant != Plant.RECORDS_ARE_LOST) {
+					this.ledger.append(new LedgerEntry.Whole(record.record()));
+				}
 				this.world.oracle.heldBy(record.record().request().value(), this.run);
 			}
 		}
 	}
 
+	private void deliver(RouterAction.Deliver deliver) {
+		int times = (this.world.plant == Plant.PARTS_ARE_DOUBLED) ? 2 : 1;
+		for (int i = 0; i < times; i++) {
+			this.world.oracle.delivered(deliver.request().value(), deliver.version().toString(), deliver.text());
+		}
+	}
+
+	private void refuse(RouterAction.Refuse refuse) {
+		int times = (this.world.plant == Plant.REFUSALS_ARE_DOUBLED) ? 2 : 1;
+		for (int i = 0; i < times; i++) {
+			this.world.oracle.refused(refuse.request().value(), refuse.refusal().verdict().toString());
+		}
+	}
+
 	private void claim(RouterAction.Claim claim) {
 		String nonce = this.run + "-" + this.operations;
 		this.mine.put(claim.request(), new Mine(nonce, claim.content()));
@@ -243,6 +257,9 @@
 				OPERATION_MILLIS, (answer) -> {
 					ClaimAnswer result = (answer instanceof RegisterAction.Answer found && found.entry() != null)
 							? Kept.read(found.entry(), nonce, claim.content()) : new ClaimAnswer.Unavailable();
+					if (this.world.plant == Plant.CLAIMS_ALWAYS_GRANTED) {
+						result = new ClaimAnswer.Granted();
+					}
 					if (!(result instanceof ClaimAnswer.Granted)) {
 						this.mine.remove(claim.request());
 					}
@@ -258,6 +275,10 @@
 				? new Operation.Replace(name, nonce, value, pin.replacing().toString())
 				: new Operation.Put(name, nonce, value);
 		submit(operation, OPERATION_MILLIS, (answer) -> {
+			if (this.world.plant == Plant.PINS_ARE_NOT_KEPT) {
+				handle(new RouterEvent.PinAnswered(pin.request(), Optional.of(pin.proposed())));
+				return;
+			}
 			Optional<ModelVersion> version = (answer instanceof RegisterAction.Answer found && found.entry() != null)
 					? Optional.of(ModelVersion.of(found.entry().value())) : Optional.empty();
 			handle(new RouterEvent.PinAnswered(pin.request(), version));
--- a/core/src/test/java/org/gullsaddle/fuzz/FuzzRun.java
+++ b/core/src/test/java/org/gullsaddle/fuzz/FuzzRun.java
@@ -42,6 +42,21 @@
 		System.out.println("fuzz: " + steps + " steps, " + faults + " faults, 0 violations");
 	}
 
+	/**
+	 * Returns the first violation of a guarantee in so many scenarios, or an empty text.
+	 */
+	static String firstViolation(Plant plant, int scenarios, String guarantee) {
+		for (int seed = 1; seed <= scenarios; seed++) {
+			World world = run(new World(plant), moves(new Random(seed)));
+			for (String violation : world.oracle.violations()) {
+				if (violation.startsWith(guarantee + ":")) {
+					return violation;
+				}
+			}
+		}
+		return "";
+	}
+
 	private static void report(long seed, List<Move> moves) {
 		List<Move> shrunk = shrink(moves);
 		System.out.println("seed " + seed + ": " + run(shrunk).oracle.violations());
@@ -75,7 +90,10 @@
 	}
 
 	private static World run(List<Move> moves) {
-		World world = new World();
+		return run(new World(), moves);
+	}
+
+	private static World run(World world, List<Move> moves) {
 		moves.forEach((move) -> move.step().apply(world, move.pick()));
 		world.settle();
 		return world;
--- /dev/null
+++ b/core/src/test/java/org/gullsaddle/fuzz/OracleTests.java
@@ -0,0 +1,22 @@
+package org.gullsaddle.fuzz;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * The oracle can fail: each fault planted around the core is caught as the guarantee that
+ * it breaks.
+ */
+class OracleTests {
+
+	private static final int SCENARIOS = 400;
+
+	@ParameterizedTest
+	@EnumSource(value = Plant.class, mode = EnumSource.Mode.EXCLUDE, names = "NONE")
+	void plantedFaultIsCaught(Plant plant) {
+		assertThat(FuzzRun.firstViolation(plant, SCENARIOS, plant.guarantee())).startsWith(plant.guarantee() + ":");
+	}
+
+}
--- a/core/src/test/java/org/gullsaddle/fuzz/World.java
+++ b/core/src/test/java/org/gullsaddle/fuzz/World.java
@@ -88,7 +88,14 @@
 
 	private int faults;
 
+	final Plant plant;
+
 	World() {
+		this(Plant.NONE);
+	}
+
+	World(Plant plant) {
+		this.plant = plant;
 		try {
 			Template template = Template.parse(YAML);
 			this.revisions.add(new TemplateRevision(1, "c1", "ann", 0, YAML, template));
