Tests of the core by behaviour, with fault tables

Cause: fuzzing tells that a guarantee broke, not which rule did; each rule gets a test that a reader can follow, and each interface of the core a table of faults. Before: fuzzing only.

--- /dev/null
+++ b/core/src/test/java/org/gullsaddle/allowance/GrantKeeperTests.java
@@ -0,0 +1,163 @@
+package org.gullsaddle.allowance;
+
+import java.util.List;
+import java.util.Random;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import org.junit.jupiter.api.Test;
+
+import org.gullsaddle.base.NodeId;
+import org.gullsaddle.base.RefusalReason;
+import org.gullsaddle.base.TeamId;
+import org.gullsaddle.template.Templates;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class GrantKeeperTests {
+
+	private static final long TTL = 1000;
+
+	private static final TeamId BASIC = new TeamId("basic");
+
+	private static final AllowanceKey KEY = new AllowanceKey(Templates.ASSISTANT_NAME, BASIC);
+
+	private GrantDocument document = GrantDocument.EMPTY;
+
+	private void round(Node node, long now) {
+		GrantDocument next = node.keeper.propose(this.document, now, now, now);
+		if (next != null) {
+			this.document = next;
+			node.keeper.accepted(now);
+		}
+	}
+
+	/**
+	 * Entries read and write the one document at any time, are paused between reading and
+	 * writing, lose their writes' answers, and die; the shares in use never exceed the
+	 * whole.
+	 */
+	@Property(tries = 300, seed = "3")
+	void sharesInUseNeverExceedTheWhole(@ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
+		Random random = new Random(seed);
+		List<Node> nodes = List.of(new Node(1), new Node(2), new Node(3));
+		this.document = GrantDocument.EMPTY;
+		long now = 1;
+		for (int step = 0; step < 200; step++) {
+			now += random.nextInt(200);
+			Node node = nodes.get(random.nextInt(nodes.size()));
+			demand(node, random, now);
+			if (node.read == null) {
+				node.read = this.document;
+				node.askedAt = now;
+			}
+			else {
+				write(node, random, now);
+			}
+			double sum = 0;
+			for (Node each : nodes) {
+				sum += each.book.share(KEY, now);
+			}
+			assertThat(sum).isLessThanOrEqualTo(1 + 1e-9);
+		}
+	}
+
+	private void write(Node node, Random random, long now) {
+		GrantDocument next = node.keeper.propose(node.read, node.askedAt, now, now);
+		// Compare-and-swap: only what was made from the present document is taken.
+		boolean taken = next != null && node.read == this.document;
+		if (taken) {
+			this.document = next;
+		}
+		if (taken && random.nextInt(4) > 0) {
+			node.keeper.accepted(now);
+		}
+		else {
+			node.keeper.abandoned();
+		}
+		node.read = null;
+	}
+
+	private static void demand(Node node, Random random, long now) {
+		for (int i = random.nextInt(20); i > 0; i--) {
+			node.book.take(Templates.ASSISTANT_NAME, BASIC, 1, now, now).permit().ifPresent((permit) -> {
+				if (random.nextBoolean()) {
+					node.book.giveBack(permit, 1);
+				}
+			});
+		}
+	}
+
+	@Test
+	void oneEntryThatTakesAllDemandGetsNearlyAll() {
+		Node busy = new Node(1);
+		Node idle = new Node(2);
+		for (long now = 1; now < 5000; now += 100) {
+			for (int i = 0; i < 30; i++) {
+				busy.book.take(Templates.ASSISTANT_NAME, BASIC, 1, now, now)
+					.permit()
+					.ifPresent((permit) -> busy.book.giveBack(permit, 1));
+			}
+			round(busy, now);
+			round(idle, now);
+		}
+		assertThat(busy.book.share(KEY, 5000)).isGreaterThanOrEqualTo(0.95);
+		assertThat(idle.book.share(KEY, 5000)).isPositive();
+	}
+
+	@Test
+	void shareOfADeadEntryComesBack() {
+		Node lives = new Node(1);
+		Node dies = new Node(2);
+		round(dies, 1);
+		round(lives, 2);
+		double before = lives.book.share(KEY, 2);
+		for (long now = 100; now < 4 * TTL; now += 100) {
+			lives.book.take(Templates.ASSISTANT_NAME, BASIC, 1, now, now);
+			round(lives, now);
+		}
+		assertThat(lives.book.share(KEY, 4 * TTL)).isGreaterThan(before).isGreaterThan(0.9);
+	}
+
+	@Test
+	void moneyOfADayIsNeverHandedOutTwice() {
+		Node one = new Node(1);
+		Node two = new Node(2);
+		long spent = 0;
+		long most = 100_000_000;
+		for (long now = 1; now < 20_000; now += 20) {
+			Node node = (now % 40 == 1) ? one : two;
+			round(node, now);
+			if (node.book.take(Templates.ASSISTANT_NAME, BASIC, 300_000, now, now).permit().isPresent()) {
+				spent += 300_000;
+			}
+		}
+		assertThat(spent).isLessThanOrEqualTo(most);
+	}
+
+	@Test
+	void entryWithoutAGrantRefusesTrulyNotRun() {
+		Node node = new Node(1);
+		assertThat(node.book.take(Templates.ASSISTANT_NAME, BASIC, 1, 1, 1).refusal().orElseThrow().reason())
+			.isEqualTo(RefusalReason.STORE_UNAVAILABLE);
+	}
+
+	private static final class Node {
+
+		private final AllowanceBook book = new AllowanceBook();
+
+		private final GrantKeeper keeper;
+
+		private GrantDocument read;
+
+		private long askedAt;
+
+		Node(int number) {
+			this.book.apply(Templates.parse(Templates.ASSISTANT), 0);
+			this.keeper = new GrantKeeper(new NodeId("entry-" + number), TTL, this.book);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/gullsaddle/register/RegisterShardTests.java
@@ -0,0 +1,120 @@
+package org.gullsaddle.register;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class RegisterShardTests {
+
+	private final RegisterShard shard = new RegisterShard(2, 1000);
+
+	private final List<RegisterAction> actions = new ArrayList<>();
+
+	private long now = 1;
+
+	private void happens(RegisterEvent event) {
+		this.actions.addAll(this.shard.handle(this.now, this.now, event));
+	}
+
+	private void put(long id, String key, String nonce) {
+		happens(new RegisterEvent.Submitted(id, new Operation.Put(key, nonce, "value"), this.now + 500));
+	}
+
+	private static Entry entry(String key, String nonce) {
+		return new Entry(key, nonce, "value", 1);
+	}
+
+	private RegisterAction last() {
+		return this.actions.get(this.actions.size() - 1);
+	}
+
+	@Test
+	void operationsThatWaitShareOneWrite() {
+		put(1, "a", "n1");
+		put(2, "b", "n2");
+		happens(new RegisterEvent.WasRead(7, List.of()));
+		RegisterAction.Write write = (RegisterAction.Write) last();
+		assertThat(write.expectedRevision()).isEqualTo(7);
+		assertThat(write.entries()).extracting(Entry::key).containsExactly("a", "b");
+		happens(new RegisterEvent.Written(8));
+		assertThat(this.actions).filteredOn(RegisterAction.Answer.class::isInstance).hasSize(2);
+	}
+
+	/**
+	 * The store took the write and its answer was lost. Read again, the entry is there
+	 * with this node's own nonce: the claim is granted, and not taken for another's.
+	 */
+	@Test
+	void lostAnswerIsSettledByReadingAgain() {
+		put(1, "a", "n1");
+		happens(new RegisterEvent.WasRead(0, List.of()));
+		happens(new RegisterEvent.WriteUnknown());
+		assertThat(last()).isInstanceOf(RegisterAction.Read.class);
+		happens(new RegisterEvent.WasRead(1, List.of(entry("a", "n1"))));
+		assertThat(last()).isEqualTo(new RegisterAction.Answer(1, entry("a", "n1")));
+	}
+
+	@Test
+	void conflictShowsWhatTheOtherNodePut() {
+		put(1, "a", "n1");
+		happens(new RegisterEvent.WasRead(0, List.of()));
+		happens(new RegisterEvent.Conflicted());
+		happens(new RegisterEvent.WasRead(1, List.of(entry("a", "other"))));
+		assertThat(last()).isEqualTo(new RegisterAction.Answer(1, entry("a", "other")));
+	}
+
+	/**
+	 * The write's fate is unknown and the store stops answering. The caller is told at
+	 * once that the claim could not be had; the entry that may be there is taken out
+	 * later.
+	 */
+	@Test
+	void putOfUnknownFateIsTakenBack() {
+		put(1, "a", "n1");
+		happens(new RegisterEvent.WasRead(0, List.of()));
+		happens(new RegisterEvent.WriteUnknown());
+		happens(new RegisterEvent.ReadFailed());
+		assertThat(last()).isEqualTo(new RegisterAction.Unavailable(1));
+		this.now += 300;
+		happens(new RegisterEvent.Tick());
+		happens(new RegisterEvent.WasRead(1, List.of(entry("a", "n1"))));
+		assertThat(((RegisterAction.Write) last()).entries()).isEmpty();
+	}
+
+	@Test
+	void entryReadBeforeTheOperationIsNotTrusted() {
+		put(1, "a", "n1");
+		happens(new RegisterEvent.WasRead(0, List.of(entry("b", "other"))));
+		happens(new RegisterEvent.Written(2));
+		put(2, "b", "n2");
+		assertThat(last()).isInstanceOf(RegisterAction.Read.class);
+		happens(new RegisterEvent.WasRead(3, List.of(entry("a", "n1"))));
+		assertThat(((RegisterAction.Write) last()).entries()).extracting(Entry::key).containsExactly("a", "b");
+	}
+
+	@Test
+	void fullShardTakesNoMore() {
+		put(1, "a", "n1");
+		happens(new RegisterEvent.WasRead(1, List.of(entry("x", "n"), entry("y", "n"))));
+		assertThat(last()).isEqualTo(new RegisterAction.Unavailable(1));
+	}
+
+	@Test
+	void oldEntriesMakeRoom() {
+		this.now = 2000;
+		put(1, "a", "n1");
+		happens(new RegisterEvent.WasRead(1, List.of(entry("x", "n"), entry("y", "n"))));
+		assertThat(((RegisterAction.Write) last()).entries()).extracting(Entry::key).containsExactly("a");
+	}
+
+	@Test
+	void onlyTheOwnerChangesItsEntry() {
+		happens(new RegisterEvent.Submitted(1, new Operation.Update("a", "stranger", "mine"), Long.MAX_VALUE));
+		happens(new RegisterEvent.WasRead(1, List.of(entry("a", "n1"))));
+		assertThat(last()).isEqualTo(new RegisterAction.Answer(1, entry("a", "n1")));
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/gullsaddle/route/RouterTests.java
@@ -0,0 +1,430 @@
+package org.gullsaddle.route;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.Random;
+import java.util.Set;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import org.gullsaddle.base.AgentInfo;
+import org.gullsaddle.base.AttemptId;
+import org.gullsaddle.base.Completion;
+import org.gullsaddle.base.Dispatch;
+import org.gullsaddle.base.LoadReport;
+import org.gullsaddle.base.ModelVersion;
+import org.gullsaddle.base.NodeId;
+import org.gullsaddle.base.Refusal;
+import org.gullsaddle.base.RefusalReason;
+import org.gullsaddle.base.RequestId;
+import org.gullsaddle.base.SessionId;
+import org.gullsaddle.base.TeamId;
+import org.gullsaddle.base.Usage;
+import org.gullsaddle.base.Verdict;
+import org.gullsaddle.clock.Moment;
+import org.gullsaddle.template.Template;
+import org.gullsaddle.template.Templates;
+import org.gullsaddle.template.VersionState;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class RouterTests {
+
+	private static final ModelVersion SMALL = ModelVersion.of("small@v1");
+
+	private static final ModelVersion LARGE = ModelVersion.of("large@v1");
+
+	private static final RequestId REQUEST = new RequestId("r1");
+
+	private static final Completion STOP = new Completion(200, "application/json", "stop", new Usage(10, 20));
+
+	private final Router router = new Router(RouterSettings.in("west", "west-1").ratedShare(0).build(), new Random(1));
+
+	private final List<RouterAction> actions = new ArrayList<>();
+
+	private Template template = Templates.parse(Templates.ASSISTANT);
+
+	private long now = 1;
+
+	@BeforeEach
+	void start() {
+		happens(new RouterEvent.TemplateChanged(Templates.revision(1, this.template)));
+		up("agent-1", SMALL, LARGE);
+		up("agent-2", SMALL, LARGE);
+	}
+
+	private void happens(RouterEvent event) {
+		this.actions.addAll(this.router.handle(Moment.at(this.now), event));
+	}
+
+	private void up(String agent, ModelVersion... versions) {
+		happens(new RouterEvent.AgentUp(
+				new AgentInfo(new NodeId(agent), "west", "west-1", Set.of(versions), new LoadReport(0, 0, 4))));
+	}
+
+	private void arrives(IncomingRequest.Builder request) {
+		happens(new RouterEvent.Arrived(request.deadline(this.now + 1000).build()));
+	}
+
+	private static IncomingRequest.Builder chat(String team) {
+		return IncomingRequest.of(REQUEST, new TeamId(team), Templates.ASSISTANT_NAME).body("prompt");
+	}
+
+	private <T extends RouterAction> List<T> all(Class<T> type) {
+		return this.actions.stream().filter(type::isInstance).map(type::cast).toList();
+	}
+
+	private <T extends RouterAction> T last(Class<T> type) {
+		return all(type).get(all(type).size() - 1);
+	}
+
+	private Dispatch sent() {
+		return last(RouterAction.Send.class).dispatch();
+	}
+
+	private void answers(AttemptId attempt, String text) {
+		happens(new RouterEvent.AttemptChunk(attempt, 0, text));
+		happens(new RouterEvent.AttemptDone(attempt, STOP, text.length()));
+	}
+
+	@Nested
+	class Chats {
+
+		@Test
+		void directAnswerIsDeliveredCompletedAndRecordedOnce() {
+			arrives(chat("basic"));
+			answers(sent().attempt(), "hello");
+			assertThat(last(RouterAction.Deliver.class).text()).isEqualTo("hello");
+			assertThat(last(RouterAction.Complete.class).costMicros()).isEqualTo(20);
+			assertThat(all(RouterAction.Record.class)).hasSize(1);
+			assertThat(RouterTests.this.router.openRequests()).isZero();
+		}
+
+		@Test
+		void cheapAnswerThatReachesTheBarIsTheAnswer() {
+			arrives(chat("gold"));
+			assertThat(sent().version()).isEqualTo(SMALL);
+			answers(sent().attempt(), "cheap");
+			assertThat(all(RouterAction.Deliver.class)).isEmpty();
+			happens(new RouterEvent.AnswerRated(sent().attempt(), OptionalDouble.of(0.9)));
+			assertThat(last(RouterAction.Complete.class).servedBy()).isEqualTo("small@v1");
+			assertThat(last(RouterAction.Complete.class).completion()).isEqualTo(STOP);
+		}
+
+		@Test
+		void cheapAnswerThatMissesTheBarIsReplacedAndBothArePaid() {
+			arrives(chat("gold"));
+			answers(sent().attempt(), "cheap");
+			happens(new RouterEvent.AnswerRated(sent().attempt(), OptionalDouble.of(0.2)));
+			assertThat(sent().version()).isEqualTo(LARGE);
+			answers(sent().attempt(), "dear");
+			assertThat(last(RouterAction.Deliver.class).text()).isEqualTo("dear");
+			assertThat(last(RouterAction.Complete.class).costMicros()).isEqualTo(20 + 200);
+		}
+
+		/**
+		 * The cheap answer missed the bar, and no backend server takes the request for
+		 * the dear one. The caller gets the cheap one, which is worth more than none.
+		 */
+		@Test
+		void cheapAnswerIsGivenWhenNoBetterOneCanBeHad() {
+			arrives(chat("gold"));
+			answers(sent().attempt(), "cheap");
+			happens(new RouterEvent.AnswerRated(sent().attempt(), OptionalDouble.of(0.2)));
+			happens(new RouterEvent.AttemptRefused(sent().attempt(), Refusal.notRun(RefusalReason.DEADLINE, 0)));
+			assertThat(last(RouterAction.Deliver.class).text()).isEqualTo("cheap");
+			assertThat(last(RouterAction.Record.class).record().outcome()).isEqualTo("served-below-target");
+			assertThat(all(RouterAction.Refuse.class)).isEmpty();
+		}
+
+		/**
+		 * Two words reached the caller, then the backend server broke off. The answer
+		 * goes on from them on another one, on the same version.
+		 */
+		@Test
+		void brokenStreamGoesOnFromWhatWasDelivered() {
+			arrives(chat("basic"));
+			AttemptId first = sent().attempt();
+			happens(new RouterEvent.AttemptChunk(first, 0, "two words"));
+			happens(new RouterEvent.AttemptFailed(first, Verdict.MAY_HAVE_RUN, false, Usage.NONE));
+			assertThat(sent().resume()).isEqualTo("two words");
+			assertThat(all(RouterAction.Send.class)).extracting(RouterAction.Send::agent).doesNotHaveDuplicates();
+			happens(new RouterEvent.AttemptChunk(first, 9, " of the first attempt, late"));
+			happens(new RouterEvent.AttemptChunk(sent().attempt(), 9, " more"));
+			happens(new RouterEvent.AttemptDone(sent().attempt(), STOP, 14));
+			assertThat(all(RouterAction.Deliver.class)).extracting(RouterAction.Deliver::text)
+				.containsExactly("two words", " more");
+		}
+
+		/**
+		 * A part of the answer is lost on the way. Splicing what follows would give the
+		 * caller a wrong answer that looks whole.
+		 */
+		@Test
+		void missingPartBreaksTheAttemptAndIsNotSplicedOver() {
+			arrives(chat("basic"));
+			AttemptId first = sent().attempt();
+			happens(new RouterEvent.AttemptChunk(first, 0, "one "));
+			happens(new RouterEvent.AttemptChunk(first, 8, "three"));
+			assertThat(last(RouterAction.Cancel.class).attempt()).isEqualTo(first);
+			assertThat(sent().resume()).isEqualTo("one ");
+		}
+
+		@Test
+		void callerThatLeavesStopsItsAttempt() {
+			arrives(chat("basic"));
+			happens(new RouterEvent.CallerGone(REQUEST));
+			assertThat(last(RouterAction.Cancel.class).attempt()).isEqualTo(sent().attempt());
+			happens(new RouterEvent.AttemptFailed(sent().attempt(), Verdict.MAY_HAVE_RUN, false, new Usage(5, 7)));
+			assertThat(last(RouterAction.Record.class).record().costMicros()).isEqualTo(7);
+		}
+
+	}
+
+	@Nested
+	class Refusals {
+
+		@ParameterizedTest
+		@CsvSource({ "overloaded, true", "backend-leaving, true", "version-forbidden, true",
+				"deadline-exceeded, false" })
+		void refusedAttemptIsTriedElsewhereWhereThatHelps(String reason, boolean again) {
+			arrives(chat("basic"));
+			RefusalReason why = Arrays.stream(RefusalReason.values())
+				.filter((each) -> each.toString().equals(reason))
+				.findFirst()
+				.orElseThrow();
+			happens(new RouterEvent.AttemptRefused(sent().attempt(), Refusal.notRun(why, 100)));
+			assertThat(all(RouterAction.Send.class)).hasSize(again ? 2 : 1);
+			if (!again) {
+				assertThat(last(RouterAction.Refuse.class).refusal().verdict()).isEqualTo(Verdict.NOT_RUN);
+			}
+		}
+
+		@Test
+		void finalAnswerComesAtOnceAndTellsWhenToComeBack() {
+			happens(new RouterEvent.AgentDown(new NodeId("agent-1")));
+			happens(new RouterEvent.AgentDown(new NodeId("agent-2")));
+			arrives(chat("basic"));
+			Refusal refusal = last(RouterAction.Refuse.class).refusal();
+			assertThat(refusal.reason()).isEqualTo(RefusalReason.NO_VERSION);
+			assertThat(refusal.verdict()).isEqualTo(Verdict.NOT_RUN);
+			assertThat(refusal.retryAfterMillis()).isBetween(1000L, 2000L);
+		}
+
+		@Test
+		void deadlineGivesAFinalAnswerThatDoesNotDenyWhatMayRun() {
+			arrives(chat("basic"));
+			RouterTests.this.now += 1000;
+			happens(new RouterEvent.Tick());
+			assertThat(last(RouterAction.Refuse.class).refusal().reason()).isEqualTo(RefusalReason.DEADLINE);
+			assertThat(last(RouterAction.Refuse.class).refusal().verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+			assertThat(all(RouterAction.Cancel.class)).hasSize(1);
+		}
+
+		/**
+		 * Every backend server fails. Without a budget each request would be sent several
+		 * times, and the load would feed itself.
+		 */
+		@Test
+		void retriesStayASmallShareWhenEverythingFails() {
+			for (int i = 0; i < 500; i++) {
+				RequestId id = new RequestId("many-" + i);
+				happens(new RouterEvent.Arrived(
+						IncomingRequest.of(id, new TeamId("basic"), Templates.ASSISTANT_NAME).deadline(5000).build()));
+				while (sent().attempt().request().equals(id) && RouterTests.this.router.openRequests() > 0) {
+					happens(new RouterEvent.AttemptFailed(sent().attempt(), Verdict.MAY_HAVE_RUN, false, Usage.NONE));
+				}
+			}
+			assertThat(all(RouterAction.Send.class).size()).isBetween(500, 500 + 50 + 10);
+		}
+
+	}
+
+	@Nested
+	class OnceOnly {
+
+		@BeforeEach
+		void order() {
+			arrives(chat("basic").onceOnly("key-1"));
+		}
+
+		private void claimed(ClaimAnswer answer) {
+			happens(new RouterEvent.ClaimAnswered(REQUEST, answer));
+		}
+
+		@Test
+		void nothingIsSentBeforeTheKeyIsClaimed() {
+			assertThat(all(RouterAction.Send.class)).isEmpty();
+			claimed(new ClaimAnswer.Granted());
+			assertThat(all(RouterAction.Send.class)).hasSize(1);
+		}
+
+		/**
+		 * What the caller of an order is told, and what becomes of its key, when the
+		 * order's way is broken off at each place.
+		 */
+		@ParameterizedTest
+		@CsvSource({ "no-link, NOT_RUN, true", "refused, NOT_RUN, true", "cut, MAY_HAVE_RUN, false",
+				"failed, MAY_HAVE_RUN, false", "deadline, MAY_HAVE_RUN, false" })
+		void faultAfterTheClaim(String fault, Verdict verdict, boolean released) {
+			claimed(new ClaimAnswer.Granted());
+			for (int i = 0; i < 4 && all(RouterAction.Refuse.class).isEmpty(); i++) {
+				breakOff(fault);
+			}
+			assertThat(last(RouterAction.Refuse.class).refusal().verdict()).isEqualTo(verdict);
+			assertThat(all(RouterAction.ReleaseClaim.class)).hasSize(released ? 1 : 0);
+			assertThat(all(RouterAction.Send.class).size()).isEqualTo((verdict == Verdict.NOT_RUN) ? 2 : 1);
+		}
+
+		private void breakOff(String fault) {
+			AttemptId attempt = sent().attempt();
+			switch (fault) {
+				case "no-link" -> happens(new RouterEvent.AttemptFailed(attempt, Verdict.NOT_RUN, false, Usage.NONE));
+				case "refused" ->
+					happens(new RouterEvent.AttemptRefused(attempt, Refusal.notRun(RefusalReason.LEAVING, 10)));
+				case "cut" -> happens(new RouterEvent.AgentDown(last(RouterAction.Send.class).agent()));
+				case "failed" ->
+					happens(new RouterEvent.AttemptFailed(attempt, Verdict.MAY_HAVE_RUN, false, Usage.NONE));
+				default -> {
+					RouterTests.this.now += 1000;
+					happens(new RouterEvent.Tick());
+				}
+			}
+		}
+
+		@ParameterizedTest
+		@CsvSource({ "in-use, KEY_IN_USE, MAY_HAVE_RUN", "differs, KEY_REUSED, NOT_RUN",
+				"unavailable, STORE_UNAVAILABLE, NOT_RUN" })
+		void claimThatIsNotGranted(String answer, RefusalReason reason, Verdict verdict) {
+			ClaimAnswer given = switch (answer) {
+				case "in-use" -> new ClaimAnswer.InUse();
+				case "differs" -> new ClaimAnswer.ContentDiffers();
+				default -> new ClaimAnswer.Unavailable();
+			};
+			claimed(given);
+			assertThat(last(RouterAction.Refuse.class).refusal().reason()).isEqualTo(reason);
+			assertThat(last(RouterAction.Refuse.class).refusal().verdict()).isEqualTo(verdict);
+			assertThat(all(RouterAction.Send.class)).isEmpty();
+		}
+
+		@Test
+		void callSentAgainGetsTheAnswerOfTheFirst() {
+			claimed(new ClaimAnswer.Finished(new CallOutcome(new RequestId("r0"), "small@v1", STOP, "booked")));
+			assertThat(last(RouterAction.Deliver.class).text()).isEqualTo("booked");
+			assertThat(last(RouterAction.Complete.class).costMicros()).isZero();
+			assertThat(all(RouterAction.Send.class)).isEmpty();
+		}
+
+		/**
+		 * The caller's deadline passes while the service still books; the booking's
+		 * answer comes after. It is kept whole under the key, for the caller to find when
+		 * it asks again.
+		 */
+		@Test
+		void lateAnswerIsKeptWholeForTheCallSentAgain() {
+			claimed(new ClaimAnswer.Granted());
+			AttemptId attempt = sent().attempt();
+			happens(new RouterEvent.AttemptChunk(attempt, 0, "boo"));
+			breakOff("deadline");
+			happens(new RouterEvent.AttemptChunk(attempt, 3, "ked"));
+			happens(new RouterEvent.AttemptDone(attempt, STOP, 6));
+			assertThat(last(RouterAction.SettleClaim.class).outcome().text()).isEqualTo("booked");
+			assertThat(all(RouterAction.Cancel.class)).isEmpty();
+		}
+
+		/**
+		 * The claim's answer comes after the caller was told that its order was not run.
+		 * The order must not be sent any more, and its key is given back.
+		 */
+		@Test
+		void claimGrantedTooLateIsGivenBack() {
+			RouterTests.this.now += 1000;
+			happens(new RouterEvent.Tick());
+			assertThat(last(RouterAction.Refuse.class).refusal().verdict()).isEqualTo(Verdict.NOT_RUN);
+			claimed(new ClaimAnswer.Granted());
+			assertThat(all(RouterAction.Send.class)).isEmpty();
+		}
+
+	}
+
+	@Nested
+	class Sessions {
+
+		private void turn(String request, ModelVersion token) {
+			happens(new RouterEvent.Arrived(
+					IncomingRequest.of(new RequestId(request), new TeamId("gold"), Templates.ASSISTANT_NAME)
+						.session(new SessionId("s1"))
+						.pinned(token)
+						.deadline(RouterTests.this.now + 1000)
+						.build()));
+		}
+
+		@Test
+		void tokenDecidesWithoutTheStore() {
+			turn("r1", LARGE);
+			assertThat(sent().version()).isEqualTo(LARGE);
+			assertThat(sent().pinned()).isTrue();
+			assertThat(all(RouterAction.Pin.class)).isEmpty();
+		}
+
+		@Test
+		void sessionRunsDirectlyOnTheVersionThatTheStoreTells() {
+			turn("r1", null);
+			happens(new RouterEvent.PinAnswered(new RequestId("r1"), Optional.of(SMALL)));
+			assertThat(sent().version()).isEqualTo(SMALL);
+		}
+
+		@Test
+		void unknownVersionRefusesAndTakesNoOther() {
+			turn("r1", null);
+			happens(new RouterEvent.PinAnswered(new RequestId("r1"), Optional.empty()));
+			assertThat(last(RouterAction.Refuse.class).refusal().reason()).isEqualTo(RefusalReason.STORE_UNAVAILABLE);
+			assertThat(all(RouterAction.Send.class)).isEmpty();
+		}
+
+		@Test
+		void withdrawnVersionIsReplacedOnce() {
+			Template changed = RouterTests.this.template.withState(SMALL, VersionState.WITHDRAWN);
+			happens(new RouterEvent.TemplateChanged(Templates.revision(2, changed)));
+			turn("r1", SMALL);
+			assertThat(last(RouterAction.Pin.class).replacing()).isEqualTo(SMALL);
+			assertThat(last(RouterAction.Pin.class).proposed()).isEqualTo(LARGE);
+		}
+
+	}
+
+	@Nested
+	class Leaving {
+
+		@Test
+		void leavingBackendServerGetsNoNewWork() {
+			happens(new RouterEvent.AgentLeaving(new NodeId("agent-1")));
+			for (int i = 0; i < 20; i++) {
+				happens(new RouterEvent.Arrived(
+						IncomingRequest.of(new RequestId("r-" + i), new TeamId("basic"), Templates.ASSISTANT_NAME)
+							.prefixHash(i)
+							.deadline(1000)
+							.build()));
+			}
+			assertThat(all(RouterAction.Send.class)).extracting((send) -> send.agent().value()).containsOnly("agent-2");
+		}
+
+		@Test
+		void cutOffNodeRefusesForTeamsThatSaySo() {
+			Template strict = Templates.parse(Templates.ASSISTANT.replace("basic: {", "basic: {cutOff: refuse, "));
+			happens(new RouterEvent.TemplateChanged(Templates.revision(2, strict)));
+			happens(new RouterEvent.FreshnessChanged(true));
+			arrives(chat("basic"));
+			assertThat(last(RouterAction.Refuse.class).refusal().reason()).isEqualTo(RefusalReason.FORBIDDEN);
+		}
+
+	}
+
+}
