Versions that turn bad are halted; the router's parts each in a file

Cause: nothing limited the exposure to a version that turns bad while serving. Ruled out: stopping on a failure rate over a window (slow, and flaps at its edge); withdrawing the version in the template (operators alone change templates). Before: a bad version kept its share until an operator saw it. After: a sequential test on failures and ratings halts it (VersionGuardTests: within 10 bad ratings or 5 failures, never in 5000 attempts of which one in 50 fails); other entries hear of it, and it lasts until the template is changed.

--- a/cli/src/main/java/org/gullsaddle/cli/ReadCommands.java
+++ b/cli/src/main/java/org/gullsaddle/cli/ReadCommands.java
@@ -35,6 +35,13 @@
 			text.append(status.getBoolean("ready") ? ", ready" : ", not ready");
 			text.append(status.getBoolean("cutOff") ? ", cut off from the configuration" : "");
 			text.append(", ").append(status.getInteger("openRequests")).append(" requests open");
+			for (Object each : status.getJsonArray("halted")) {
+				JsonObject halt = (JsonObject) each;
+				text.append("\n  no new work for ").append(halt.getString("version"));
+				text.append(" of ").append(halt.getString("template"));
+				text.append(" since revision ").append(halt.getLong("revision"));
+				text.append(", for its ").append(halt.getString("reason"));
+			}
 			for (Object each : status.getJsonArray("links")) {
 				JsonObject link = (JsonObject) each;
 				text.append("\n  ").append(link.getString("role")).append(' ').append(link.getString("node"));
--- a/core/src/main/java/org/gullsaddle/route/Planner.java
+++ b/core/src/main/java/org/gullsaddle/route/Planner.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -9,6 +10,7 @@
 import org.gullsaddle.base.ModelVersion;
 import org.gullsaddle.base.TeamId;
 import org.gullsaddle.base.Usage;
+import org.gullsaddle.rollout.VersionGuard;
 import org.gullsaddle.template.TeamRule;
 import org.gullsaddle.template.Template;
 import org.gullsaddle.template.TemplateKind;
@@ -24,8 +26,11 @@
 
 	private final QualityBook quality;
 
-	Planner(QualityBook quality) {
+	private final VersionGuard guard;
+
+	Planner(QualityBook quality, VersionGuard guard) {
 		this.quality = quality;
+		this.guard = guard;
 	}
 
 	/**
@@ -42,7 +47,13 @@
 		if (rule == null) {
 			return Optional.empty();
 		}
-		List<VersionRule> candidates = candidates(template, team, served, unit);
+		Set<ModelVersion> good = new HashSet<>(served);
+		good.removeAll(this.guard.halted(template.name()));
+		List<VersionRule> candidates = candidates(template, team, good, unit);
+		if (candidates.isEmpty()) {
+			// With nothing else left, a doubtful answer is worth more than none.
+			candidates = candidates(template, team, served, unit);
+		}
 		List<Option> options = new ArrayList<>();
 		for (VersionRule version : candidates) {
 			options.add(direct(template, team, rule, version));
--- a/core/src/main/java/org/gullsaddle/route/Router.java
+++ b/core/src/main/java/org/gullsaddle/route/Router.java
@@ -15,6 +15,8 @@
 import org.gullsaddle.base.Usage;
 import org.gullsaddle.base.Verdict;
 import org.gullsaddle.clock.Moment;
+import org.gullsaddle.rollout.Halt;
+import org.gullsaddle.rollout.VersionGuard;
 import org.gullsaddle.suspect.SuspectBook;
 import org.gullsaddle.suspect.Suspicion;
 import org.gullsaddle.template.Template;
@@ -35,8 +37,6 @@
  */
 public final class Router {
 
-	private static final String SERVED = "served";
-
 	private static final long COME_BACK_MILLIS = 1000;
 
 	private static final long STORE_COME_BACK_MILLIS = 5000;
@@ -51,7 +51,9 @@
 
 	private final QualityBook quality = new QualityBook();
 
-	private final Planner planner = new Planner(this.quality);
+	private final VersionGuard guard = new VersionGuard();
+
+	private final Planner planner = new Planner(this.quality, this.guard);
 
 	private final SuspectBook suspects = new SuspectBook();
 
@@ -59,6 +61,8 @@
 
 	private final Gate gate;
 
+	private final FinalAnswers answers;
+
 	private final SpotChecks spotChecks;
 
 	private final RetryBudget retries;
@@ -83,7 +87,8 @@
 		this.balancer = new Balancer(settings.region(), settings.dataCenter(), random);
 		this.comeBack = new ComeBack(random);
 		this.gate = new Gate(settings, this.templates, this.suspects, this.comeBack);
-		this.spotChecks = new SpotChecks(this.quality, settings.ratedShare(), random);
+		this.spotChecks = new SpotChecks(this.quality, this.guard, settings.ratedShare(), random);
+		this.answers = new FinalAnswers(settings, this.open, this.outbox, this.spotChecks);
 	}
 
 	/**
@@ -107,7 +112,8 @@
 			case RouterEvent.AttemptFailed failed -> failed(now, failed);
 			case RouterEvent.AnswerRated rated -> rated(now, rated);
 			case RouterEvent.CallerGone gone -> callerGone(now, gone.request());
-			case RouterEvent.TemplateChanged changed -> this.templates.apply(changed.revision());
+			case RouterEvent.TemplateChanged changed -> templateChanged(changed.revision());
+			case RouterEvent.HaltLearned learned -> this.guard.learn(learned.halt());
 			case RouterEvent.FreshnessChanged freshness -> this.gate.cutOff(freshness.cutOff());
 			case RouterEvent.SuspectLearned learned -> learn(learned.suspicion());
 			case RouterEvent.AttemptAccepted accepted -> this.open.accepted(accepted.attempt());
@@ -138,7 +144,7 @@
 		RequestState state = new RequestState(request, revision, unit(request), now.stamp());
 		this.open.add(state);
 		if (refusal.isPresent()) {
-			giveUp(now, state, refusal.get());
+			this.answers.giveUp(now, state, refusal.get());
 			return;
 		}
 		this.retries.earn();
@@ -148,7 +154,7 @@
 			return;
 		}
 		if (plan(now, state).isEmpty()) {
-			giveUp(now, state, this.comeBack.later(RefusalReason.NO_VERSION, COME_BACK_MILLIS));
+			this.answers.giveUp(now, state, this.comeBack.later(RefusalReason.NO_VERSION, COME_BACK_MILLIS));
 			return;
 		}
 		this.outbox.add(new RouterAction.Claim(request.id(), request.team(), request.idempotencyKey().orElseThrow(),
@@ -170,26 +176,21 @@
 				state.claim();
 				choose(now, state);
 			}
-			case ClaimAnswer.InUse inUse -> giveUp(now, state,
+			case ClaimAnswer.InUse inUse -> this.answers.giveUp(now, state,
 					new Refusal(RefusalReason.KEY_IN_USE, Verdict.MAY_HAVE_RUN, this.comeBack.after(COME_BACK_MILLIS)));
-			case ClaimAnswer.Finished finished -> repeat(now, state, finished.outcome());
-			case ClaimAnswer.ContentDiffers differs -> giveUp(now, state, Refusal.notRun(RefusalReason.KEY_REUSED, 0));
-			case ClaimAnswer.Unavailable unavailable ->
-				giveUp(now, state, this.comeBack.later(RefusalReason.STORE_UNAVAILABLE, STORE_COME_BACK_MILLIS));
+			case ClaimAnswer.Finished finished -> this.answers.repeat(now, state, finished.outcome());
+			case ClaimAnswer.ContentDiffers differs ->
+				this.answers.giveUp(now, state, Refusal.notRun(RefusalReason.KEY_REUSED, 0));
+			case ClaimAnswer.Unavailable unavailable -> this.answers.giveUp(now, state,
+					this.comeBack.later(RefusalReason.STORE_UNAVAILABLE, STORE_COME_BACK_MILLIS));
 		}
 	}
 
-	private void repeat(Moment now, RequestState state, CallOutcome outcome) {
-		this.outbox.repeat(state, outcome);
-		state.answer("repeated from " + outcome.request(), now.stamp(), now.millis());
-		record(state);
-	}
-
 	private void choose(Moment now, RequestState state) {
 		if (state.request().session().isEmpty()) {
 			Optional<Plan> plan = plan(now, state);
 			if (plan.isEmpty()) {
-				giveUp(now, state, this.comeBack.later(RefusalReason.NO_VERSION, COME_BACK_MILLIS));
+				this.answers.giveUp(now, state, this.comeBack.later(RefusalReason.NO_VERSION, COME_BACK_MILLIS));
 				return;
 			}
 			state.plan(plan.get(), false);
@@ -208,7 +209,7 @@
 		Optional<Plan> plan = this.planner.planSession(state.template(), state.team(), this.balancer.served(),
 				state.unit());
 		if (plan.isEmpty()) {
-			giveUp(now, state, this.comeBack.later(RefusalReason.NO_VERSION, COME_BACK_MILLIS));
+			this.answers.giveUp(now, state, this.comeBack.later(RefusalReason.NO_VERSION, COME_BACK_MILLIS));
 			return;
 		}
 		this.outbox.add(new RouterAction.Pin(state.id(), state.team(), state.request().template(),
@@ -224,7 +225,8 @@
 			// The session may have a version that this entry cannot read now. Taking
 			// another
 			// would change it in mid-session; a caller with a token does not come here.
-			giveUp(now, state, this.comeBack.later(RefusalReason.STORE_UNAVAILABLE, STORE_COME_BACK_MILLIS));
+			this.answers.giveUp(now, state,
+					this.comeBack.later(RefusalReason.STORE_UNAVAILABLE, STORE_COME_BACK_MILLIS));
 			return;
 		}
 		refresh(state);
@@ -236,7 +238,7 @@
 			pin(now, state, version);
 		}
 		else {
-			giveUp(now, state, this.comeBack.later(RefusalReason.NO_VERSION, COME_BACK_MILLIS));
+			this.answers.giveUp(now, state, this.comeBack.later(RefusalReason.NO_VERSION, COME_BACK_MILLIS));
 		}
 	}
 
@@ -260,22 +262,22 @@
 			return;
 		}
 		if (now.millis() >= state.request().deadline()) {
-			giveUp(now, state, this.comeBack.later(RefusalReason.DEADLINE, COME_BACK_MILLIS));
+			this.answers.giveUp(now, state, this.comeBack.later(RefusalReason.DEADLINE, COME_BACK_MILLIS));
 			return;
 		}
 		IncomingRequest request = state.request();
 		if (this.suspects.convicted(request.fingerprint())) {
-			giveUp(now, state, Refusal.notRun(RefusalReason.POISON, 0));
+			this.answers.giveUp(now, state, Refusal.notRun(RefusalReason.POISON, 0));
 			return;
 		}
 		if (this.suspects.suspected(request.fingerprint()) && this.open.underWay(request.fingerprint())) {
 			// Two copies, each alone on its backend server, would kill two at once.
-			giveUp(now, state, this.comeBack.later(RefusalReason.POISON, COME_BACK_MILLIS));
+			this.answers.giveUp(now, state, this.comeBack.later(RefusalReason.POISON, COME_BACK_MILLIS));
 			return;
 		}
 		Optional<NodeId> agent = this.balancer.pick(state.version(), request.prefixHash(), state.tried());
 		if (agent.isEmpty()) {
-			giveUp(now, state, this.comeBack.later(
+			this.answers.giveUp(now, state, this.comeBack.later(
 					state.tried().isEmpty() ? RefusalReason.NO_VERSION : RefusalReason.OVERLOADED, COME_BACK_MILLIS));
 			return;
 		}
@@ -288,14 +290,14 @@
 	private void planAgain(Moment now, RequestState state) {
 		if (state.delivering()) {
 			// Half of the answer is out; another version would splice on a different one.
-			giveUp(now, state, this.comeBack.later(RefusalReason.BACKEND_FAILED, COME_BACK_MILLIS));
+			this.answers.giveUp(now, state, this.comeBack.later(RefusalReason.BACKEND_FAILED, COME_BACK_MILLIS));
 		}
 		else if (state.pinned()) {
 			if (state.replacePin()) {
 				pin(now, state, state.version());
 			}
 			else {
-				giveUp(now, state, this.comeBack.later(RefusalReason.NO_VERSION, COME_BACK_MILLIS));
+				this.answers.giveUp(now, state, this.comeBack.later(RefusalReason.NO_VERSION, COME_BACK_MILLIS));
 			}
 		}
 		else {
@@ -322,7 +324,7 @@
 				return;
 			}
 			this.outbox.cancel(state);
-			giveUp(now, state, Refusal.notRun(RefusalReason.TOO_LARGE, 0));
+			this.answers.giveUp(now, state, Refusal.notRun(RefusalReason.TOO_LARGE, 0));
 			return;
 		}
 		state.received().append(event.text());
@@ -345,6 +347,7 @@
 		long cost = cost(state, completion.usage());
 		RequestState.Outstanding closed = state.close(Verdict.RAN, "done", completion.usage(), cost, now.stamp());
 		this.balancer.ended(closed.agent(), event.attempt());
+		announce(this.guard.ended(state.request().template(), closed.version(), false));
 		if (closed.alone()) {
 			this.suspects.clear(state.request().fingerprint());
 		}
@@ -352,26 +355,16 @@
 			if (event.length() == state.received().length()) {
 				this.outbox.settleClaim(state, closed.version(), completion);
 			}
-			record(state);
+			this.answers.record(state);
 		}
 		else if (state.lastStage()) {
-			complete(now, state, closed.version(), completion, SERVED);
+			this.answers.complete(now, state, closed.version(), completion, FinalAnswers.SERVED);
 		}
 		else {
 			rate(now, state, event.attempt(), closed.version(), completion);
 		}
 	}
 
-	private void complete(Moment now, RequestState state, ModelVersion version, Completion completion, String outcome) {
-		this.outbox.add(new RouterAction.Complete(state.id(), version.toString(), completion, state.cost()));
-		this.outbox.settleClaim(state, version, completion);
-		state.answer(outcome, now.stamp(), now.millis());
-		if (state.request().repeatable() && state.plan().stages().size() == 1) {
-			this.spotChecks.consider(state, version, state.received().toString()).ifPresent(this.outbox::add);
-		}
-		record(state);
-	}
-
 	private void rate(Moment now, RequestState state, AttemptId attempt, ModelVersion version, Completion completion) {
 		state.awaitRating(attempt, completion);
 		this.open.wake(now.millis() + this.settings.ratingMillis(), state.id());
@@ -381,7 +374,7 @@
 	private void rated(Moment now, RouterEvent.AnswerRated event) {
 		RequestState state = this.open.get(event.attempt().request());
 		if (state == null || !state.awaitsRating(event.attempt())) {
-			this.spotChecks.rated(event.attempt(), event.score());
+			announce(this.spotChecks.rated(event.attempt(), event.score()));
 			return;
 		}
 		judge(now, state, event.score());
@@ -394,13 +387,14 @@
 		if (score.isPresent()) {
 			double expected = state.template().rule(version).map(VersionRule::quality).orElse(0.5);
 			this.quality.rated(state.request().template(), state.team(), version, expected, score.getAsDouble(), bar);
+			announce(this.guard.rated(state.request().template(), version, expected, score.getAsDouble()));
 		}
 		else {
 			this.noCascadesUntil = now.millis() + RATER_PAUSE_MILLIS;
 		}
 		if (score.isPresent() && score.getAsDouble() >= bar) {
 			state.keepFallback();
-			deliverFallback(now, state, SERVED);
+			this.answers.deliverFallback(now, state, FinalAnswers.SERVED);
 			return;
 		}
 		state.keepFallback();
@@ -422,13 +416,13 @@
 		}
 		if (state.answered()) {
 			this.outbox.releaseClaim(state);
-			record(state);
+			this.answers.record(state);
 		}
 		else if (refusal.reason() != RefusalReason.DEADLINE && mayRetry(state, refusal.reason())) {
 			send(now, state);
 		}
 		else {
-			giveUp(now, state, refusal);
+			this.answers.giveUp(now, state, refusal);
 		}
 	}
 
@@ -451,6 +445,9 @@
 		RequestState.Outstanding closed = state.close(event.verdict(),
 				event.crashed() ? "backend-crashed" : "backend-failed", event.usage(), cost, now.stamp());
 		this.balancer.ended(closed.agent(), event.attempt());
+		if (!state.answered() && event.verdict() != Verdict.NOT_RUN) {
+			announce(this.guard.ended(state.request().template(), closed.version(), true));
+		}
 		if (event.crashed()) {
 			this.outbox.add(new RouterAction.Suspect(
 					this.suspects.crashed(state.request().fingerprint(), event.attempt(), closed.alone())));
@@ -459,11 +456,11 @@
 			if (event.verdict() == Verdict.NOT_RUN) {
 				this.outbox.releaseClaim(state);
 			}
-			record(state);
+			this.answers.record(state);
 			return;
 		}
 		if (this.suspects.convicted(state.request().fingerprint())) {
-			giveUp(now, state, Refusal.notRun(RefusalReason.POISON, 0));
+			this.answers.giveUp(now, state, Refusal.notRun(RefusalReason.POISON, 0));
 		}
 		else if ((state.request().repeatable() || event.verdict() == Verdict.NOT_RUN)
 				&& mayRetry(state, RefusalReason.BACKEND_FAILED)) {
@@ -473,7 +470,7 @@
 			send(now, state);
 		}
 		else {
-			giveUp(now, state, this.comeBack.later(RefusalReason.BACKEND_FAILED, COME_BACK_MILLIS));
+			this.answers.giveUp(now, state, this.comeBack.later(RefusalReason.BACKEND_FAILED, COME_BACK_MILLIS));
 		}
 	}
 
@@ -497,6 +494,16 @@
 		}
 	}
 
+	private void templateChanged(TemplateRevision revision) {
+		if (this.templates.apply(revision)) {
+			this.guard.changed(revision.template().name(), revision.revision());
+		}
+	}
+
+	private void announce(Optional<Halt> halt) {
+		halt.ifPresent((found) -> this.outbox.add(new RouterAction.Announce(found)));
+	}
+
 	private void learn(Suspicion suspicion) {
 		if (this.suspects.learn(suspicion)) {
 			// The node that told may have told no other, and may be dying.
@@ -510,7 +517,7 @@
 			return;
 		}
 		this.outbox.cancel(state);
-		end(now, state, RefusalReason.CALLER_GONE.toString());
+		this.answers.end(now, state, RefusalReason.CALLER_GONE.toString());
 	}
 
 	private void tick(Moment now) {
@@ -522,7 +529,7 @@
 	private void expire(Moment now, RequestState state) {
 		if (state.answered()) {
 			if (now.millis() >= state.recordBy()) {
-				record(state);
+				this.answers.record(state);
 			}
 		}
 		else if (now.millis() >= state.request().deadline()) {
@@ -532,50 +539,13 @@
 				state.keepFallback();
 			}
 			this.outbox.cancel(state);
-			giveUp(now, state, this.comeBack.later(RefusalReason.DEADLINE, COME_BACK_MILLIS));
+			this.answers.giveUp(now, state, this.comeBack.later(RefusalReason.DEADLINE, COME_BACK_MILLIS));
 		}
 		else if (state.awaitsRating()) {
 			judge(now, state, OptionalDouble.empty());
 		}
 	}
 
-	private void deliverFallback(Moment now, RequestState state, String outcome) {
-		RequestState.Fallback fallback = state.fallback();
-		this.outbox.add(new RouterAction.Deliver(state.id(), fallback.version(), fallback.text()));
-		complete(now, state, fallback.version(), fallback.completion(), outcome);
-	}
-
-	private void giveUp(Moment now, RequestState state, Refusal refusal) {
-		if (state.fallback() != null && !state.delivering()) {
-			// An answer that missed the bar, or was not rated, is worth more than none.
-			deliverFallback(now, state, "served-below-target");
-			return;
-		}
-		Refusal told = new Refusal(refusal.reason(), state.verdict().and(refusal.verdict()),
-				refusal.retryAfterMillis());
-		this.outbox.add(new RouterAction.Refuse(state.id(), told));
-		end(now, state, told.reason().toString());
-	}
-
-	private void end(Moment now, RequestState state, String outcome) {
-		long recordBy = now.millis() + this.settings.lateEndMillis();
-		state.answer(outcome, now.stamp(), recordBy);
-		if (state.outstanding() == null) {
-			if (state.verdict() == Verdict.NOT_RUN) {
-				this.outbox.releaseClaim(state);
-			}
-			record(state);
-		}
-		else {
-			this.open.wake(recordBy, state.id());
-		}
-	}
-
-	private void record(RequestState state) {
-		this.open.remove(state.id());
-		this.outbox.add(new RouterAction.Record(state.record()));
-	}
-
 	private void refresh(RequestState state) {
 		this.templates.get(state.request().template())
 			.filter((newest) -> newest.template().team(state.team()).isPresent())
--- a/core/src/main/java/org/gullsaddle/route/RouterAction.java
+++ b/core/src/main/java/org/gullsaddle/route/RouterAction.java
@@ -12,6 +12,7 @@
 import org.gullsaddle.base.TeamId;
 import org.gullsaddle.base.TemplateName;
 import org.gullsaddle.ledger.RequestRecord;
+import org.gullsaddle.rollout.Halt;
 import org.gullsaddle.suspect.Suspicion;
 
 /**
@@ -136,6 +137,14 @@
 	record Suspect(Suspicion suspicion) implements RouterAction {
 	}
 
+	/**
+	 * Tell the other nodes that a version gets no new work, and the operators why.
+	 *
+	 * @param halt the halt
+	 */
+	record Announce(Halt halt) implements RouterAction {
+	}
+
 	/**
 	 * Write the request's record to the ledger; nothing more of it will happen.
 	 *
--- a/core/src/main/java/org/gullsaddle/route/RouterEvent.java
+++ b/core/src/main/java/org/gullsaddle/route/RouterEvent.java
@@ -13,6 +13,7 @@
 import org.gullsaddle.base.RequestId;
 import org.gullsaddle.base.Usage;
 import org.gullsaddle.base.Verdict;
+import org.gullsaddle.rollout.Halt;
 import org.gullsaddle.suspect.Suspicion;
 import org.gullsaddle.template.TemplateRevision;
 
@@ -170,6 +171,14 @@
 	record SuspectLearned(Suspicion suspicion) implements RouterEvent {
 	}
 
+	/**
+	 * Another node gives a version no new work.
+	 *
+	 * @param halt the halt
+	 */
+	record HaltLearned(Halt halt) implements RouterEvent {
+	}
+
 	/**
 	 * Time passed.
 	 */
--- a/core/src/main/java/org/gullsaddle/route/SpotChecks.java
+++ b/core/src/main/java/org/gullsaddle/route/SpotChecks.java
@@ -10,6 +10,8 @@
 import org.gullsaddle.base.ModelVersion;
 import org.gullsaddle.base.TeamId;
 import org.gullsaddle.base.TemplateName;
+import org.gullsaddle.rollout.Halt;
+import org.gullsaddle.rollout.VersionGuard;
 import org.gullsaddle.template.VersionRule;
 
 /**
@@ -22,6 +24,8 @@
 
 	private final QualityBook quality;
 
+	private final VersionGuard guard;
+
 	private final double share;
 
 	private final RandomGenerator random;
@@ -33,14 +37,16 @@
 		}
 	};
 
-	SpotChecks(QualityBook quality, double share, RandomGenerator random) {
+	SpotChecks(QualityBook quality, VersionGuard guard, double share, RandomGenerator random) {
 		this.quality = quality;
+		this.guard = guard;
 		this.share = share;
 		this.random = random;
 	}
 
 	Optional<RouterAction> consider(RequestState state, ModelVersion version, String answer) {
-		if (this.random.nextDouble() >= this.share) {
+		boolean closely = this.guard.closely(state.request().template(), version);
+		if (this.share == 0 || (!closely && this.random.nextDouble() >= this.share)) {
 			return Optional.empty();
 		}
 		AttemptId attempt = new AttemptId(state.id(), state.attempts());
@@ -50,12 +56,14 @@
 		return Optional.of(new RouterAction.Rate(attempt, version, state.request().body(), answer));
 	}
 
-	void rated(AttemptId attempt, OptionalDouble score) {
+	Optional<Halt> rated(AttemptId attempt, OptionalDouble score) {
 		Check check = this.waiting.remove(attempt);
-		if (check != null && score.isPresent()) {
-			this.quality.rated(check.template(), check.team(), check.version(), check.expected(), score.getAsDouble(),
-					check.bar());
+		if (check == null || score.isEmpty()) {
+			return Optional.empty();
 		}
+		this.quality.rated(check.template(), check.team(), check.version(), check.expected(), score.getAsDouble(),
+				check.bar());
+		return this.guard.rated(check.template(), check.version(), check.expected(), score.getAsDouble());
 	}
 
 	private record Check(TemplateName template, TeamId team, ModelVersion version, double expected, double bar) {
--- a/core/src/test/java/org/gullsaddle/fuzz/FuzzEntry.java
+++ b/core/src/test/java/org/gullsaddle/fuzz/FuzzEntry.java
@@ -224,6 +224,7 @@
 			case RouterAction.Refuse refuse -> refuse(refuse);
 			case RouterAction.Rate rate -> this.world.rate(this, rate);
 			case RouterAction.Suspect suspect -> this.world.suspect(this.id, suspect.suspicion());
+			case RouterAction.Announce announce -> this.world.halted(this.id, announce.halt());
 			case RouterAction.Record record -> {
 				Set<NodeId> agents = new HashSet<>();
 				record.record().attempts().stream().map(AttemptLine::agent).forEach(agents::add);
--- /dev/null
+++ b/core/src/test/java/org/gullsaddle/fuzz/StoredBills.java
@@ -0,0 +1,44 @@
+package org.gullsaddle.fuzz;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.gullsaddle.ledger.Bills;
+import org.gullsaddle.ledger.LedgerEntry;
+import org.gullsaddle.ledger.Segment;
+
+/**
+ * The bills that can be made from what is in the store.
+ */
+final class StoredBills {
+
+	private StoredBills() {
+	}
+
+	static Map<String, List<Long>> in(FaultyStore store) {
+		List<LedgerEntry> all = new ArrayList<>();
+		for (Object segment : store.under("ledger/")) {
+			((Segment) segment).rows().forEach((row) -> all.add(read(row.text())));
+		}
+		Map<String, List<Long>> bills = new HashMap<>();
+		Bills.of(all)
+			.all()
+			.values()
+			.forEach((bill) -> bills.computeIfAbsent(bill.request().value(), (id) -> new ArrayList<>())
+				.add(bill.costMicros()));
+		return bills;
+	}
+
+	private static LedgerEntry read(String text) {
+		try {
+			return LedgerEntry.read(text);
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+}
--- a/core/src/test/java/org/gullsaddle/fuzz/World.java
+++ b/core/src/test/java/org/gullsaddle/fuzz/World.java
@@ -1,6 +1,5 @@
 package org.gullsaddle.fuzz;
 
-import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -28,9 +27,7 @@
 import org.gullsaddle.base.TemplateName;
 import org.gullsaddle.base.Usage;
 import org.gullsaddle.clock.Moment;
-import org.gullsaddle.ledger.Bills;
-import org.gullsaddle.ledger.LedgerEntry;
-import org.gullsaddle.ledger.Segment;
+import org.gullsaddle.rollout.Halt;
 import org.gullsaddle.route.IncomingRequest;
 import org.gullsaddle.route.RouterAction;
 import org.gullsaddle.route.RouterEvent;
@@ -355,6 +352,13 @@
 		this.pending.add(action);
 	}
 
+	void halted(NodeId from, Halt halt) {
+		this.entries.values()
+			.stream()
+			.filter((entry) -> !entry.id.equals(from))
+			.forEach((entry) -> entry.handle(new RouterEvent.HaltLearned(halt)));
+	}
+
 	void announce(NodeId agent, AdmissionAction.AnnounceSuspect suspect) {
 		this.entries.keySet().forEach((entry) -> toEntry(agent, entry, suspect));
 	}
@@ -403,33 +407,10 @@
 			advance(100);
 		}
 		this.oracle.allAnswered();
-		this.oracle.billed(bills());
+		this.oracle.billed(StoredBills.in(this.store));
 		return this.oracle.violations();
 	}
 
-	private Map<String, List<Long>> bills() {
-		List<LedgerEntry> all = new ArrayList<>();
-		for (Object segment : this.store.under("ledger/")) {
-			((Segment) segment).rows().forEach((row) -> all.add(read(row.text())));
-		}
-		Map<String, List<Long>> bills = new HashMap<>();
-		Bills.of(all)
-			.all()
-			.values()
-			.forEach((bill) -> bills.computeIfAbsent(bill.request().value(), (id) -> new ArrayList<>())
-				.add(bill.costMicros()));
-		return bills;
-	}
-
-	private static LedgerEntry read(String text) {
-		try {
-			return LedgerEntry.read(text);
-		}
-		catch (IOException ex) {
-			throw new IllegalStateException(ex);
-		}
-	}
-
 	private void addEntry(NodeId id) {
 		this.runs++;
 		FuzzEntry entry = new FuzzEntry(this, id, id + "." + this.runs, this.runs);
--- /dev/null
+++ b/core/src/test/java/org/gullsaddle/rollout/VersionGuardTests.java
@@ -0,0 +1,73 @@
+package org.gullsaddle.rollout;
+
+import java.util.Random;
+
+import org.junit.jupiter.api.Test;
+
+import org.gullsaddle.base.ModelVersion;
+import org.gullsaddle.base.TemplateName;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class VersionGuardTests {
+
+	private static final TemplateName TEMPLATE = new TemplateName("assistant");
+
+	private static final ModelVersion VERSION = ModelVersion.of("large@v2");
+
+	private final VersionGuard guard = new VersionGuard();
+
+	/**
+	 * A version has served well for long; then it answers badly. It is halted within a
+	 * few answers, and stays halted though better ones follow.
+	 */
+	@Test
+	void versionThatTurnsBadIsHaltedWithinFewAnswersAndDoesNotFlap() {
+		Random random = new Random(1);
+		for (int i = 0; i < 1000; i++) {
+			assertThat(this.guard.rated(TEMPLATE, VERSION, 0.9, 0.9 + 0.1 * random.nextGaussian())).isEmpty();
+		}
+		int answers = 0;
+		while (this.guard.halted(TEMPLATE).isEmpty()) {
+			this.guard.rated(TEMPLATE, VERSION, 0.9, 0.5 + 0.1 * random.nextGaussian());
+			answers++;
+		}
+		assertThat(answers).isLessThan(10);
+		for (int i = 0; i < 100; i++) {
+			this.guard.rated(TEMPLATE, VERSION, 0.9, 0.95);
+		}
+		assertThat(this.guard.halted(TEMPLATE)).containsExactly(VERSION);
+	}
+
+	@Test
+	void versionThatFailsIsHaltedWithinFewAttempts() {
+		int attempts = 0;
+		while (this.guard.halted(TEMPLATE).isEmpty()) {
+			this.guard.ended(TEMPLATE, VERSION, true);
+			attempts++;
+		}
+		assertThat(attempts).isBetween(2, 5);
+	}
+
+	@Test
+	void oneFailureInFiftyIsNoReason() {
+		for (int i = 0; i < 5000; i++) {
+			assertThat(this.guard.ended(TEMPLATE, VERSION, i % 50 == 0)).isEmpty();
+		}
+	}
+
+	@Test
+	void operatorsChangeEndsTheHalt() {
+		this.guard.learn(new Halt(TEMPLATE, 1, VERSION, "failures"));
+		this.guard.changed(TEMPLATE, 2);
+		assertThat(this.guard.halted(TEMPLATE)).isEmpty();
+	}
+
+	@Test
+	void haltOfAnOlderRevisionIsNotTaken() {
+		this.guard.changed(TEMPLATE, 2);
+		this.guard.learn(new Halt(TEMPLATE, 1, VERSION, "failures"));
+		assertThat(this.guard.halted(TEMPLATE)).isEmpty();
+	}
+
+}
--- a/daemon/src/main/java/org/gullsaddle/entry/AcceptedPeers.java
+++ b/daemon/src/main/java/org/gullsaddle/entry/AcceptedPeers.java
@@ -6,7 +6,8 @@
 import org.gullsaddle.wire.PeerListener;
 
 /**
- * Links that other entries dialed: they bring templates and suspicions, and take no work.
+ * Links that other entries dialed: they bring templates and what others know, and take no
+ * work.
  */
 final class AcceptedPeers implements PeerListener {
 
@@ -28,7 +29,8 @@
 
 	@Override
 	public void frame(PeerLink link, Frame frame) {
-		if (frame instanceof Frame.Templates || frame instanceof Frame.Suspect) {
+		if (frame instanceof Frame.Templates || frame instanceof Frame.Suspect || frame instanceof Frame.Halted
+				|| frame instanceof Frame.Copy || frame instanceof Frame.Recorded) {
 			this.node.frame(link, frame);
 		}
 	}
--- a/daemon/src/main/java/org/gullsaddle/entry/AdminApi.java
+++ b/daemon/src/main/java/org/gullsaddle/entry/AdminApi.java
@@ -227,6 +227,8 @@
 			.put("cutOff", this.node.cutOff())
 			.put("storeAgeMillis", this.node.templates().storeAge())
 			.put("openRequests", this.node.openRequests())
+			.put("halted",
+					new JsonArray(this.node.halts().stream().map((halt) -> new JsonObject(Json.write(halt))).toList()))
 			.put("links", nodes));
 	}
 
--- a/daemon/src/main/java/org/gullsaddle/entry/EntryNode.java
+++ b/daemon/src/main/java/org/gullsaddle/entry/EntryNode.java
@@ -21,7 +21,6 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-import org.gullsaddle.agent.HeldLines;
 import org.gullsaddle.allowance.AllowanceBook;
 import org.gullsaddle.allowance.GrantKeeper;
 import org.gullsaddle.allowance.Permit;
@@ -39,9 +38,9 @@
 import org.gullsaddle.controller.RegisterController;
 import org.gullsaddle.controller.TemplateController;
 import org.gullsaddle.ledger.AttemptLine;
-import org.gullsaddle.ledger.HeldLine;
 import org.gullsaddle.ledger.LedgerEntry;
 import org.gullsaddle.ledger.RequestRecord;
+import org.gullsaddle.rollout.Halt;
 import org.gullsaddle.route.Router;
 import org.gullsaddle.route.RouterEvent;
 import org.gullsaddle.route.RouterSettings;
@@ -69,8 +68,6 @@
 
 	private static final long FLUSH_MILLIS = 200;
 
-	private static final long HOLD_MILLIS = 60_000;
-
 	private static final int CLAIM_SHARDS = 16;
 
 	private static final int SESSION_SHARDS = 16;
@@ -118,11 +115,12 @@
 
 	private final Map<RequestId, Set<NodeId>> holders = new ConcurrentHashMap<>();
 
-	/** Lines of attempts that other entries sent; see {@link HeldLines}. */
-	private final HeldLines copies = new HeldLines(HOLD_MILLIS);
+	private final HeldCopies copies;
 
 	private final Map<NodeId, Map<TemplateName, Long>> inForce = new ConcurrentHashMap<>();
 
+	private final Map<String, Halt> halts = new ConcurrentHashMap<>();
+
 	private final CompositeDisposable loops = new CompositeDisposable();
 
 	private volatile boolean leaving;
@@ -153,6 +151,7 @@
 		// A run's name: a dead run's ledger and grants are not taken for this one's.
 		String run = settings.node() + "." + Long.toString(clock.wallMillis(), Character.MAX_RADIX);
 		this.ledger = new LedgerController(store, prefix, clock, run, this::recorded);
+		this.copies = new HeldCopies(this.ledger, clock);
 		this.reader = new LedgerReader(store, prefix);
 		this.grants = new GrantController(store, prefix, clock,
 				new GrantKeeper(new NodeId(run), entry.grantMillis(), this.allowances));
@@ -200,7 +199,7 @@
 			.andThen(Flowable.interval(TICK_MILLIS, TimeUnit.MILLISECONDS)
 				.takeUntil((tick) -> openRequests() == 0)
 				.ignoreElements())
-			.andThen(Completable.fromAction(this::writeAllCopies))
+			.andThen(Completable.fromAction(this.copies::writeAll))
 			.andThen(Completable.defer(this.ledger::flush))
 			.andThen(Completable.defer(() -> this.grants.giveUpAll().onErrorComplete()));
 	}
@@ -268,15 +267,19 @@
 			case Frame.Failed failed -> attempt(failed.attempt(), new RouterEvent.AttemptFailed(failed.attempt(),
 					failed.verdict(), failed.crashed(), failed.usage()));
 			case Frame.Copy copy -> {
-				hold(copy.line());
+				this.copies.hold(copy.line());
 				link.send(new Frame.CopyHeld(copy.line().line().attempt()));
 			}
-			case Frame.Recorded others -> recordedElsewhere(others.requests());
+			case Frame.Recorded others -> this.copies.recorded(others.requests());
 			case Frame.Templates pushed -> {
 				pushed.revisions().forEach(this.templates::apply);
 				link.send(new Frame.InForce(revisions()));
 			}
 			case Frame.InForce revisions -> this.inForce.put(link.peer(), Map.copyOf(revisions.revisions()));
+			case Frame.Halted halted -> {
+				this.halts.put(halted.halt().template() + " " + halted.halt().version(), halted.halt());
+				everywhere(new RouterEvent.HaltLearned(halted.halt()));
+			}
 			case Frame.Suspect suspect -> everywhere(new RouterEvent.SuspectLearned(suspect.suspicion()));
 			default -> LOG.atDebug().addKeyValue("frame", frame.getClass().getSimpleName()).log("frame ignored");
 		}
@@ -317,14 +320,19 @@
 
 	@Override
 	public void suspect(Suspicion suspicion) {
-		this.shards.forEach((shard) -> Schedulers.computation()
-			.scheduleDirect(() -> shard.handle(new RouterEvent.SuspectLearned(suspicion))));
-		Frame frame = new Frame.Suspect(suspicion);
-		this.members.links()
-			.values()
-			.stream()
-			.filter((link) -> link.peerRole() == Role.ENTRY)
-			.forEach((link) -> link.send(frame));
+		tellOthers(new RouterEvent.SuspectLearned(suspicion), new Frame.Suspect(suspicion));
+	}
+
+	@Override
+	public void halted(Halt halt) {
+		LOG.atWarn()
+			.addKeyValue("template", halt.template())
+			.addKeyValue("version", halt.version())
+			.addKeyValue("reason", halt.reason())
+			.log("version halted until its template is changed");
+		this.halts.put(halt.template() + " " + halt.version(), halt);
+		this.telemetry.count("halts");
+		tellOthers(new RouterEvent.HaltLearned(halt), new Frame.Halted(halt));
 	}
 
 	@Override
@@ -454,6 +462,31 @@
 		return new InForceCount(expected.size() - missing.size() + self, expected.size() + 1, missing);
 	}
 
+	/**
+	 * Tells this node's shards, in their own time as one of them is telling, and all
+	 * other entries.
+	 */
+	private void tellOthers(RouterEvent event, Frame frame) {
+		this.shards.forEach((shard) -> Schedulers.computation().scheduleDirect(() -> shard.handle(event)));
+		this.members.links()
+			.values()
+			.stream()
+			.filter((link) -> link.peerRole() == Role.ENTRY)
+			.forEach((link) -> link.send(frame));
+	}
+
+	/**
+	 * Returns the versions that this node gives no new work.
+	 */
+	List<Halt> halts() {
+		return this.halts.values()
+			.stream()
+			.filter((halt) -> this.templates.get(halt.template())
+				.map((held) -> held.revision() <= halt.revision())
+				.orElse(true))
+			.toList();
+	}
+
 	private Map<TemplateName, Long> revisions() {
 		Map<TemplateName, Long> revisions = new HashMap<>();
 		this.templates.all().forEach((name, revision) -> revisions.put(name, revision.revision()));
@@ -516,32 +549,6 @@
 		byAgent.forEach((agent, list) -> send(agent, new Frame.Recorded(list)));
 	}
 
-	private void hold(HeldLine line) {
-		synchronized (this.copies) {
-			this.copies.hold(line, this.clock.millis());
-		}
-	}
-
-	private void recordedElsewhere(List<RequestId> requests) {
-		synchronized (this.copies) {
-			this.copies.recorded(requests);
-		}
-	}
-
-	private void writeDueCopies() {
-		List<HeldLine> due;
-		synchronized (this.copies) {
-			due = this.copies.due(this.clock.millis(), this.members.links().keySet());
-		}
-		due.forEach((line) -> this.ledger.append(new LedgerEntry.Part(line)));
-	}
-
-	private void writeAllCopies() {
-		synchronized (this.copies) {
-			this.copies.all().forEach((line) -> this.ledger.append(new LedgerEntry.Part(line)));
-		}
-	}
-
 	/**
 	 * Tells an entry that may have just started what it must not run.
 	 */
--- a/daemon/src/main/java/org/gullsaddle/entry/EntryServices.java
+++ b/daemon/src/main/java/org/gullsaddle/entry/EntryServices.java
@@ -3,6 +3,7 @@
 import org.gullsaddle.base.Dispatch;
 import org.gullsaddle.base.NodeId;
 import org.gullsaddle.ledger.RequestRecord;
+import org.gullsaddle.rollout.Halt;
 import org.gullsaddle.suspect.Suspicion;
 import org.gullsaddle.wire.Frame;
 
@@ -32,6 +33,11 @@
 	 */
 	void suspect(Suspicion suspicion);
 
+	/**
+	 * Tells this node's other shards, all other entries and the operators of a halt.
+	 */
+	void halted(Halt halt);
+
 	/**
 	 * Writes a request's record to the ledger and gives its permit back.
 	 */
--- a/daemon/src/main/java/org/gullsaddle/wire/Frame.java
+++ b/daemon/src/main/java/org/gullsaddle/wire/Frame.java
@@ -18,6 +18,7 @@
 import org.gullsaddle.base.Usage;
 import org.gullsaddle.base.Verdict;
 import org.gullsaddle.ledger.HeldLine;
+import org.gullsaddle.rollout.Halt;
 import org.gullsaddle.settings.Role;
 import org.gullsaddle.suspect.Suspicion;
 import org.gullsaddle.template.TemplateRevision;
@@ -48,6 +49,7 @@
 		@JsonSubTypes.Type(value = Frame.Recorded.class, name = "recorded"),
 		@JsonSubTypes.Type(value = Frame.Templates.class, name = "templates"),
 		@JsonSubTypes.Type(value = Frame.InForce.class, name = "in-force"),
+		@JsonSubTypes.Type(value = Frame.Halted.class, name = "halted"),
 		@JsonSubTypes.Type(value = Frame.Suspect.class, name = "suspect") })
 public sealed interface Frame {
 
@@ -247,6 +249,14 @@
 	record Suspect(Suspicion suspicion) implements Frame {
 	}
 
+	/**
+	 * A version gets no new work.
+	 *
+	 * @param halt the halt
+	 */
+	record Halted(Halt halt) implements Frame {
+	}
+
 	/**
 	 * A frame of a kind that this program does not know.
 	 */
--- a/daemon/src/test/java/org/gullsaddle/wire/FrameCodecTests.java
+++ b/daemon/src/test/java/org/gullsaddle/wire/FrameCodecTests.java
@@ -29,6 +29,7 @@
 import org.gullsaddle.base.Verdict;
 import org.gullsaddle.ledger.AttemptLine;
 import org.gullsaddle.ledger.HeldLine;
+import org.gullsaddle.rollout.Halt;
 import org.gullsaddle.settings.Role;
 import org.gullsaddle.suspect.Suspicion;
 import org.gullsaddle.template.Template;
@@ -73,6 +74,7 @@
 				new Frame.CopyHeld(ATTEMPT), new Frame.Recorded(List.of(new RequestId("r1"))),
 				new Frame.Templates(List.of(new TemplateRevision(4, "c", "ann", 8, yaml, Template.parse(yaml)))),
 				new Frame.InForce(Map.of(new TemplateName("t"), 4L)),
+				new Frame.Halted(new Halt(new TemplateName("t"), 3, VERSION, "failures")),
 				new Frame.Suspect(new Suspicion(new Fingerprint("f"), Set.of(ATTEMPT), true)));
 	}
 
--- a/standin/src/test/java/org/gullsaddle/standin/Cluster.java
+++ b/standin/src/test/java/org/gullsaddle/standin/Cluster.java
@@ -61,10 +61,14 @@
 				cluster.standin("backend-of-" + agent, "engine", "--models", "small@v1,large@v1", "--token-millis",
 						"10");
 			}
-			cluster.agent(agent);
+			cluster.launchAgent(agent);
+		}
+		cluster.launchEntry("entry-1");
+		cluster.launchEntry("entry-2");
+		cluster.awaitEntry("entry-1");
+		for (String agent : agents) {
+			cluster.awaitAgent(agent);
 		}
-		cluster.entry("entry-1");
-		cluster.entry("entry-2");
 		cluster.apply("assistant", Fixtures.ASSISTANT, 0);
 		cluster.apply("bookings", Fixtures.BOOKINGS, 0);
 		for (String entry : List.of("entry-1", "entry-2")) {
@@ -82,6 +86,15 @@
 	}
 
 	void entry(String name) throws Exception {
+		launchEntry(name);
+		awaitEntry(name);
+	}
+
+	private void awaitEntry(String name) throws InterruptedException {
+		await(name, () -> status(name + "-admin", "/health/live") == 200);
+	}
+
+	private void launchEntry(String name) throws Exception {
 		int admin = port(name + "-admin");
 		String settings = common(name, "entry") + """
 				entry:
@@ -98,10 +111,18 @@
 				""".formatted(port(name), admin, this.ports.get("platform"), hash(GOLD), hash(BASIC),
 				hash("key-of-ann"), hash("key-of-eve"));
 		daemon(name, "entry", settings);
-		await(name, () -> status(name + "-admin", "/health/live") == 200);
 	}
 
 	void agent(String name) throws Exception {
+		launchAgent(name);
+		awaitAgent(name);
+	}
+
+	private void awaitAgent(String name) throws InterruptedException {
+		await(name, () -> status(name, "/health/ready") == 200);
+	}
+
+	private void launchAgent(String name) throws Exception {
 		boolean service = name.startsWith("service");
 		String settings = common(name, "agent") + """
 				agent:
@@ -114,7 +135,6 @@
 				""".formatted(service ? "service" : "chat", this.ports.get("backend-of-" + name), port(name),
 				service ? "versions: [scheduling@v1]" : "");
 		daemon(name, "agent", settings);
-		await(name, () -> status(name, "/health/ready") == 200);
 	}
 
 	private String common(String name, String role) {
