--- a/core/src/main/java/org/gullsaddle/rollout/VersionGuard.java
+++ b/core/src/main/java/org/gullsaddle/rollout/VersionGuard.java
@@ -43,6 +43,12 @@
 	 */
 	private static final int CLOSELY_RATED = 60;
 
+	/** After how many ratings a version's own mean is known. */
+	private static final int ESTABLISHED = 30;
+
+	/** How many ratings the mean is taken over. */
+	private static final int MEMORY = 400;
+
 	private final Map<Key, Watch> watches = new HashMap<>();
 
 	private final Map<TemplateName, Long> revisions = new HashMap<>();
@@ -83,9 +89,9 @@
 	 */
 	public Optional<Halt> rated(TemplateName template, ModelVersion version, double expected, double score) {
 		Watch watch = watch(template, version);
-		watch.rated++;
-		double fall = (expected - score) / RATING_DEVIATION;
+		double fall = (watch.reference(expected) - score) / watch.deviation();
 		boolean bad = watch.ratings.add(RATING_FALL * (fall - RATING_FALL / 2));
+		watch.learn(score);
 		return bad ? halt(template, version, "ratings") : Optional.empty();
 	}
 
@@ -139,6 +145,31 @@
 
 		private int rated;
 
+		private double mean;
+
+		private double variance;
+
+		/**
+		 * Returns the mean to judge by: the operator's expectation, or what the version
+		 * has shown if that is lower, as a version that always was so has not turned bad.
+		 */
+		double reference(double expected) {
+			return (this.rated < ESTABLISHED) ? expected : Math.min(expected, this.mean);
+		}
+
+		double deviation() {
+			double seen = (this.rated < ESTABLISHED) ? 0 : Math.sqrt(this.variance);
+			return Math.max(RATING_DEVIATION, seen);
+		}
+
+		void learn(double score) {
+			this.rated++;
+			double weight = 1.0 / Math.min(this.rated, MEMORY);
+			double delta = score - this.mean;
+			this.mean += weight * delta;
+			this.variance = (1 - weight) * (this.variance + weight * delta * delta);
+		}
+
 	}
 
 }
