Pressure of a backend server from what is known exactly

Cause: each report set aside what the entry had sent since, though the report was older than that; the entries sent to the same idle server for two seconds. Ruled out: trusting the later of two reports (both are old).

--- a/core/src/main/java/org/gullsaddle/route/AgentState.java
+++ b/core/src/main/java/org/gullsaddle/route/AgentState.java
@@ -12,15 +12,17 @@
  */
 final class AgentState {
 
+	private static final double SMOOTHING = 0.2;
+
+	private final Set<AttemptId> outstanding = new HashSet<>();
+
 	private AgentInfo info;
 
 	private LoadReport load;
 
 	private boolean leaving;
 
-	private int sentSinceReport;
-
-	private final Set<AttemptId> outstanding = new HashSet<>();
+	private double others;
 
 	AgentState(AgentInfo info) {
 		update(info);
@@ -33,7 +35,8 @@
 
 	void report(LoadReport newLoad) {
 		this.load = newLoad;
-		this.sentSinceReport = 0;
+		double notOurs = newLoad.running() + newLoad.waiting() - this.outstanding.size();
+		this.others += SMOOTHING * (notOurs - this.others);
 	}
 
 	AgentInfo info() {
@@ -50,7 +53,6 @@
 
 	void sent(AttemptId attempt) {
 		this.outstanding.add(attempt);
-		this.sentSinceReport++;
 	}
 
 	void ended(AttemptId attempt) {
@@ -64,13 +66,13 @@
 	/**
 	 * Returns how full the backend server is likely to be; 1 is as many as it can run.
 	 * <p>
-	 * A report is seconds old, and every entry that trusts it alone sends to the same
-	 * idle server at once. What this entry sent since the report counts on top, and what
-	 * it has outstanding is a floor.
+	 * A report is seconds old, and every entry that trusts it sends to the same idle
+	 * server until the next one comes. What this entry has outstanding it knows exactly;
+	 * only the part of the others is taken from reports, and smoothed, as its moves are
+	 * old news.
 	 */
 	double pressure() {
-		int reported = this.load.running() + this.load.waiting() + this.sentSinceReport;
-		return (double) Math.max(reported, this.outstanding.size()) / this.load.slots();
+		return (this.outstanding.size() + Math.max(0, this.others)) / this.load.slots();
 	}
 
 }
--- a/measure/src/main/java/org/gullsaddle/measure/Fleet.java
+++ b/measure/src/main/java/org/gullsaddle/measure/Fleet.java
@@ -71,6 +71,8 @@
 
 	private long sequence;
 
+	private long arrivals;
+
 	private int turn;
 
 	int sends;
@@ -121,7 +123,8 @@
 	 */
 	void arrive(long time, TeamId team, long serviceMillis, long deadlineMillis, long prefix) {
 		at(time, () -> {
-			RequestId id = new RequestId("r" + this.sequence);
+			this.arrivals++;
+			RequestId id = new RequestId("r" + this.arrivals);
 			this.calls.put(id, new Call(team, time, serviceMillis, prefix));
 			this.served.computeIfAbsent(team, (missing) -> new int[2])[1]++;
 			IncomingRequest request = IncomingRequest.of(id, team, Fixture.NAME)
