The emptiest server of all, and the cached one only where there is room

Cause: of two picked at random one is often full, and the server with the cached prefix was taken though a quarter fuller than the mean. With two entries that each see half of the traffic, the rest of the others' work is news.

--- a/core/src/main/java/org/gullsaddle/route/Balancer.java
+++ b/core/src/main/java/org/gullsaddle/route/Balancer.java
@@ -20,13 +20,12 @@
 
 /**
  * Knows the agents and picks one for an attempt: near before far, the one that likely has
- * the prompt's prefix cached unless it is fuller than its peers, otherwise the emptier of
- * two picked at random.
+ * the prompt's prefix cached while that has room, otherwise the emptiest.
  */
 final class Balancer {
 
-	/** How much fuller than the mean the server with the cached prefix may be. */
-	private static final double AFFINITY_SLACK = 0.25;
+	/** Up to where a backend server is sure to have room, whatever the others send it. */
+	private static final double ROOM = 0.5;
 
 	private final Map<NodeId, AgentState> agents = new TreeMap<>();
 
@@ -118,16 +117,26 @@
 		}
 		AgentState cached = near.stream().max(Comparator.comparingLong((agent) -> score(agent, prefixHash))).get();
 		double mean = near.stream().mapToDouble(AgentState::pressure).average().orElse(0);
-		if (cached.pressure() <= mean + AFFINITY_SLACK && cached.pressure() < 1) {
+		if (cached.pressure() <= Math.max(mean, ROOM) && cached.pressure() < 1) {
 			return Optional.of(cached.info().id());
 		}
-		return Optional.of(emptierOfTwo(near).info().id());
+		return Optional.of(emptiest(near).info().id());
 	}
 
-	private AgentState emptierOfTwo(List<AgentState> agents) {
-		AgentState one = agents.get(this.random.nextInt(agents.size()));
-		AgentState two = agents.get(this.random.nextInt(agents.size()));
-		return (one.pressure() <= two.pressure()) ? one : two;
+	/**
+	 * Picks the emptiest of all, beginning anywhere, so that entries that see the same do
+	 * not all take the first of the emptiest.
+	 */
+	private AgentState emptiest(List<AgentState> agents) {
+		int start = this.random.nextInt(agents.size());
+		AgentState best = agents.get(start);
+		for (int i = 1; i < agents.size(); i++) {
+			AgentState next = agents.get((start + i) % agents.size());
+			if (next.pressure() < best.pressure()) {
+				best = next;
+			}
+		}
+		return best;
 	}
 
 	/**
