Final answers at once under overload; servers that fail in a row are left out

Cause: (1) work of a low rank was let in on an estimate that work of a higher rank then overturned, and waited to its deadline before it was refused; a full queue refused high work. (2) A backend server that fails at once always looks empty and drew the work to itself.

--- a/core/src/main/java/org/gullsaddle/agent/Admission.java
+++ b/core/src/main/java/org/gullsaddle/agent/Admission.java
@@ -125,6 +125,7 @@
 			case AdmissionEvent.Tick tick -> {
 				closeLate(now);
 				startNext(now);
+				shed(now);
 			}
 		}
 		noteDrained();
@@ -191,6 +192,7 @@
 		this.queue.add(work);
 		this.actions.add(new AdmissionAction.Accept(work.entry(), attempt, this.queue.ahead(work)));
 		startNext(now);
+		shed(now);
 	}
 
 	/**
@@ -234,19 +236,44 @@
 	}
 
 	private Optional<Refusal> checkRoom(Moment now, Work work) {
-		if (this.queue.size() >= this.settings.maxQueued()) {
-			return Optional.of(Refusal.notRun(RefusalReason.OVERLOADED, waitMillis(this.queue.size())));
-		}
 		this.queue.tag(work);
-		long wait = waitMillis(this.queue.ahead(work));
-		if (this.running.size() >= this.slots && now.millis() + wait >= work.deadline()) {
-			return Optional.of(Refusal.notRun(RefusalReason.OVERLOADED, wait));
+		if (this.queue.size() >= this.settings.maxQueued() && !this.queue.goesBeforeLast(work)) {
+			return Optional.of(overloaded(this.queue.size()));
+		}
+		// Half of its time is left for work of a higher rank that may come before it.
+		long latest = now.millis() + (work.deadline() - now.millis()) / 2;
+		if (this.running.size() >= this.slots && isTooLate(now, work, latest)) {
+			return Optional.of(overloaded(this.queue.ahead(work)));
 		}
 		return Optional.empty();
 	}
 
+	/**
+	 * Refuses from the end of the queue what has no room or cannot meet its deadline any
+	 * more, as work of a higher rank came before it. Left to wait, its caller would hear
+	 * of it only at the deadline, and could have gone elsewhere.
+	 */
+	private void shed(Moment now) {
+		while (this.queue.size() > 0) {
+			Work last = this.queue.last();
+			if (this.queue.size() <= this.settings.maxQueued() && !isTooLate(now, last, last.deadline())) {
+				return;
+			}
+			this.queue.remove(last.attempt());
+			refuse(last, overloaded(this.queue.size()));
+		}
+	}
+
+	private boolean isTooLate(Moment now, Work work, long latest) {
+		return now.millis() + waitMillis(this.queue.ahead(work)) + this.meanMillis >= latest;
+	}
+
+	private Refusal overloaded(int ahead) {
+		return Refusal.notRun(RefusalReason.OVERLOADED, Math.max(COME_BACK_MILLIS / 2, waitMillis(ahead)));
+	}
+
 	private long waitMillis(int ahead) {
-		return Math.max(COME_BACK_MILLIS / 2, Math.round((ahead + 1) * this.meanMillis / this.slots));
+		return Math.round((ahead + 1) * this.meanMillis / this.slots);
 	}
 
 	private void startNext(Moment now) {
--- a/core/src/main/java/org/gullsaddle/agent/FairQueue.java
+++ b/core/src/main/java/org/gullsaddle/agent/FairQueue.java
@@ -46,6 +46,17 @@
 		return this.waiting.isEmpty() ? Optional.empty() : Optional.of(this.waiting.first());
 	}
 
+	Work last() {
+		return this.waiting.last();
+	}
+
+	/**
+	 * Says whether an attempt would go before the last one that waits.
+	 */
+	boolean goesBeforeLast(Work work) {
+		return !this.waiting.isEmpty() && this.waiting.headSet(work).size() < this.waiting.size();
+	}
+
 	Work take() {
 		Work work = this.waiting.pollFirst();
 		this.virtualTime = Math.max(this.virtualTime, work.finishTag() - 1 / work.dispatch().weight());
--- a/core/src/main/java/org/gullsaddle/route/AgentState.java
+++ b/core/src/main/java/org/gullsaddle/route/AgentState.java
@@ -14,6 +14,12 @@
 
 	private static final double SMOOTHING = 0.2;
 
+	private static final int FAILURES_TO_EJECT = 3;
+
+	private static final long EJECTED_MILLIS = 2000;
+
+	private static final int MAX_DOUBLINGS = 5;
+
 	private final Set<AttemptId> outstanding = new HashSet<>();
 
 	private AgentInfo info;
@@ -24,6 +30,10 @@
 
 	private double others;
 
+	private int failures;
+
+	private long ejectedUntil = Long.MIN_VALUE;
+
 	AgentState(AgentInfo info) {
 		update(info);
 	}
@@ -63,6 +73,30 @@
 		return Set.copyOf(this.outstanding);
 	}
 
+	void succeeded() {
+		this.failures = 0;
+		this.ejectedUntil = Long.MIN_VALUE;
+	}
+
+	/**
+	 * Notes a failure; true if it is the first since a success.
+	 * <p>
+	 * A backend server that fails at once always looks empty, and would draw all work to
+	 * itself. After a few failures in a row it is left out for a while, then tried again.
+	 */
+	boolean failed(long now) {
+		this.failures++;
+		int over = this.failures - FAILURES_TO_EJECT;
+		if (over >= 0) {
+			this.ejectedUntil = now + (EJECTED_MILLIS << Math.min(over, MAX_DOUBLINGS));
+		}
+		return this.failures == 1;
+	}
+
+	boolean ejected(long now) {
+		return now < this.ejectedUntil;
+	}
+
 	/**
 	 * Returns how full the backend server is likely to be; 1 is as many as it can run.
 	 * <p>
--- a/core/src/main/java/org/gullsaddle/route/Balancer.java
+++ b/core/src/main/java/org/gullsaddle/route/Balancer.java
@@ -84,6 +84,27 @@
 		}
 	}
 
+	void succeeded(NodeId agent) {
+		AgentState state = this.agents.get(agent);
+		if (state != null) {
+			state.succeeded();
+		}
+	}
+
+	/**
+	 * Notes that an agent's backend server failed an attempt.
+	 * @return true if that tells against the version too: the first failure of this agent
+	 * since a success, or one of the only agent that serves the version
+	 */
+	boolean failed(long now, NodeId agent, ModelVersion version) {
+		AgentState state = this.agents.get(agent);
+		boolean first = state != null && state.failed(now);
+		return first || this.agents.values()
+			.stream()
+			.filter((other) -> other.info().versions().contains(version))
+			.count() <= 1;
+	}
+
 	/**
 	 * Returns the versions that an agent serves which is not leaving.
 	 */
@@ -99,19 +120,21 @@
 
 	/**
 	 * Picks an agent.
+	 * @param now the time in milliseconds
 	 * @param version the version it must serve
 	 * @param prefixHash the hash of the prompt's start
 	 * @param tried agents that refused or failed the request already
 	 * @return the agent, or empty if none is left
 	 */
-	Optional<NodeId> pick(ModelVersion version, long prefixHash, Set<NodeId> tried) {
+	Optional<NodeId> pick(long now, ModelVersion version, long prefixHash, Set<NodeId> tried) {
 		List<AgentState> able = this.agents.values()
 			.stream()
 			.filter((agent) -> !agent.leaving())
 			.filter((agent) -> agent.info().versions().contains(version))
 			.filter((agent) -> !tried.contains(agent.info().id()))
 			.toList();
-		List<AgentState> near = nearest(able);
+		List<AgentState> sound = able.stream().filter((agent) -> !agent.ejected(now)).toList();
+		List<AgentState> near = nearest(sound.isEmpty() ? able : sound);
 		if (near.isEmpty()) {
 			return Optional.empty();
 		}
--- a/core/src/main/java/org/gullsaddle/route/RetryBudget.java
+++ b/core/src/main/java/org/gullsaddle/route/RetryBudget.java
@@ -14,7 +14,7 @@
 
 	private final double share;
 
-	private double saved = MAX_SAVED / 2;
+	private double saved = MAX_SAVED / 4;
 
 	RetryBudget(double share) {
 		this.share = share;
--- a/core/src/main/java/org/gullsaddle/route/Router.java
+++ b/core/src/main/java/org/gullsaddle/route/Router.java
@@ -275,7 +275,7 @@
 			this.answers.giveUp(now, state, this.comeBack.later(RefusalReason.POISON, COME_BACK_MILLIS));
 			return;
 		}
-		Optional<NodeId> agent = this.balancer.pick(state.version(), request.prefixHash(), state.tried());
+		Optional<NodeId> agent = this.balancer.pick(now.millis(), state.version(), request.prefixHash(), state.tried());
 		if (agent.isEmpty()) {
 			this.answers.giveUp(now, state, this.comeBack.later(
 					state.tried().isEmpty() ? RefusalReason.NO_VERSION : RefusalReason.OVERLOADED, COME_BACK_MILLIS));
@@ -347,6 +347,7 @@
 		long cost = cost(state, completion.usage());
 		RequestState.Outstanding closed = state.close(Verdict.RAN, "done", completion.usage(), cost, now.stamp());
 		this.balancer.ended(closed.agent(), event.attempt());
+		this.balancer.succeeded(closed.agent());
 		announce(this.guard.ended(state.request().template(), closed.version(), false));
 		if (closed.alone()) {
 			this.suspects.clear(state.request().fingerprint());
@@ -445,7 +446,8 @@
 		RequestState.Outstanding closed = state.close(event.verdict(),
 				event.crashed() ? "backend-crashed" : "backend-failed", event.usage(), cost, now.stamp());
 		this.balancer.ended(closed.agent(), event.attempt());
-		if (!state.answered() && event.verdict() != Verdict.NOT_RUN) {
+		if (!state.answered() && event.verdict() != Verdict.NOT_RUN
+				&& this.balancer.failed(now.millis(), closed.agent(), closed.version())) {
 			announce(this.guard.ended(state.request().template(), closed.version(), true));
 		}
 		if (event.crashed()) {
--- a/core/src/main/java/org/gullsaddle/route/RouterSettings.java
+++ b/core/src/main/java/org/gullsaddle/route/RouterSettings.java
@@ -131,7 +131,7 @@
 
 		private int maxAttempts = 4;
 
-		private double retryShare = 0.1;
+		private double retryShare = 0.09;
 
 		private int maxAnswerLength = 1 << 20;
 
--- a/core/src/test/java/org/gullsaddle/agent/AdmissionTests.java
+++ b/core/src/test/java/org/gullsaddle/agent/AdmissionTests.java
@@ -123,6 +123,34 @@
 			assertThat(refused()).isEqualTo(RefusalReason.OVERLOADED);
 		}
 
+		/**
+		 * The queue is full of low work when high work comes. The last of the low is
+		 * refused at once, truly not run, and the high work takes its room.
+		 */
+		@Test
+		void fullQueueMakesRoomForAHigherRank() {
+			for (int i = 0; i < 5; i++) {
+				arrives("low" + i, "basic", 1);
+			}
+			arrives("high", "basic", 9);
+			assertThat(all(AdmissionAction.Refuse.class)).hasSize(1);
+			assertThat(all(AdmissionAction.Refuse.class).get(0).attempt().request()).isEqualTo(new RequestId("low4"));
+			ends("low0");
+			assertThat(started()).containsExactly("low0", "low1", "high");
+		}
+
+		@Test
+		void workThatIsOvertakenIsRefusedBeforeItsDeadline() {
+			arrives("a", "basic", 1);
+			arrives("b", "basic", 1);
+			happens(new AdmissionEvent.Dispatched(ENTRY, dispatch("slow", "basic", 1, 1),
+					AdmissionTests.this.now + 400));
+			assertThat(all(AdmissionAction.Refuse.class)).isEmpty();
+			AdmissionTests.this.now += 250;
+			happens(new AdmissionEvent.Tick());
+			assertThat(refused()).isEqualTo(RefusalReason.OVERLOADED);
+		}
+
 		@Test
 		void frameThatArrivesTwiceRunsOnce() {
 			arrives("a", "basic", 1);
--- a/core/src/test/java/org/gullsaddle/route/RouterTests.java
+++ b/core/src/test/java/org/gullsaddle/route/RouterTests.java
@@ -400,6 +400,38 @@
 
 	}
 
+	@Nested
+	class Failures {
+
+		/**
+		 * One backend server fails everything at once, and so always looks empty. Without
+		 * being left out for a while it would draw all work to itself.
+		 */
+		@Test
+		void serverThatFailsInARowIsLeftOut() {
+			for (int i = 0; i < 40; i++) {
+				RequestId id = new RequestId("r-" + i);
+				happens(new RouterEvent.Arrived(IncomingRequest.of(id, new TeamId("basic"), Templates.ASSISTANT_NAME)
+					.prefixHash(i)
+					.deadline(1000)
+					.build()));
+				while (RouterTests.this.router.openRequests() > 0) {
+					AttemptId attempt = sent().attempt();
+					if (last(RouterAction.Send.class).agent().value().equals("agent-1")) {
+						happens(new RouterEvent.AttemptFailed(attempt, Verdict.MAY_HAVE_RUN, false, Usage.NONE));
+					}
+					else {
+						answers(attempt, "ok");
+					}
+				}
+			}
+			assertThat(all(RouterAction.Send.class)).filteredOn((send) -> send.agent().value().equals("agent-1"))
+				.hasSize(3);
+			assertThat(all(RouterAction.Complete.class)).hasSize(40);
+		}
+
+	}
+
 	@Nested
 	class Leaving {
 
