The guard judges by the share of bad answers, and looks closer when in doubt

Cause: the guard summed how far ratings fell below their mean in deviations; ratings of real answers have two heaps, and a few of the lower one tripped it.

--- a/core/src/main/java/org/gullsaddle/rollout/ChangeDetector.java
+++ b/core/src/main/java/org/gullsaddle/rollout/ChangeDetector.java
@@ -24,4 +24,8 @@
 		return this.sum >= this.threshold;
 	}
 
+	double sum() {
+		return this.sum;
+	}
+
 }
--- a/core/src/main/java/org/gullsaddle/rollout/VersionGuard.java
+++ b/core/src/main/java/org/gullsaddle/rollout/VersionGuard.java
@@ -24,29 +24,37 @@
 
 	private static final double BAD_FAILURE_RATE = 0.25;
 
-	private static final double FAILURE_THRESHOLD = 7;
+	private static final double FAILURE_THRESHOLD = 11;
 
 	private static final double FAILED = Math.log(BAD_FAILURE_RATE / GOOD_FAILURE_RATE);
 
 	private static final double SUCCEEDED = Math.log((1 - BAD_FAILURE_RATE) / (1 - GOOD_FAILURE_RATE));
 
-	/** How far ratings scatter around their mean. */
-	private static final double RATING_DEVIATION = 0.15;
+	/** How far below the expected mean a rating counts as a bad answer. */
+	private static final double BAD_BELOW = 0.25;
 
-	/** The fall of the mean, in deviations, that counts as bad. */
-	private static final double RATING_FALL = 1.5;
+	/** How much more often a version that turned bad answers badly. */
+	private static final double BAD_RATE_RISE = 0.4;
 
-	private static final double RATING_THRESHOLD = 9;
+	/** A good version trips in about one of a million ratings. */
+	private static final double RATING_THRESHOLD = 14;
+
+	/** From here on every answer is rated, to know soon. */
+	private static final double DOUBT = 2;
+
+	private static final double MIN_RATE = 0.05;
+
+	private static final double MAX_RATE = 0.95;
 
 	/**
 	 * How many of a version's answers are rated from its start or its operator's change.
 	 */
 	private static final int CLOSELY_RATED = 60;
 
-	/** After how many ratings a version's own mean is known. */
+	/** After how many ratings it is known how a version does. */
 	private static final int ESTABLISHED = 30;
 
-	/** How many ratings the mean is taken over. */
+	/** Over how many ratings. */
 	private static final int MEMORY = 400;
 
 	private final Map<Key, Watch> watches = new HashMap<>();
@@ -89,20 +97,24 @@
 	 */
 	public Optional<Halt> rated(TemplateName template, ModelVersion version, double expected, double score) {
 		Watch watch = watch(template, version);
-		double fall = (watch.reference(expected) - score) / watch.deviation();
-		boolean bad = watch.ratings.add(RATING_FALL * (fall - RATING_FALL / 2));
-		watch.learn(score);
+		boolean poor = score < expected - BAD_BELOW;
+		double good = watch.poorRate(expected);
+		double risen = Math.min(MAX_RATE, good + BAD_RATE_RISE);
+		boolean bad = watch.ratings.add(poor ? Math.log(risen / good) : Math.log((1 - risen) / (1 - good)));
+		watch.learn(poor);
 		return bad ? halt(template, version, "ratings") : Optional.empty();
 	}
 
 	/**
-	 * Says whether a version's answers are to be rated closely, as little is known of it.
+	 * Says whether a version's answers are to be rated closely, as little is known of it
+	 * or it may have turned bad.
 	 * @param template the template
 	 * @param version the version
-	 * @return true for its first answers
+	 * @return true for its first answers, and while its ratings give cause for doubt
 	 */
 	public boolean closely(TemplateName template, ModelVersion version) {
-		return watch(template, version).rated < CLOSELY_RATED;
+		Watch watch = watch(template, version);
+		return watch.rated < CLOSELY_RATED || watch.ratings.sum() > DOUBT;
 	}
 
 	/**
@@ -145,29 +157,22 @@
 
 		private int rated;
 
-		private double mean;
-
-		private double variance;
+		private double poorShare;
 
 		/**
-		 * Returns the mean to judge by: the operator's expectation, or what the version
-		 * has shown if that is lower, as a version that always was so has not turned bad.
+		 * Returns how often the version answers badly when it is well: what the operator
+		 * expects, or what it has shown if that is more often, as a version that always
+		 * was so has not turned bad.
 		 */
-		double reference(double expected) {
-			return (this.rated < ESTABLISHED) ? expected : Math.min(expected, this.mean);
-		}
-
-		double deviation() {
-			double seen = (this.rated < ESTABLISHED) ? 0 : Math.sqrt(this.variance);
-			return Math.max(RATING_DEVIATION, seen);
+		double poorRate(double expected) {
+			double hoped = Math.clamp(1 - expected, MIN_RATE, MAX_RATE - BAD_RATE_RISE);
+			return (this.rated < ESTABLISHED) ? hoped : Math.clamp(this.poorShare, hoped, MAX_RATE - BAD_RATE_RISE);
 		}
 
-		void learn(double score) {
+		void learn(boolean poor) {
 			this.rated++;
 			double weight = 1.0 / Math.min(this.rated, MEMORY);
-			double delta = score - this.mean;
-			this.mean += weight * delta;
-			this.variance = (1 - weight) * (this.variance + weight * delta * delta);
+			this.poorShare += weight * ((poor ? 1 : 0) - this.poorShare);
 		}
 
 	}
--- a/core/src/test/java/org/gullsaddle/rollout/VersionGuardTests.java
+++ b/core/src/test/java/org/gullsaddle/rollout/VersionGuardTests.java
@@ -56,6 +56,19 @@
 		}
 	}
 
+	/**
+	 * A cheap version in a cascade answers every third prompt badly, and always did. That
+	 * is why it is rated, and no reason to halt it.
+	 */
+	@Test
+	void versionThatAlwaysWasWeakHasNotTurnedBad() {
+		Random random = new Random(2);
+		for (int i = 0; i < 20_000; i++) {
+			double score = (random.nextInt(3) == 0) ? 0.35 : 0.95;
+			assertThat(this.guard.rated(TEMPLATE, VERSION, 0.75, score)).isEmpty();
+		}
+	}
+
 	@Test
 	void operatorsChangeEndsTheHalt() {
 		this.guard.learn(new Halt(TEMPLATE, 1, VERSION, "failures"));
