Cost: mixes of plans, cascades of three, and a bar below the target

Cause: a single plan for all requests overshoots the target, as plans come in steps; a version's ratings on all prompts say little of those that a cheaper one failed; the bar at the target sent good answers on. Ruled out: a fixed share of dear answers (drifts with the prompts).

--- a/core/src/main/java/org/gullsaddle/route/FinalAnswers.java
+++ b/core/src/main/java/org/gullsaddle/route/FinalAnswers.java
@@ -32,7 +32,7 @@
 		this.outbox.add(new RouterAction.Complete(state.id(), version.toString(), completion, state.cost()));
 		this.outbox.settleClaim(state, version, completion);
 		state.answer(outcome, now.stamp(), now.millis());
-		if (state.request().repeatable() && state.plan().stages().size() == 1) {
+		if (state.request().repeatable() && !state.wasRated()) {
 			this.spotChecks.consider(state, version, state.received().toString()).ifPresent(this.outbox::add);
 		}
 		record(state);
--- a/core/src/main/java/org/gullsaddle/route/Planner.java
+++ b/core/src/main/java/org/gullsaddle/route/Planner.java
@@ -24,6 +24,11 @@
 	/** The usage that plans are compared by. */
 	private static final Usage TYPICAL = new Usage(500, 300);
 
+	private static final double BAR_BELOW_TARGET = 0.15;
+
+	/** How far above its target a team's mean is aimed at. */
+	private static final double MARGIN = 0.005;
+
 	private final QualityBook quality;
 
 	private final VersionGuard guard;
@@ -40,9 +45,11 @@
 	 * @param served the versions that some backend server serves
 	 * @param unit a number from 0 to 1 that spreads requests over a model's versions
 	 * @param cascades whether answers can be rated now
+	 * @param dice a random number from 0 to 1
 	 * @return the plan, or empty if the team can have no version
 	 */
-	Optional<Plan> plan(Template template, TeamId team, Set<ModelVersion> served, double unit, boolean cascades) {
+	Optional<Plan> plan(Template template, TeamId team, Set<ModelVersion> served, double unit, boolean cascades,
+			double dice) {
 		TeamRule rule = template.team(team).orElse(null);
 		if (rule == null) {
 			return Optional.empty();
@@ -59,50 +66,100 @@
 			options.add(direct(template, team, rule, version));
 		}
 		if (cascades && template.kind() == TemplateKind.CHAT) {
-			for (VersionRule cheap : candidates) {
-				for (VersionRule dear : candidates) {
-					if (cost(cheap) < cost(dear)) {
-						options.add(cascade(template, team, rule, cheap, dear));
+			candidates.sort(Comparator.comparingDouble(Planner::cost));
+			for (int first = 0; first < candidates.size(); first++) {
+				for (int second = first + 1; second < candidates.size(); second++) {
+					options.add(cascade(template, team, rule, List.of(candidates.get(first), candidates.get(second))));
+					for (int third = second + 1; third < candidates.size(); third++) {
+						options.add(cascade(template, team, rule,
+								List.of(candidates.get(first), candidates.get(second), candidates.get(third))));
 					}
 				}
 			}
 		}
-		return best(options, rule.qualityTarget()).map(Option::plan);
+		return best(options, rule.qualityTarget(), dice).map(Option::plan);
 	}
 
 	/**
 	 * Chooses the one version that a session is to have.
 	 */
 	Optional<Plan> planSession(Template template, TeamId team, Set<ModelVersion> served, double unit) {
-		return plan(template, team, served, unit, false);
+		return plan(template, team, served, unit, false, 1);
 	}
 
-	private Optional<Option> best(List<Option> options, double target) {
-		Optional<Option> cheapest = options.stream()
-			.filter((option) -> option.quality() >= target)
-			.min(Comparator.comparingDouble(Option::cost));
-		if (cheapest.isPresent()) {
-			return cheapest;
+	/**
+	 * Takes the cheapest way to the target: one option for all, or for a part of the
+	 * requests a cheaper one that alone would miss the target, so that the mean just
+	 * meets it.
+	 */
+	private static Optional<Option> best(List<Option> options, double target, double dice) {
+		double aim = target + MARGIN;
+		Option chosen = null;
+		double least = Double.MAX_VALUE;
+		for (Option good : options) {
+			if (good.quality() < aim) {
+				continue;
+			}
+			if (good.cost() < least) {
+				least = good.cost();
+				chosen = good;
+			}
+			for (Option cheap : options) {
+				double part = (good.quality() - aim) / (good.quality() - cheap.quality());
+				double mixed = part * cheap.cost() + (1 - part) * good.cost();
+				if (cheap.quality() < aim && cheap.cost() < good.cost() && mixed < least) {
+					least = mixed;
+					chosen = (dice < part) ? cheap : good;
+				}
+			}
 		}
-		return options.stream().max(Comparator.comparingDouble(Option::quality));
+		return (chosen != null) ? Optional.of(chosen)
+				: options.stream().max(Comparator.comparingDouble(Option::quality));
 	}
 
 	private Option direct(Template template, TeamId team, TeamRule rule, VersionRule version) {
-		double bound = this.quality.lowerBound(template.name(), team, version.version(), version.quality());
+		double bound = this.quality.lowerBound(subject(template, team, version, null), version.quality());
 		String reason = "direct, expected quality " + round(bound) + " for target " + round(rule.qualityTarget());
-		return new Option(new Plan(List.of(version.version()), rule.qualityTarget(), reason), cost(version), bound);
+		return new Option(new Plan(List.of(version.version()), bar(rule), reason), cost(version), bound);
+	}
+
+	private Option cascade(Template template, TeamId team, TeamRule rule, List<VersionRule> stages) {
+		double bar = bar(rule);
+		double reached = 1;
+		double expected = 0;
+		double cost = 0;
+		VersionRule before = null;
+		for (VersionRule stage : stages) {
+			QualityBook.Subject subject = subject(template, team, stage, before);
+			cost += reached * cost(stage);
+			if (stage.equals(stages.get(stages.size() - 1))) {
+				expected += reached * this.quality.lowerBound(subject, stage.quality());
+			}
+			else {
+				double pass = this.quality.passShare(subject, stage.quality());
+				expected += reached * pass * this.quality.passMean(subject, stage.quality(), bar);
+				reached *= 1 - pass;
+			}
+			before = stage;
+		}
+		String reason = "cascade, " + round(1 - reached) + " expected to pass at " + round(bar) + ", expected quality "
+				+ round(expected) + " for target " + round(rule.qualityTarget());
+		List<ModelVersion> versions = stages.stream().map(VersionRule::version).toList();
+		return new Option(new Plan(versions, bar, reason), cost, expected);
+	}
+
+	/**
+	 * Returns the rating that ends a cascade: below the target, as the answers that reach
+	 * it lie above it in the mean.
+	 */
+	static double bar(TeamRule rule) {
+		return Math.max(0, rule.qualityTarget() - BAR_BELOW_TARGET);
 	}
 
-	private Option cascade(Template template, TeamId team, TeamRule rule, VersionRule cheap, VersionRule dear) {
-		double bar = rule.qualityTarget();
-		double pass = this.quality.passShare(template.name(), team, cheap.version(), cheap.quality());
-		double passMean = this.quality.passMean(template.name(), team, cheap.version(), cheap.quality(), bar);
-		double rest = this.quality.lowerBound(template.name(), team, dear.version(), dear.quality());
-		double expected = pass * passMean + (1 - pass) * rest;
-		double cost = cost(cheap) + (1 - pass) * cost(dear);
-		String reason = "cascade, " + round(pass) + " expected to pass at " + round(bar) + ", expected quality "
-				+ round(expected);
-		return new Option(new Plan(List.of(cheap.version(), dear.version()), bar, reason), cost, expected);
+	private static QualityBook.Subject subject(Template template, TeamId team, VersionRule version,
+			VersionRule before) {
+		return new QualityBook.Subject(template.name(), team, version.version(),
+				(before != null) ? before.version() : null);
 	}
 
 	/**
--- a/core/src/main/java/org/gullsaddle/route/QualityBook.java
+++ b/core/src/main/java/org/gullsaddle/route/QualityBook.java
@@ -21,16 +21,21 @@
 
 	private static final double PRIOR_VARIANCE = 0.04;
 
+	/**
+	 * What is left of a version's promise on prompts that a cheaper one answered badly.
+	 */
+	private static final double HARDER = 0.8;
+
 	/** One-sided 90 % normal quantile for the lower bound. */
 	private static final double BOUND = 1.28;
 
-	private final Map<Key, Ratings> ratings = new HashMap<>();
+	private final Map<Subject, Ratings> ratings = new HashMap<>();
 
 	/**
 	 * Returns the value that the version's mean rating exceeds with 90 % confidence.
 	 */
-	double lowerBound(TemplateName template, TeamId team, ModelVersion version, double expected) {
-		Ratings r = get(template, team, version, expected);
+	double lowerBound(Subject subject, double expected) {
+		Ratings r = get(subject, expected);
 		// The operator's word is trusted as it stands until ratings contradict it.
 		double margin = BOUND * Math.sqrt(r.variance() / r.count) * Math.min(1, r.seen / PRIOR_RATINGS);
 		return r.mean - margin;
@@ -39,26 +44,33 @@
 	/**
 	 * Returns the part of answers that reached the bar.
 	 */
-	double passShare(TemplateName template, TeamId team, ModelVersion version, double expected) {
-		return get(template, team, version, expected).passes();
+	double passShare(Subject subject, double expected) {
+		return get(subject, expected).passes();
 	}
 
 	/**
 	 * Returns the mean rating of the answers that reached the bar.
 	 */
-	double passMean(TemplateName template, TeamId team, ModelVersion version, double expected, double bar) {
-		return Math.max(bar, get(template, team, version, expected).passMean());
+	double passMean(Subject subject, double expected, double bar) {
+		return Math.max(bar, get(subject, expected).passMean());
 	}
 
-	void rated(TemplateName template, TeamId team, ModelVersion version, double expected, double score, double bar) {
-		get(template, team, version, expected).add(score, bar);
+	void rated(Subject subject, double expected, double score, double bar) {
+		get(subject, expected).add(score, bar);
 	}
 
-	private Ratings get(TemplateName template, TeamId team, ModelVersion version, double expected) {
-		return this.ratings.computeIfAbsent(new Key(template, team, version), (key) -> new Ratings(expected));
+	private Ratings get(Subject subject, double expected) {
+		double hoped = (subject.after() != null) ? expected * HARDER : expected;
+		return this.ratings.computeIfAbsent(subject, (key) -> new Ratings(hoped));
 	}
 
-	private record Key(TemplateName template, TeamId team, ModelVersion version) {
+	/**
+	 * What is rated: a version on a team's prompts, or on those of them that another
+	 * version answered badly before, which are harder.
+	 *
+	 * @param after the version before, or null
+	 */
+	record Subject(TemplateName template, TeamId team, ModelVersion version, ModelVersion after) {
 	}
 
 	private static final class Ratings {
--- a/core/src/main/java/org/gullsaddle/route/RequestState.java
+++ b/core/src/main/java/org/gullsaddle/route/RequestState.java
@@ -132,6 +132,14 @@
 		return this.plan.stages().get(this.stage);
 	}
 
+	/**
+	 * Returns what a rating of the current stage's answer is about.
+	 */
+	QualityBook.Subject subject() {
+		ModelVersion before = (this.stage > 0) ? this.plan.stages().get(this.stage - 1) : null;
+		return new QualityBook.Subject(this.request.template(), team(), version(), before);
+	}
+
 	boolean lastStage() {
 		return this.plan.isLast(this.stage);
 	}
@@ -226,6 +234,13 @@
 		return this.fallback;
 	}
 
+	/**
+	 * Says whether the current stage's answer was rated on its way.
+	 */
+	boolean wasRated() {
+		return !lastStage();
+	}
+
 	boolean awaitsRating() {
 		return this.rating != null;
 	}
--- a/core/src/main/java/org/gullsaddle/route/Router.java
+++ b/core/src/main/java/org/gullsaddle/route/Router.java
@@ -249,7 +249,8 @@
 
 	private Optional<Plan> plan(Moment now, RequestState state) {
 		boolean cascades = now.millis() >= this.noCascadesUntil;
-		return this.planner.plan(state.template(), state.team(), this.balancer.served(), state.unit(), cascades);
+		return this.planner.plan(state.template(), state.team(), this.balancer.served(), state.unit(), cascades,
+				this.random.nextDouble());
 	}
 
 	/**
@@ -387,7 +388,7 @@
 		ModelVersion version = state.version();
 		if (score.isPresent()) {
 			double expected = state.template().rule(version).map(VersionRule::quality).orElse(0.5);
-			this.quality.rated(state.request().template(), state.team(), version, expected, score.getAsDouble(), bar);
+			this.quality.rated(state.subject(), expected, score.getAsDouble(), bar);
 			announce(this.guard.rated(state.request().template(), version, expected, score.getAsDouble()));
 		}
 		else {
--- a/core/src/main/java/org/gullsaddle/route/SpotChecks.java
+++ b/core/src/main/java/org/gullsaddle/route/SpotChecks.java
@@ -8,8 +8,6 @@
 
 import org.gullsaddle.base.AttemptId;
 import org.gullsaddle.base.ModelVersion;
-import org.gullsaddle.base.TeamId;
-import org.gullsaddle.base.TemplateName;
 import org.gullsaddle.rollout.Halt;
 import org.gullsaddle.rollout.VersionGuard;
 import org.gullsaddle.template.VersionRule;
@@ -51,8 +49,8 @@
 		}
 		AttemptId attempt = new AttemptId(state.id(), state.attempts());
 		double expected = state.template().rule(version).map(VersionRule::quality).orElse(0.5);
-		double target = state.template().team(state.team()).map((team) -> team.qualityTarget()).orElse(0.0);
-		this.waiting.put(attempt, new Check(state.request().template(), state.team(), version, expected, target));
+		double bar = state.template().team(state.team()).map(Planner::bar).orElse(0.0);
+		this.waiting.put(attempt, new Check(state.subject(), expected, bar));
 		return Optional.of(new RouterAction.Rate(attempt, version, state.request().body(), answer));
 	}
 
@@ -61,12 +59,12 @@
 		if (check == null || score.isEmpty()) {
 			return Optional.empty();
 		}
-		this.quality.rated(check.template(), check.team(), check.version(), check.expected(), score.getAsDouble(),
-				check.bar());
-		return this.guard.rated(check.template(), check.version(), check.expected(), score.getAsDouble());
+		this.quality.rated(check.subject(), check.expected(), score.getAsDouble(), check.bar());
+		return this.guard.rated(check.subject().template(), check.subject().version(), check.expected(),
+				score.getAsDouble());
 	}
 
-	private record Check(TemplateName template, TeamId team, ModelVersion version, double expected, double bar) {
+	private record Check(QualityBook.Subject subject, double expected, double bar) {
 	}
 
 }
