--- a/cli/src/main/java/org/gullsaddle/cli/Gullsaddle.java
+++ b/cli/src/main/java/org/gullsaddle/cli/Gullsaddle.java
@@ -18,7 +18,8 @@
 				commands = { TemplateCommands.CheckFile.class, TemplateCommands.Apply.class, TemplateCommands.Get.class,
 						TemplateCommands.ListAll.class, TemplateCommands.History.class, TemplateCommands.Withdraw.class,
 						TemplateCommands.Rollout.class }),
-				@Group(name = "ledger", description = "Read the ledger", commands = ReadCommands.Export.class) })
+				@Group(name = "ledger", description = "Export, verify and order the ledger", commands = {
+						LedgerCommands.Export.class, LedgerCommands.Verify.class, LedgerCommands.Order.class }) })
 public final class Gullsaddle {
 
 	private Gullsaddle() {
--- a/cli/src/main/java/org/gullsaddle/cli/ReadCommands.java
+++ b/cli/src/main/java/org/gullsaddle/cli/ReadCommands.java
@@ -101,27 +101,4 @@
 
 	}
 
-	/**
-	 * Exports the ledger.
-	 */
-	@Command(name = "export", description = "Write the ledger's entries as JSON lines")
-	public static final class Export extends AdminCommand {
-
-		@Option(name = "--from", title = "time", description = "The start, such as 2026-01-31T06:00:00Z or 24h")
-		private String from = "24h";
-
-		@Option(name = "--to", title = "time", description = "The end")
-		private String to = "now";
-
-		@Option(name = "--team", title = "team", description = "Only this team's")
-		private String team = "";
-
-		@Override
-		ExitCode run(AdminClient client) throws CommandException {
-			System.out.print(client.text("ledger?" + span(this.from, this.to) + "&team=" + this.team));
-			return ExitCode.DONE;
-		}
-
-	}
-
 }
--- /dev/null
+++ b/core/src/main/java/org/gullsaddle/ledger/LedgerHead.java
@@ -0,0 +1,11 @@
+package org.gullsaddle.ledger;
+
+/**
+ * The last segment of a writer, kept apart from its segments so that a missing end shows.
+ *
+ * @param writer the writer
+ * @param sequence the number of its last segment
+ * @param hash the hash of its last entry
+ */
+public record LedgerHead(String writer, long sequence, String hash) {
+}
--- a/core/src/test/java/org/gullsaddle/ledger/LedgerTests.java
+++ b/core/src/test/java/org/gullsaddle/ledger/LedgerTests.java
@@ -1,9 +1,14 @@
 package org.gullsaddle.ledger;
 
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
+import java.util.function.UnaryOperator;
 
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -15,6 +20,7 @@
 import org.gullsaddle.base.TemplateName;
 import org.gullsaddle.base.Usage;
 import org.gullsaddle.base.Verdict;
+import org.gullsaddle.clock.HybridClock;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -73,6 +79,121 @@
 
 	}
 
+	@Nested
+	class Tampering {
+
+		private final List<Segment> segments = new ArrayList<>();
+
+		private LedgerHead head;
+
+		@BeforeEach
+		void write() {
+			LedgerWriter writer = new LedgerWriter("entry-1.run", 100);
+			for (int segment = 0; segment < 3; segment++) {
+				for (int i = 0; i < 3; i++) {
+					writer.append(whole("r" + segment + i, 5));
+				}
+				this.segments.add(writer.next().orElseThrow());
+				writer.written();
+			}
+			Segment last = this.segments.get(2);
+			this.head = new LedgerHead(last.writer(), last.sequence(), last.head());
+		}
+
+		private void changeRows(int segment, UnaryOperator<List<Segment.Row>> change) {
+			Segment old = this.segments.get(segment);
+			List<Segment.Row> rows = change.apply(new ArrayList<>(old.rows()));
+			this.segments.set(segment, new Segment(old.writer(), old.sequence(), old.previous(), rows));
+		}
+
+		private String flaw() {
+			List<LedgerFlaw> flaws = LedgerVerifier.verify(this.segments, List.of(this.head));
+			assertThat(flaws).hasSizeLessThanOrEqualTo(1);
+			return flaws.isEmpty() ? "" : flaws.get(0).toString();
+		}
+
+		@Test
+		void untouchedLedgerHasNoFlaw() {
+			Collections.shuffle(this.segments, new Random(1));
+			assertThat(flaw()).isEmpty();
+		}
+
+		@Test
+		void changedRecordIsNamed() {
+			changeRows(1, (rows) -> {
+				Segment.Row row = rows.get(1);
+				rows.set(1, new Segment.Row(row.text().replace(":5,", ":4,"), row.hash()));
+				return rows;
+			});
+			assertThat(flaw()).startsWith("entry-1.run, segment 2, record 2: the record is not the one");
+		}
+
+		@Test
+		void droppedRecordIsNamed() {
+			changeRows(0, (rows) -> {
+				rows.remove(1);
+				return rows;
+			});
+			assertThat(flaw()).startsWith("entry-1.run, segment 1, record 2:");
+		}
+
+		@Test
+		void swappedRecordsAreNamed() {
+			changeRows(2, (rows) -> {
+				Collections.swap(rows, 0, 1);
+				return rows;
+			});
+			assertThat(flaw()).startsWith("entry-1.run, segment 3, record 1:");
+		}
+
+		@Test
+		void cutOffRecordsAreFoundByTheHead() {
+			changeRows(2, (rows) -> rows.subList(0, 2));
+			assertThat(flaw()).startsWith("entry-1.run, segment 3, record 2: the last record is not the one");
+		}
+
+		@Test
+		void missingSegmentIsNamed() {
+			this.segments.remove(1);
+			assertThat(flaw()).startsWith("entry-1.run, segment 2: the segment is missing");
+		}
+
+		@Test
+		void missingEndIsFoundByTheHead() {
+			this.segments.remove(2);
+			assertThat(flaw()).startsWith("entry-1.run, segment 3: the writer's last segments are missing");
+		}
+
+		@Test
+		void recordWrittenAnewWithItsChainIsFoundByTheNextSegment() {
+			LedgerWriter forger = new LedgerWriter("entry-1.run", 100);
+			forger.append(whole("forged", 1));
+			this.segments.set(0, forger.next().orElseThrow());
+			assertThat(flaw()).startsWith("entry-1.run, segment 2: the segment does not follow");
+		}
+
+	}
+
+	@Nested
+	class Order {
+
+		private static ServingOrder.Written served(String request, String writer, long millis) {
+			AttemptLine line = new AttemptLine(new AttemptId(new RequestId(request), 1), ModelVersion.of("small@v1"),
+					new NodeId("agent-1"), 1, Verdict.RAN, "done", Usage.NONE, 1, HybridClock.stamp(millis, 0), 0);
+			return new ServingOrder.Written(writer, new RequestRecord(new RequestId(request), TEAM, TEMPLATE, null, 1,
+					"direct", List.of(line), Verdict.RAN, "served", 1, 2));
+		}
+
+		@Test
+		void oneClockTellsAnyOrderAndTwoOnlyBeyondTheirUncertainty() {
+			List<ServingOrder.Place> places = ServingOrder.of(List.of(served("d", "two", 1030),
+					served("a", "one", 1000), served("b", "one", 1001), served("c", "two", 1005)), 10);
+			assertThat(places).extracting((place) -> place.request().value()).containsExactly("a", "b", "c", "d");
+			assertThat(places).extracting(ServingOrder.Place::certain).containsExactly(true, true, false, true);
+		}
+
+	}
+
 	@Nested
 	class Billing {
 
--- a/daemon/src/main/java/org/gullsaddle/controller/LedgerController.java
+++ b/daemon/src/main/java/org/gullsaddle/controller/LedgerController.java
@@ -16,6 +16,7 @@
 import org.gullsaddle.base.Json;
 import org.gullsaddle.base.RequestId;
 import org.gullsaddle.ledger.LedgerEntry;
+import org.gullsaddle.ledger.LedgerHead;
 import org.gullsaddle.ledger.LedgerWriter;
 import org.gullsaddle.ledger.Segment;
 import org.gullsaddle.store.Store;
@@ -129,7 +130,7 @@
 		String target = this.key;
 		Store.Put put = new Store.Put(target, Json.write(segment));
 		Store.Put head = new Store.Put(this.prefix + "heads/" + segment.writer(),
-				Json.write(new Head(segment.writer(), segment.sequence(), segment.head())));
+				Json.write(new LedgerHead(segment.writer(), segment.sequence(), segment.head())));
 		return this.store.write(target, 0, List.of(put, head))
 			.flatMap((revision) -> revision.isPresent() ? Single.just(true) : isOurs(target, segment))
 			.flatMapCompletable((ours) -> ours ? Completable.fromAction(this::written)
@@ -154,14 +155,4 @@
 		this.recorded.accept(requests);
 	}
 
-	/**
-	 * The last segment of a writer, kept apart so that a missing end shows.
-	 *
-	 * @param writer the writer
-	 * @param sequence the number of its last segment
-	 * @param hash the hash of its last entry
-	 */
-	public record Head(String writer, long sequence, String hash) {
-	}
-
 }
--- a/daemon/src/main/java/org/gullsaddle/controller/LedgerReader.java
+++ b/daemon/src/main/java/org/gullsaddle/controller/LedgerReader.java
@@ -1,13 +1,17 @@
 package org.gullsaddle.controller;
 
+import java.io.IOException;
 import java.time.Instant;
 import java.time.ZoneOffset;
 import java.time.format.DateTimeFormatter;
+import java.util.ArrayList;
+import java.util.List;
 
 import io.reactivex.rxjava3.core.Flowable;
 
 import org.gullsaddle.base.Json;
 import org.gullsaddle.ledger.LedgerEntry;
+import org.gullsaddle.ledger.LedgerHead;
 import org.gullsaddle.ledger.Segment;
 import org.gullsaddle.store.Store;
 
@@ -24,6 +28,8 @@
 
 	private final String prefix;
 
+	private final String headPrefix;
+
 	/**
 	 * Makes a reader.
 	 * @param store the store
@@ -32,6 +38,7 @@
 	public LedgerReader(Store store, String prefix) {
 		this.store = store;
 		this.prefix = prefix + "ledger/";
+		this.headPrefix = prefix + "heads/";
 	}
 
 	/**
@@ -41,32 +48,84 @@
 	 * @return the segments
 	 */
 	public Flowable<Segment> segments(long fromMillis, long toMillis) {
-		String first = this.prefix + HOUR.format(Instant.ofEpochMilli(fromMillis));
-		String last = this.prefix + HOUR.format(Instant.ofEpochMilli(toMillis)) + "~";
-		return pages(first).takeWhile((value) -> value.key().compareTo(last) < 0)
+		return values(this.prefix + HOUR.format(Instant.ofEpochMilli(fromMillis)), toMillis)
 			.map((value) -> Json.read(value.value(), Segment.class));
 	}
 
 	/**
-	 * Returns the entries written in a span of time.
+	 * Returns the heads of all writers.
+	 * @return the heads
+	 */
+	public Flowable<LedgerHead> heads() {
+		return pages(this.headPrefix, "").map((value) -> Json.read(value.value(), LedgerHead.class));
+	}
+
+	/**
+	 * Returns the rows written in a span of time.
 	 * @param fromMillis the start, in milliseconds since the epoch
 	 * @param toMillis the end, in milliseconds since the epoch
-	 * @return the entries, some perhaps twice
+	 * @param after the cursor of the last row that is not wanted again, or empty
+	 * @return the rows, some entries perhaps twice
 	 */
-	public Flowable<LedgerEntry> entries(long fromMillis, long toMillis) {
-		return segments(fromMillis, toMillis).concatMapIterable(Segment::rows)
-			.map((row) -> LedgerEntry.read(row.text()));
+	public Flowable<Row> rows(long fromMillis, long toMillis, String after) {
+		int colon = after.lastIndexOf(':');
+		String first = (colon > 0) ? this.prefix + after.substring(0, colon)
+				: this.prefix + HOUR.format(Instant.ofEpochMilli(fromMillis));
+		int skipped = (colon > 0) ? Integer.parseInt(after.substring(colon + 1)) : 0;
+		Flowable<Row> rest = values(first, toMillis).concatMapIterable(this::rows);
+		if (colon <= 0) {
+			return rest;
+		}
+		Flowable<Row> begun = this.store.get(first)
+			.flattenAsFlowable((found) -> found.isPresent() ? rows(found.get()) : List.<Row>of())
+			.skip(skipped);
+		return begun.concatWith(rest);
+	}
+
+	private List<Row> rows(Store.StoredValue value) throws IOException {
+		Segment segment = Json.read(value.value(), Segment.class);
+		List<Row> rows = new ArrayList<>();
+		for (Segment.Row row : segment.rows()) {
+			String cursor = value.key().substring(this.prefix.length()) + ":" + (rows.size() + 1);
+			rows.add(new Row(cursor, segment.writer(), row.text()));
+		}
+		return rows;
 	}
 
-	private Flowable<Store.StoredValue> pages(String after) {
-		return this.store.list(this.prefix, after, PAGE).flatMapPublisher((listing) -> {
+	private Flowable<Store.StoredValue> values(String after, long toMillis) {
+		String last = this.prefix + HOUR.format(Instant.ofEpochMilli(toMillis)) + "~";
+		return pages(this.prefix, after).takeWhile((value) -> value.key().compareTo(last) < 0);
+	}
+
+	private Flowable<Store.StoredValue> pages(String under, String after) {
+		return this.store.list(under, after, PAGE).flatMapPublisher((listing) -> {
 			Flowable<Store.StoredValue> page = Flowable.fromIterable(listing.values());
 			if (!listing.more()) {
 				return page;
 			}
 			String next = listing.values().get(listing.values().size() - 1).key();
-			return page.concatWith(Flowable.defer(() -> pages(next)));
+			return page.concatWith(Flowable.defer(() -> pages(under, next)));
 		});
 	}
 
+	/**
+	 * A row of the ledger.
+	 *
+	 * @param cursor where to go on after it
+	 * @param writer who wrote it
+	 * @param text the entry's JSON text
+	 */
+	public record Row(String cursor, String writer, String text) {
+
+		/**
+		 * Reads the entry.
+		 * @return the entry
+		 * @throws IOException if the text is of no known kind
+		 */
+		public LedgerEntry entry() throws IOException {
+			return LedgerEntry.read(this.text);
+		}
+
+	}
+
 }
--- a/daemon/src/main/java/org/gullsaddle/entry/AdminApi.java
+++ b/daemon/src/main/java/org/gullsaddle/entry/AdminApi.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
+import io.reactivex.rxjava3.core.Flowable;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import io.vertx.ext.web.Router;
@@ -17,6 +18,7 @@
 import org.gullsaddle.base.TeamId;
 import org.gullsaddle.base.TemplateName;
 import org.gullsaddle.controller.ConflictException;
+import org.gullsaddle.controller.LedgerReader;
 import org.gullsaddle.ledger.Bills;
 import org.gullsaddle.ledger.LedgerEntry;
 import org.gullsaddle.settings.AccessKey;
@@ -80,6 +82,8 @@
 		router.get("/admin/v1/traces/:request").handler(this::trace);
 		router.get("/admin/v1/ledger").handler(this::ledger);
 		router.get("/admin/v1/bills").handler(this::bills);
+		router.get("/admin/v1/segments").handler(this::segments);
+		router.get("/admin/v1/heads").handler(this::heads);
 	}
 
 	private void authenticate(RoutingContext context) {
@@ -236,7 +240,8 @@
 		RequestId request = new RequestId(context.pathParam("request"));
 		Settings.Operator operator = context.get(OPERATOR);
 		this.node.reader()
-			.entries(from(context), to(context))
+			.rows(from(context), to(context), "")
+			.map(LedgerReader.Row::entry)
 			.filter((entry) -> entry.request().equals(request))
 			.filter((entry) -> operator.mayRead(team(entry)))
 			.toList()
@@ -255,19 +260,40 @@
 	private void ledger(RoutingContext context) {
 		Settings.Operator operator = context.get(OPERATOR);
 		String team = context.request().getParam("team", "");
+		lines(context, this.node.reader()
+			.rows(from(context), to(context), context.request().getParam("after", ""))
+			.filter((row) -> operator.mayRead(team(row.entry())))
+			.filter((row) -> team.isEmpty() || team(row.entry()).value().equals(team))
+			.map((row) -> new JsonObject(row.text()).put("writer", row.writer()).put("cursor", row.cursor()).encode()));
+	}
+
+	private void segments(RoutingContext context) {
+		if (mayChange(context)) {
+			lines(context, this.node.reader().segments(from(context), to(context)).map(Json::write));
+		}
+	}
+
+	private void heads(RoutingContext context) {
+		if (mayChange(context)) {
+			lines(context, this.node.reader().heads().map(Json::write));
+		}
+	}
+
+	/**
+	 * Answers with JSON lines. An answer that breaks off is reset, so that it does not
+	 * pass for a whole one.
+	 */
+	private static void lines(RoutingContext context, Flowable<String> lines) {
 		context.response().putHeader("Content-Type", "application/x-ndjson").setChunked(true);
-		this.node.reader()
-			.entries(from(context), to(context))
-			.filter((entry) -> operator.mayRead(team(entry)))
-			.filter((entry) -> team.isEmpty() || team(entry).value().equals(team))
-			.subscribe((entry) -> context.response().write(entry.text() + "\n"),
-					(failure) -> context.response().reset(), () -> context.response().end());
+		lines.subscribe((line) -> context.response().write(line + "\n"), (failure) -> context.response().reset(),
+				() -> context.response().end());
 	}
 
 	private void bills(RoutingContext context) {
 		Settings.Operator operator = context.get(OPERATOR);
 		this.node.reader()
-			.entries(from(context), to(context))
+			.rows(from(context), to(context), "")
+			.map(LedgerReader.Row::entry)
 			.filter((entry) -> operator.mayRead(team(entry)))
 			.collect(ArrayList<LedgerEntry>::new, ArrayList::add)
 			.subscribe((entries) -> {
