--- a/demo/cluster.sh
+++ b/demo/cluster.sh
@@ -81,7 +81,7 @@
   kind: $4
   backend: http://127.0.0.1:$5
   status: 127.0.0.1:$status
-  slots: 4
+  slots: ${SLOTS:-4}
   ${6:-}
 EOF
 	} >"$work/$1.yaml"
--- a/standin/src/main/java/org/gullsaddle/standin/Standin.java
+++ b/standin/src/main/java/org/gullsaddle/standin/Standin.java
@@ -9,8 +9,8 @@
  * Starts one stand-in in the foreground.
  */
 @Cli(name = "standin", description = "Stand-ins for the platform, a model engine and a plain service",
-		defaultCommand = Help.class,
-		commands = { PlatformCommand.class, EngineCommand.class, ServiceCommand.class, DemoCommand.class, Help.class })
+		defaultCommand = Help.class, commands = { PlatformCommand.class, EngineCommand.class, ServiceCommand.class,
+				DemoCommand.class, LoadCommand.class, Help.class })
 public final class Standin {
 
 	private Standin() {
