--- a/build/jdk.sh
+++ b/build/jdk.sh
@@ -26,7 +26,7 @@
 	return 1
 }
 
-jdk_choose || exit 1
+jdk_choose || return 1 2>/dev/null || exit 1
 export PATH="$JAVA_HOME/bin:$PATH"
 # Keeps Maven's own libraries from printing warnings about the newer JDK.
 export MAVEN_OPTS="${MAVEN_OPTS:-} -XX:+IgnoreUnrecognizedVMOptions --sun-misc-unsafe-memory-access=allow --enable-native-access=ALL-UNNAMED"
--- a/daemon/src/main/java/org/gullsaddle/entry/EntryNode.java
+++ b/daemon/src/main/java/org/gullsaddle/entry/EntryNode.java
@@ -64,7 +64,9 @@
 
 	private static final Logger LOG = LoggerFactory.getLogger(EntryNode.class);
 
-	private static final long TICK_MILLIS = 10;
+	private static final long TICK_MILLIS = 20;
+
+	private static final long REGISTER_TICK_MILLIS = 200;
 
 	private static final long FLUSH_MILLIS = 200;
 
@@ -517,6 +519,9 @@
 
 	private void tick() {
 		everywhere(new RouterEvent.Tick());
+	}
+
+	private void tickRegisters() {
 		this.claimRegister.tick();
 		this.sessionRegister.tick();
 	}
