--- /dev/null
+++ b/cli/src/test/java/org/gullsaddle/cli/GullsaddleTests.java
@@ -0,0 +1,63 @@
+package org.gullsaddle.cli;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
+
+class GullsaddleTests {
+
+	private static final String NOBODY = "http://127.0.0.1:1";
+
+	@TempDir
+	private Path folder;
+
+	private String file(String yaml) throws IOException {
+		return Files.writeString(this.folder.resolve("template.yaml"), yaml).toString();
+	}
+
+	@Test
+	void validTemplateIsToldSo() throws IOException {
+		String file = file("template: t\nversions: [{version: m@v1}]\n"
+				+ "teams: {a: {requestsPerSecond: 1, concurrent: 1, dollarsPerDay: 1}}\n");
+		assertThat(Gullsaddle.run("template", "check", file)).isZero();
+	}
+
+	@Test
+	void invalidTemplateHasItsOwnExitCode() throws IOException {
+		assertThat(Gullsaddle.run("template", "check", file("template: t\n"))).isEqualTo(3);
+	}
+
+	@Test
+	void wrongUseHasItsOwnExitCode() {
+		assertThat(Gullsaddle.run("template", "chek", "x")).isEqualTo(2);
+		assertThat(Gullsaddle.run("template", "check", "/does/not/exist")).isEqualTo(2);
+		assertThat(Gullsaddle.run("status", "--admin", NOBODY, "--output", "xml")).isEqualTo(2);
+	}
+
+	@Test
+	void entryThatCannotBeReachedIsAFailure() throws IOException {
+		assertThat(Gullsaddle.run("status", "--admin", NOBODY, "--key-file", file("key"))).isEqualTo(1);
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "2026-01-31T06:00:00Z", "24h", "7d", "now" })
+	void timesAreReadAsPeopleWriteThem(String text) throws CommandException {
+		assertThat(Times.millis(text)).isPositive();
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "yesterday", "24", "2026-01-31", "" })
+	void otherTimesAreRefused(String text) {
+		assertThatExceptionOfType(CommandException.class).isThrownBy(() -> Times.millis(text))
+			.withMessageContaining("is not a time");
+	}
+
+}
