A stricter oracle for records: only a copy that was asked for excuses a lost one

Cause: taking the copy at a third node out of a scratch copy was caught by AdmissionTests only; the oracle let the loss pass, as it took any missing copy for a slow link. Before: the mutant survived the fuzzing.

--- a/core/src/main/java/org/gullsaddle/agent/AdmissionSettings.java
+++ b/core/src/main/java/org/gullsaddle/agent/AdmissionSettings.java
@@ -32,4 +32,13 @@
 		return new AdmissionSettings(id, DEFAULT_MAX_QUEUED, DEFAULT_EXPECTED_MILLIS);
 	}
 
+	/**
+	 * Returns a copy with another bound of the queue.
+	 * @param queued how many attempts may wait
+	 * @return the settings
+	 */
+	public AdmissionSettings withMaxQueued(int queued) {
+		return new AdmissionSettings(this.id, queued, this.expectedMillis);
+	}
+
 }
--- a/core/src/test/java/org/gullsaddle/fuzz/FuzzAgent.java
+++ b/core/src/test/java/org/gullsaddle/fuzz/FuzzAgent.java
@@ -58,6 +58,8 @@
 
 	private final Set<AttemptId> secured = new HashSet<>();
 
+	private final Set<AttemptId> tried = new HashSet<>();
+
 	private final Map<RequestId, NodeId> copies = new HashMap<>();
 
 	private TemplateRevision heard;
@@ -271,7 +273,8 @@
 			case AdmissionAction.Refuse refuse -> this.world.toEntry(this.id, refuse.entry(), action);
 			case AdmissionAction.SendChunk chunk -> this.world.toEntry(this.id, chunk.entry(), action);
 			case AdmissionAction.SendDone done -> {
-				if (!this.secured.contains(done.attempt())) {
+				boolean alone = this.world.entriesOf(this.id).size() <= 1;
+				if (!this.secured.contains(done.attempt()) && (alone || this.tried.contains(done.attempt()))) {
 					this.world.oracle.onTwoNodesOnly(done.attempt().request().value());
 				}
 				this.world.toEntry(this.id, done.entry(), action);
@@ -282,6 +285,7 @@
 				this.world.oracle.heldBy(hold.line().line().attempt().request().value(), this.run);
 			}
 			case AdmissionAction.Copy copy -> {
+				this.tried.add(copy.line().line().attempt());
 				this.copies.put(copy.line().line().attempt().request(), copy.holder());
 				this.world.toEntry(this.id, copy.holder(), copy);
 			}
--- a/daemon/src/main/java/org/gullsaddle/backend/AgentNode.java
+++ b/daemon/src/main/java/org/gullsaddle/backend/AgentNode.java
@@ -126,8 +126,7 @@
 		BackendHttp http = new BackendHttp(vertx, agent.backend(), agent.slots());
 		this.backend = (agent.kind() == TemplateKind.CHAT) ? new EngineBackend(http)
 				: new ServiceBackend(http, agent.versions());
-		this.admission = new Admission(new AdmissionSettings(settings.node(), agent.maxQueued(),
-				AdmissionSettings.of(settings.node()).expectedMillis()));
+		this.admission = new Admission(AdmissionSettings.of(settings.node()).withMaxQueued(agent.maxQueued()));
 		templates.listen(this::templateChanged);
 	}
 
