Lost answers of template changes, and VMs that only the list calls leaving

Cause: neither had a test of its own. Ruled out: a change whose place another took being reported as taken. Before: the new test failed: such a change was told as of unknown outcome (exit code 6), though the history says that another's is there. After: it is a conflict (TemplateControllerTests, 6 cases); a server that the list calls leaving gets no new work (ProcessFaultTests.serverThatTheListCallsLeavingGetsNoNewWork).

--- a/daemon/src/main/java/org/gullsaddle/controller/TemplateController.java
+++ b/daemon/src/main/java/org/gullsaddle/controller/TemplateController.java
@@ -192,7 +192,9 @@
 		return this.store.write(key(name), held.map(Held::storeRevision).orElse(0L), puts)
 			.flatMap((revision) -> revision.isPresent() ? Single.just(next) : settle(next))
 			.onErrorResumeNext((failure) -> (failure instanceof StoreException lost && lost.unknown())
-					? settle(next).onErrorResumeNext((again) -> Single.error(failure)) : Single.error(failure));
+					? settle(next).onErrorResumeNext(
+							(again) -> Single.error((again instanceof ConflictException) ? again : failure))
+					: Single.error(failure));
 	}
 
 	/**
--- /dev/null
+++ b/daemon/src/test/java/org/gullsaddle/controller/TemplateControllerTests.java
@@ -0,0 +1,101 @@
+package org.gullsaddle.controller;
+
+import org.junit.jupiter.api.Test;
+
+import org.gullsaddle.store.StoreException;
+import org.gullsaddle.telemetry.NodeClock;
+import org.gullsaddle.template.Template;
+import org.gullsaddle.template.TemplateRevision;
+import org.gullsaddle.yaml.YamlException;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class TemplateControllerTests {
+
+	private static final String YAML = """
+			template: t
+			versions: [{version: m@v1}]
+			teams: {a: {requestsPerSecond: 1, concurrent: 1, dollarsPerDay: 1}}
+			""";
+
+	private final LossyStore store = new LossyStore();
+
+	private final TemplateController ann = controller();
+
+	private final TemplateController bo = controller();
+
+	private TemplateController controller() {
+		return new TemplateController(this.store, "p/", new NodeClock());
+	}
+
+	private static Template template() {
+		try {
+			return Template.parse(YAML);
+		}
+		catch (YamlException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	private static String change(TemplateController controller, long expected, String author) {
+		return controller.change(template(), YAML, expected, author)
+			.map((revision) -> "revision " + revision.revision() + " by " + revision.author())
+			.onErrorReturn((failure) -> failure.getClass().getSimpleName()
+					+ ((failure instanceof StoreException lost) ? " unknown " + lost.unknown() : ""))
+			.blockingGet();
+	}
+
+	@Test
+	void changeIsInForceHereAtOnce() {
+		assertThat(change(this.ann, 0, "ann")).isEqualTo("revision 1 by ann");
+		assertThat(this.ann.get(template().name())).map(TemplateRevision::revision).contains(1L);
+	}
+
+	@Test
+	void secondOfTwoOperatorsGetsAConflict() {
+		change(this.ann, 0, "ann");
+		assertThat(change(this.bo, 0, "bo")).isEqualTo("ConflictException");
+	}
+
+	/**
+	 * The store takes the change and its answer is lost. The operator is told that it was
+	 * taken, as it was.
+	 */
+	@Test
+	void lostAnswerOfAChangeThatWasTakenIsFoundOut() {
+		this.store.lose(LossyStore.Loss.AFTER, () -> {
+		});
+		assertThat(change(this.ann, 0, "ann")).isEqualTo("revision 1 by ann");
+	}
+
+	/**
+	 * The answer is lost, and before the first operator's entry looks again another
+	 * operator has changed the template further. The first change was taken all the same.
+	 */
+	@Test
+	void lostAnswerOfAChangeThatWasOverwrittenIsFoundOut() {
+		this.store.lose(LossyStore.Loss.AFTER, () -> change(this.bo, 1, "bo"));
+		assertThat(change(this.ann, 0, "ann")).isEqualTo("revision 1 by ann");
+		assertThat(this.bo.history(template().name(), 10).blockingGet()).extracting(TemplateRevision::author)
+			.containsExactly("ann", "bo");
+	}
+
+	/**
+	 * The change never reached the store, and another operator's takes its place. Ann is
+	 * told of the conflict, and not that hers is in force.
+	 */
+	@Test
+	void lostChangeThatAnotherTookThePlaceOfIsAConflict() {
+		this.store.lose(LossyStore.Loss.BEFORE, () -> change(this.bo, 0, "bo"));
+		assertThat(change(this.ann, 0, "ann")).isEqualTo("ConflictException");
+	}
+
+	@Test
+	void lostChangeThatNobodyTookIsToldAsUnknown() {
+		this.store.lose(LossyStore.Loss.BEFORE, () -> {
+		});
+		assertThat(change(this.ann, 0, "ann")).isEqualTo("StoreException unknown true");
+		assertThat(this.ann.get(template().name())).isEmpty();
+	}
+
+}
--- a/standin/src/test/java/org/gullsaddle/standin/Cluster.java
+++ b/standin/src/test/java/org/gullsaddle/standin/Cluster.java
@@ -153,11 +153,22 @@
 	private void daemon(String name, String role, String settings) throws Exception {
 		Path file = this.folder.resolve(name + ".yaml");
 		Files.writeString(file, settings);
+		list(name, role, "live");
+		java(name, "org.gullsaddle.daemon.Gullsaddled", List.of("--settings", file.toString()));
+	}
+
+	/**
+	 * Has the platform list a node in a state.
+	 */
+	void list(String name, String state) {
+		list(name, name.startsWith("entry") ? "entry" : "agent", state);
+	}
+
+	private void list(String name, String role, String state) {
 		JsonObject vm = new JsonObject().put("role", role)
 			.put("address", "127.0.0.1:" + this.ports.get(name + "-peer"))
-			.put("state", "live");
+			.put("state", state);
 		send("PUT", "platform", "/vms/" + name, vm.encode(), Map.of());
-		java(name, "org.gullsaddle.daemon.Gullsaddled", List.of("--settings", file.toString()));
 	}
 
 	private void java(String name, String main, List<String> arguments) throws IOException {
--- a/standin/src/test/java/org/gullsaddle/standin/ProcessFaultTests.java
+++ b/standin/src/test/java/org/gullsaddle/standin/ProcessFaultTests.java
@@ -208,6 +208,24 @@
 		}
 	}
 
+	/**
+	 * The platform's list says that a VM is leaving; its agent says nothing. Both entries
+	 * send it no new work any more.
+	 */
+	@Test
+	void serverThatTheListCallsLeavingGetsNoNewWork() throws Exception {
+		try (Cluster cluster = Cluster.start("agent-1", "agent-2")) {
+			cluster.list("agent-1", "leaving");
+			Thread.sleep(1500);
+			JsonObject before = cluster.get("backend-of-agent-1", "/stats").getJsonObject("served");
+			for (int i = 0; i < 20; i++) {
+				String entry = (i % 2 == 0) ? "entry-1" : "entry-2";
+				assertThat(cluster.chat(entry, Cluster.GOLD, "3 words " + i, Map.of()).statusCode()).isEqualTo(200);
+			}
+			assertThat(cluster.get("backend-of-agent-1", "/stats").getJsonObject("served")).isEqualTo(before);
+		}
+	}
+
 	/**
 	 * A prompt crashes each engine that runs it; its caller sends it again through the
 	 * other entry. It costs two engines at most, and the caller is told that it is the
