An attempt that ends after its request frees its server

Cause: read as a newcomer, an end that belonged to no open request was dropped whole; the attempt went on counting as running at its agent, as after a cheap answer given at the deadline while the dear one ran. Ruled out: keeping the request open until the late end (its record would wait). Before: the new test failed: after a few such ends their server was passed over. After: it passes (RouterTests.Chats.attemptThatEndsAfterItsRequestFreesItsServer), with all 130 tests of core.

--- a/core/src/main/java/org/gullsaddle/route/Balancer.java
+++ b/core/src/main/java/org/gullsaddle/route/Balancer.java
@@ -84,6 +84,14 @@
 		}
 	}
 
+	/**
+	 * Notes the end of an attempt whose request had its end before. Left out, the attempt
+	 * would count as running for ever, and its server would get less work after each.
+	 */
+	void endedLate(AttemptId attempt) {
+		this.agents.values().forEach((agent) -> agent.ended(attempt));
+	}
+
 	void succeeded(NodeId agent) {
 		AgentState state = this.agents.get(agent);
 		if (state != null) {
--- a/core/src/main/java/org/gullsaddle/route/Router.java
+++ b/core/src/main/java/org/gullsaddle/route/Router.java
@@ -338,6 +338,7 @@
 	private void done(Moment now, RouterEvent.AttemptDone event) {
 		RequestState state = this.open.current(event.attempt());
 		if (state == null) {
+			this.balancer.endedLate(event.attempt());
 			return;
 		}
 		if (!state.answered() && event.length() != state.received().length()) {
@@ -407,6 +408,7 @@
 	private void refused(Moment now, RouterEvent.AttemptRefused event) {
 		RequestState state = this.open.current(event.attempt());
 		if (state == null) {
+			this.balancer.endedLate(event.attempt());
 			return;
 		}
 		Refusal refusal = event.refusal();
@@ -441,6 +443,7 @@
 	private void failed(Moment now, RouterEvent.AttemptFailed event) {
 		RequestState state = this.open.current(event.attempt());
 		if (state == null) {
+			this.balancer.endedLate(event.attempt());
 			return;
 		}
 		long cost = (state.answered() && !event.crashed()) ? cost(state, event.usage()) : 0;
--- a/core/src/test/java/org/gullsaddle/route/RouterTests.java
+++ b/core/src/test/java/org/gullsaddle/route/RouterTests.java
@@ -144,6 +144,31 @@
 			assertThat(all(RouterAction.Refuse.class)).isEmpty();
 		}
 
+		/**
+		 * The dear answer is not there at the deadline, and the caller gets the cheap
+		 * one. What ran for it ends later; the backend server is free then, and must
+		 * count as free, or it would get less work after each such end and none at last.
+		 */
+		@Test
+		void attemptThatEndsAfterItsRequestFreesItsServer() {
+			for (int i = 0; i < 8; i++) {
+				RequestId id = new RequestId("late-" + i);
+				happens(new RouterEvent.Arrived(IncomingRequest.of(id, new TeamId("gold"), Templates.ASSISTANT_NAME)
+					.prefixHash(7)
+					.deadline(RouterTests.this.now + 1000)
+					.build()));
+				answers(sent().attempt(), "cheap");
+				happens(new RouterEvent.AnswerRated(sent().attempt(), OptionalDouble.of(0.2)));
+				RouterTests.this.now += 1000;
+				happens(new RouterEvent.Tick());
+				happens(new RouterEvent.AttemptFailed(sent().attempt(), Verdict.MAY_HAVE_RUN, false, Usage.NONE));
+			}
+			assertThat(all(RouterAction.Complete.class)).hasSize(8);
+			assertThat(all(RouterAction.Send.class)).hasSize(16)
+				.extracting(RouterAction.Send::agent)
+				.containsOnly(all(RouterAction.Send.class).get(0).agent());
+		}
+
 		/**
 		 * Two words reached the caller, then the backend server broke off. The answer
 		 * goes on from them on another one, on the same version.
