The balancer itself notes every attempt's end, whatever became of its request

Cause: read over, the mending of late ends was a special case on top: three handlers told the balancer of an end in one way for open requests and in another, searching all agents, for closed ones. Ruled out: leaving both ways (each new handler would have to know of them). Before: two methods and six calls. After: one method and three calls, first in each handler; the balancer knows where an attempt runs. The operator's expected rating of a version, and the keeping of a rated answer, stand once too.

--- a/core/src/main/java/org/gullsaddle/route/Balancer.java
+++ b/core/src/main/java/org/gullsaddle/route/Balancer.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -29,6 +30,8 @@
 
 	private final Map<NodeId, AgentState> agents = new TreeMap<>();
 
+	private final Map<AttemptId, AgentState> running = new HashMap<>();
+
 	private final String region;
 
 	private final String dataCenter;
@@ -70,26 +73,30 @@
 	 */
 	Set<AttemptId> down(NodeId agent) {
 		AgentState state = this.agents.remove(agent);
-		return (state != null) ? state.outstanding() : Set.of();
+		if (state == null) {
+			return Set.of();
+		}
+		Set<AttemptId> lost = state.outstanding();
+		this.running.keySet().removeAll(lost);
+		return lost;
 	}
 
 	void sent(NodeId agent, AttemptId attempt) {
-		this.agents.get(agent).sent(attempt);
-	}
-
-	void ended(NodeId agent, AttemptId attempt) {
 		AgentState state = this.agents.get(agent);
-		if (state != null) {
-			state.ended(attempt);
-		}
+		state.sent(attempt);
+		this.running.put(attempt, state);
 	}
 
 	/**
-	 * Notes the end of an attempt whose request had its end before. Left out, the attempt
-	 * would count as running for ever, and its server would get less work after each.
+	 * Notes the end of an attempt, also of one whose request had its end before: left
+	 * out, it would count as running for ever, and its server would get less work after
+	 * each.
 	 */
-	void endedLate(AttemptId attempt) {
-		this.agents.values().forEach((agent) -> agent.ended(attempt));
+	void ended(AttemptId attempt) {
+		AgentState state = this.running.remove(attempt);
+		if (state != null) {
+			state.ended(attempt);
+		}
 	}
 
 	void succeeded(NodeId agent) {
--- a/core/src/main/java/org/gullsaddle/route/RequestState.java
+++ b/core/src/main/java/org/gullsaddle/route/RequestState.java
@@ -17,12 +17,15 @@
 import org.gullsaddle.ledger.RequestRecord;
 import org.gullsaddle.template.Template;
 import org.gullsaddle.template.TemplateRevision;
+import org.gullsaddle.template.VersionRule;
 
 /**
  * An open request: what was decided, what is outstanding and what came back.
  */
 final class RequestState {
 
+	private static final double UNKNOWN_QUALITY = 0.5;
+
 	private final IncomingRequest request;
 
 	private final long admitted;
@@ -140,6 +143,13 @@
 		return new QualityBook.Subject(this.request.template(), team(), version(), before);
 	}
 
+	/**
+	 * Returns the mean rating that the operator expects of a version.
+	 */
+	double expectedQuality(ModelVersion version) {
+		return template().rule(version).map(VersionRule::quality).orElse(UNKNOWN_QUALITY);
+	}
+
 	boolean lastStage() {
 		return this.plan.isLast(this.stage);
 	}
--- a/core/src/main/java/org/gullsaddle/route/Router.java
+++ b/core/src/main/java/org/gullsaddle/route/Router.java
@@ -22,7 +22,6 @@
 import org.gullsaddle.template.Template;
 import org.gullsaddle.template.TemplateBook;
 import org.gullsaddle.template.TemplateRevision;
-import org.gullsaddle.template.VersionRule;
 
 /**
  * Decides what happens to the requests of an entry. Single-threaded: hand it one event at
@@ -336,9 +335,9 @@
 	}
 
 	private void done(Moment now, RouterEvent.AttemptDone event) {
+		this.balancer.ended(event.attempt());
 		RequestState state = this.open.current(event.attempt());
 		if (state == null) {
-			this.balancer.endedLate(event.attempt());
 			return;
 		}
 		if (!state.answered() && event.length() != state.received().length()) {
@@ -348,7 +347,6 @@
 		Completion completion = event.completion();
 		long cost = cost(state, completion.usage());
 		RequestState.Outstanding closed = state.close(Verdict.RAN, "done", completion.usage(), cost, now.stamp());
-		this.balancer.ended(closed.agent(), event.attempt());
 		this.balancer.succeeded(closed.agent());
 		announce(this.guard.ended(state.request().template(), closed.version(), false));
 		if (closed.alone()) {
@@ -388,33 +386,31 @@
 		double bar = state.plan().bar();
 		ModelVersion version = state.version();
 		if (score.isPresent()) {
-			double expected = state.template().rule(version).map(VersionRule::quality).orElse(0.5);
+			double expected = state.expectedQuality(version);
 			this.quality.rated(state.subject(), expected, score.getAsDouble(), bar);
 			announce(this.guard.rated(state.request().template(), version, expected, score.getAsDouble()));
 		}
 		else {
 			this.noCascadesUntil = now.millis() + RATER_PAUSE_MILLIS;
 		}
+		state.keepFallback();
 		if (score.isPresent() && score.getAsDouble() >= bar) {
-			state.keepFallback();
 			this.answers.deliverFallback(now, state, FinalAnswers.SERVED);
 			return;
 		}
-		state.keepFallback();
 		state.nextStage();
 		send(now, state);
 	}
 
 	private void refused(Moment now, RouterEvent.AttemptRefused event) {
+		this.balancer.ended(event.attempt());
 		RequestState state = this.open.current(event.attempt());
 		if (state == null) {
-			this.balancer.endedLate(event.attempt());
 			return;
 		}
 		Refusal refusal = event.refusal();
 		RequestState.Outstanding closed = state.close(Verdict.NOT_RUN, refusal.reason().toString(), Usage.NONE, 0,
 				now.stamp());
-		this.balancer.ended(closed.agent(), event.attempt());
 		if (refusal.reason() == RefusalReason.LEAVING || refusal.reason() == RefusalReason.STOPPING) {
 			this.balancer.leaving(closed.agent());
 		}
@@ -441,15 +437,14 @@
 	}
 
 	private void failed(Moment now, RouterEvent.AttemptFailed event) {
+		this.balancer.ended(event.attempt());
 		RequestState state = this.open.current(event.attempt());
 		if (state == null) {
-			this.balancer.endedLate(event.attempt());
 			return;
 		}
 		long cost = (state.answered() && !event.crashed()) ? cost(state, event.usage()) : 0;
 		RequestState.Outstanding closed = state.close(event.verdict(),
 				event.crashed() ? "backend-crashed" : "backend-failed", event.usage(), cost, now.stamp());
-		this.balancer.ended(closed.agent(), event.attempt());
 		if (!state.answered() && event.verdict() != Verdict.NOT_RUN
 				&& this.balancer.failed(now.millis(), closed.agent(), closed.version())) {
 			announce(this.guard.ended(state.request().template(), closed.version(), true));
--- a/core/src/main/java/org/gullsaddle/route/SpotChecks.java
+++ b/core/src/main/java/org/gullsaddle/route/SpotChecks.java
@@ -10,7 +10,6 @@
 import org.gullsaddle.base.ModelVersion;
 import org.gullsaddle.rollout.Halt;
 import org.gullsaddle.rollout.VersionGuard;
-import org.gullsaddle.template.VersionRule;
 
 /**
  * Has a share of the answers rated that callers got directly, so that a version whose
@@ -48,7 +47,7 @@
 			return Optional.empty();
 		}
 		AttemptId attempt = new AttemptId(state.id(), state.attempts());
-		double expected = state.template().rule(version).map(VersionRule::quality).orElse(0.5);
+		double expected = state.expectedQuality(version);
 		double bar = state.template().team(state.team()).map(Planner::bar).orElse(0.0);
 		this.waiting.put(attempt, new Check(state.subject(), expected, bar));
 		return Optional.of(new RouterAction.Rate(attempt, version, state.request().body(), answer));
