Hashes, ledger keys, run names and revision numbers each stand once

Ruled out: folding the command-line tool's small commands into one another; they share annotations more than logic. Before: two copies of each. After: Digests, LedgerKeys, Settings.run and TemplateController.revisions. The bytes hashed and signed are the same as before; 117 tests of the ledger, the daemon, the tool, the outer contracts and a killed entry pass, none changed.

--- a/daemon/src/main/java/org/gullsaddle/backend/AgentNode.java
+++ b/daemon/src/main/java/org/gullsaddle/backend/AgentNode.java
@@ -30,7 +30,6 @@
 import org.gullsaddle.base.ModelVersion;
 import org.gullsaddle.base.NodeId;
 import org.gullsaddle.base.RequestId;
-import org.gullsaddle.base.TemplateName;
 import org.gullsaddle.base.Usage;
 import org.gullsaddle.base.Verdict;
 import org.gullsaddle.controller.LedgerController;
@@ -413,9 +412,7 @@
 	}
 
 	private Frame.InForce inForce() {
-		Map<TemplateName, Long> revisions = new HashMap<>();
-		this.templates.all().forEach((name, revision) -> revisions.put(name, revision.revision()));
-		return new Frame.InForce(revisions);
+		return new Frame.InForce(this.templates.revisions());
 	}
 
 }
--- a/daemon/src/main/java/org/gullsaddle/controller/LedgerController.java
+++ b/daemon/src/main/java/org/gullsaddle/controller/LedgerController.java
@@ -1,8 +1,5 @@
 package org.gullsaddle.controller;
 
-import java.time.Instant;
-import java.time.ZoneOffset;
-import java.time.format.DateTimeFormatter;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -29,13 +26,11 @@
 
 	private static final Logger LOG = LoggerFactory.getLogger(LedgerController.class);
 
-	private static final DateTimeFormatter HOUR = DateTimeFormatter.ofPattern("yyyyMMddHH").withZone(ZoneOffset.UTC);
-
 	private static final int MAX_PENDING = 50_000;
 
 	private final Store store;
 
-	private final String prefix;
+	private final LedgerKeys keys;
 
 	private final NodeClock clock;
 
@@ -56,7 +51,7 @@
 	public LedgerController(Store store, String prefix, NodeClock clock, String writer,
 			Consumer<List<RequestId>> recorded) {
 		this.store = store;
-		this.prefix = prefix;
+		this.keys = new LedgerKeys(prefix);
 		this.clock = clock;
 		this.writer = new LedgerWriter(writer, MAX_PENDING);
 		this.recorded = recorded;
@@ -120,8 +115,7 @@
 		if (segment.isPresent() && this.key == null) {
 			// The hour is part of the key, and must not change while the write is in
 			// doubt.
-			this.key = this.prefix + "ledger/" + HOUR.format(Instant.ofEpochMilli(this.clock.wallMillis())) + "/"
-					+ segment.get().writer() + "/" + String.format("%010d", segment.get().sequence());
+			this.key = this.keys.segment(this.clock.wallMillis(), segment.get());
 		}
 		return segment;
 	}
@@ -129,7 +123,7 @@
 	private Completable write(Segment segment) {
 		String target = this.key;
 		Store.Put put = new Store.Put(target, Json.write(segment));
-		Store.Put head = new Store.Put(this.prefix + "heads/" + segment.writer(),
+		Store.Put head = new Store.Put(this.keys.head(segment.writer()),
 				Json.write(new LedgerHead(segment.writer(), segment.sequence(), segment.head())));
 		return this.store.write(target, 0, List.of(put, head))
 			.flatMap((revision) -> revision.isPresent() ? Single.just(true) : isOurs(target, segment))
--- a/daemon/src/main/java/org/gullsaddle/controller/LedgerReader.java
+++ b/daemon/src/main/java/org/gullsaddle/controller/LedgerReader.java
@@ -1,9 +1,6 @@
 package org.gullsaddle.controller;
 
 import java.io.IOException;
-import java.time.Instant;
-import java.time.ZoneOffset;
-import java.time.format.DateTimeFormatter;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -20,15 +17,11 @@
  */
 public final class LedgerReader {
 
-	private static final DateTimeFormatter HOUR = DateTimeFormatter.ofPattern("yyyyMMddHH").withZone(ZoneOffset.UTC);
-
 	private static final int PAGE = 10;
 
 	private final Store store;
 
-	private final String prefix;
-
-	private final String headPrefix;
+	private final LedgerKeys keys;
 
 	/**
 	 * Makes a reader.
@@ -37,8 +30,7 @@
 	 */
 	public LedgerReader(Store store, String prefix) {
 		this.store = store;
-		this.prefix = prefix + "ledger/";
-		this.headPrefix = prefix + "heads/";
+		this.keys = new LedgerKeys(prefix);
 	}
 
 	/**
@@ -48,8 +40,7 @@
 	 * @return the segments
 	 */
 	public Flowable<Segment> segments(long fromMillis, long toMillis) {
-		return values(this.prefix + HOUR.format(Instant.ofEpochMilli(fromMillis)), toMillis)
-			.map((value) -> Json.read(value.value(), Segment.class));
+		return values(this.keys.hour(fromMillis), toMillis).map((value) -> Json.read(value.value(), Segment.class));
 	}
 
 	/**
@@ -57,7 +48,7 @@
 	 * @return the heads
 	 */
 	public Flowable<LedgerHead> heads() {
-		return pages(this.headPrefix, "").map((value) -> Json.read(value.value(), LedgerHead.class));
+		return pages(this.keys.heads(), "").map((value) -> Json.read(value.value(), LedgerHead.class));
 	}
 
 	/**
@@ -69,8 +60,7 @@
 	 */
 	public Flowable<Row> rows(long fromMillis, long toMillis, String after) {
 		int colon = after.lastIndexOf(':');
-		String first = (colon > 0) ? this.prefix + after.substring(0, colon)
-				: this.prefix + HOUR.format(Instant.ofEpochMilli(fromMillis));
+		String first = (colon > 0) ? this.keys.segments() + after.substring(0, colon) : this.keys.hour(fromMillis);
 		int skipped = (colon > 0) ? Integer.parseInt(after.substring(colon + 1)) : 0;
 		Flowable<Row> rest = values(first, toMillis).concatMapIterable(this::rows);
 		if (colon <= 0) {
@@ -86,15 +76,15 @@
 		Segment segment = Json.read(value.value(), Segment.class);
 		List<Row> rows = new ArrayList<>();
 		for (Segment.Row row : segment.rows()) {
-			String cursor = value.key().substring(this.prefix.length()) + ":" + (rows.size() + 1);
+			String cursor = value.key().substring(this.keys.segments().length()) + ":" + (rows.size() + 1);
 			rows.add(new Row(cursor, segment.writer(), row.text()));
 		}
 		return rows;
 	}
 
 	private Flowable<Store.StoredValue> values(String after, long toMillis) {
-		String last = this.prefix + HOUR.format(Instant.ofEpochMilli(toMillis)) + "~";
-		return pages(this.prefix, after).takeWhile((value) -> value.key().compareTo(last) < 0);
+		String last = this.keys.hour(toMillis) + "~";
+		return pages(this.keys.segments(), after).takeWhile((value) -> value.key().compareTo(last) < 0);
 	}
 
 	private Flowable<Store.StoredValue> pages(String under, String after) {
--- a/daemon/src/main/java/org/gullsaddle/controller/TemplateController.java
+++ b/daemon/src/main/java/org/gullsaddle/controller/TemplateController.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -96,6 +97,16 @@
 		return this.book.all();
 	}
 
+	/**
+	 * Returns the numbers of the revisions in force.
+	 * @return a snapshot, by template
+	 */
+	public synchronized Map<TemplateName, Long> revisions() {
+		Map<TemplateName, Long> numbers = new HashMap<>();
+		this.book.all().forEach((name, revision) -> numbers.put(name, revision.revision()));
+		return numbers;
+	}
+
 	/**
 	 * Returns a template in force.
 	 * @param name its name
--- a/daemon/src/main/java/org/gullsaddle/daemon/Daemon.java
+++ b/daemon/src/main/java/org/gullsaddle/daemon/Daemon.java
@@ -133,7 +133,7 @@
 	private void startAgent(Store store, TemplateController templates) throws IOException {
 		PeerIdentity self = new PeerIdentity(this.settings.node(), Role.AGENT, this.settings.peers().key(), this.clock,
 				() -> -1);
-		String run = this.settings.node() + "." + Long.toString(this.clock.wallMillis(), Character.MAX_RADIX);
+		String run = this.settings.run(this.clock.wallMillis());
 		LedgerController ledger = new LedgerController(store, this.settings.store().prefix(), this.clock, run,
 				(requests) -> LOG.atInfo().addKeyValue("lines", requests.size()).log("held lines written"));
 		this.agent = new AgentNode(this.vertx, this.settings, this.clock, this.telemetry, templates, ledger);
--- a/daemon/src/main/java/org/gullsaddle/entry/EntryNode.java
+++ b/daemon/src/main/java/org/gullsaddle/entry/EntryNode.java
@@ -150,8 +150,7 @@
 		this.templates = templates;
 		Settings.Entry entry = settings.entry().orElseThrow();
 		String prefix = settings.store().prefix();
-		// A run's name: a dead run's ledger and grants are not taken for this one's.
-		String run = settings.node() + "." + Long.toString(clock.wallMillis(), Character.MAX_RADIX);
+		String run = settings.run(clock.wallMillis());
 		this.ledger = new LedgerController(store, prefix, clock, run, this::recorded);
 		this.copies = new HeldCopies(this.ledger, clock);
 		this.reader = new LedgerReader(store, prefix);
@@ -275,7 +274,7 @@
 			case Frame.Recorded others -> this.copies.recorded(others.requests());
 			case Frame.Templates pushed -> {
 				pushed.revisions().forEach(this.templates::apply);
-				link.send(new Frame.InForce(revisions()));
+				link.send(new Frame.InForce(this.templates.revisions()));
 			}
 			case Frame.InForce revisions -> this.inForce.put(link.peer(), Map.copyOf(revisions.revisions()));
 			case Frame.Halted halted -> {
@@ -489,12 +488,6 @@
 			.toList();
 	}
 
-	private Map<TemplateName, Long> revisions() {
-		Map<TemplateName, Long> revisions = new HashMap<>();
-		this.templates.all().forEach((name, revision) -> revisions.put(name, revision.revision()));
-		return revisions;
-	}
-
 	private void templateChanged(TemplateRevision revision) {
 		this.allowances.apply(revision.template(), this.clock.millis());
 		// The agents hear of it first: a dispatch under a revision that its agent does
--- a/daemon/src/main/java/org/gullsaddle/entry/Sessions.java
+++ b/daemon/src/main/java/org/gullsaddle/entry/Sessions.java
@@ -1,7 +1,6 @@
 package org.gullsaddle.entry;
 
 import java.nio.charset.StandardCharsets;
-import java.security.GeneralSecurityException;
 import java.security.MessageDigest;
 import java.util.Base64;
 import java.util.LinkedHashMap;
@@ -9,11 +8,9 @@
 import java.util.Optional;
 import java.util.UUID;
 
-import javax.crypto.Mac;
-import javax.crypto.spec.SecretKeySpec;
-
 import io.reactivex.rxjava3.core.Single;
 
+import org.gullsaddle.base.Digests;
 import org.gullsaddle.base.ModelVersion;
 import org.gullsaddle.base.SessionId;
 import org.gullsaddle.base.TeamId;
@@ -29,8 +26,6 @@
  */
 final class Sessions {
 
-	private static final String ALGORITHM = "HmacSHA256";
-
 	private static final long PIN_MILLIS = 1500;
 
 	private static final int MAX_REMEMBERED = 50_000;
@@ -111,14 +106,7 @@
 	}
 
 	private byte[] sign(String text) {
-		try {
-			Mac mac = Mac.getInstance(ALGORITHM);
-			mac.init(new SecretKeySpec(this.key, ALGORITHM));
-			return mac.doFinal(text.getBytes(StandardCharsets.UTF_8));
-		}
-		catch (GeneralSecurityException ex) {
-			throw new IllegalStateException("every Java platform has " + ALGORITHM, ex);
-		}
+		return Digests.hmac(this.key, text);
 	}
 
 	private static String encode(byte[] bytes) {
--- a/daemon/src/main/java/org/gullsaddle/settings/AccessKey.java
+++ b/daemon/src/main/java/org/gullsaddle/settings/AccessKey.java
@@ -1,12 +1,11 @@
 package org.gullsaddle.settings;
 
-import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
 
+import org.gullsaddle.base.Digests;
 import org.gullsaddle.yaml.YamlNode;
 
 /**
@@ -31,7 +30,7 @@
 	 * @return the owner, or empty if the key is not known
 	 */
 	public static <T> Optional<T> owner(List<AccessKey<T>> keys, String key) {
-		byte[] hash = hash(key);
+		byte[] hash = Digests.sha256(key);
 		T found = null;
 		for (AccessKey<T> each : keys) {
 			if (MessageDigest.isEqual(each.sha256(), hash)) {
@@ -51,13 +50,4 @@
 		return new AccessKey<>(owner, hash);
 	}
 
-	private static byte[] hash(String key) {
-		try {
-			return MessageDigest.getInstance("SHA-256").digest(key.getBytes(StandardCharsets.UTF_8));
-		}
-		catch (NoSuchAlgorithmException ex) {
-			throw new IllegalStateException("every Java platform has SHA-256", ex);
-		}
-	}
-
 }
--- a/daemon/src/main/java/org/gullsaddle/settings/Settings.java
+++ b/daemon/src/main/java/org/gullsaddle/settings/Settings.java
@@ -86,6 +86,16 @@
 		return new Settings(node, role, region, dataCenter, peers, store, vms, entry, agent, stop);
 	}
 
+	/**
+	 * Returns a name for one run of the node, which no other run has: what a run that
+	 * died left in the store is not taken for the next one's.
+	 * @param startMillis when the run started, in milliseconds since the epoch
+	 * @return the name
+	 */
+	public String run(long startMillis) {
+		return this.node + "." + Long.toString(startMillis, Character.MAX_RADIX);
+	}
+
 	private static void refuse(YamlNode root, String key, Role role) {
 		if (root.has(key)) {
 			root.problem(key, "must not be given for the role " + role);
--- a/daemon/src/main/java/org/gullsaddle/wire/Proof.java
+++ b/daemon/src/main/java/org/gullsaddle/wire/Proof.java
@@ -1,13 +1,13 @@
 package org.gullsaddle.wire;
 
 import java.nio.charset.StandardCharsets;
-import java.security.GeneralSecurityException;
 import java.security.MessageDigest;
 import java.security.SecureRandom;
+import java.util.ArrayList;
 import java.util.HexFormat;
+import java.util.List;
 
-import javax.crypto.Mac;
-import javax.crypto.spec.SecretKeySpec;
+import org.gullsaddle.base.Digests;
 
 /**
  * Proves knowledge of the shared key over both sides' nonces and names.
@@ -18,8 +18,6 @@
  */
 final class Proof {
 
-	private static final String ALGORITHM = "HmacSHA256";
-
 	private static final int NONCE_BYTES = 16;
 
 	private static final SecureRandom RANDOM = new SecureRandom();
@@ -37,19 +35,9 @@
 	}
 
 	String of(String label, String... parts) {
-		try {
-			Mac mac = Mac.getInstance(ALGORITHM);
-			mac.init(new SecretKeySpec(this.key, ALGORITHM));
-			mac.update(label.getBytes(StandardCharsets.UTF_8));
-			for (String part : parts) {
-				mac.update((byte) 0);
-				mac.update(part.getBytes(StandardCharsets.UTF_8));
-			}
-			return HexFormat.of().formatHex(mac.doFinal());
-		}
-		catch (GeneralSecurityException ex) {
-			throw new IllegalStateException("every Java platform has " + ALGORITHM, ex);
-		}
+		List<String> texts = new ArrayList<>(List.of(label));
+		texts.addAll(List.of(parts));
+		return HexFormat.of().formatHex(Digests.hmac(this.key, texts.toArray(String[]::new)));
 	}
 
 	boolean matches(String given, String label, String... parts) {
