--- a/daemon/src/main/java/org/gullsaddle/settings/Address.java
+++ b/core/src/main/java/org/gullsaddle/base/Address.java
@@ -1,6 +1,4 @@
-package org.gullsaddle.settings;
-
-import org.gullsaddle.base.Check;
+package org.gullsaddle.base;
 
 /**
  * An IP number and a port, written {@code 10.0.0.1:7100}.
--- /dev/null
+++ b/core/src/main/java/org/gullsaddle/fleet/EngineSpec.java
@@ -0,0 +1,20 @@
+package org.gullsaddle.fleet;
+
+import java.util.List;
+
+/**
+ * The shape of a service's model engines.
+ *
+ * @param slots how many requests one runs at once
+ * @param cacheTokens how many tokens its memory holds, for running requests and kept
+ * prompt parts together
+ * @param eventTokens how many tokens an event of a stream holds
+ * @param models the models it can run
+ */
+public record EngineSpec(int slots, long cacheTokens, int eventTokens, List<ModelSize> models) {
+
+	public EngineSpec {
+		models = List.copyOf(models);
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/gullsaddle/fleet/FleetChange.java
@@ -0,0 +1,70 @@
+package org.gullsaddle.fleet;
+
+/**
+ * Something that the platform tells of the deployment.
+ */
+public sealed interface FleetChange {
+
+	/**
+	 * A configuration was accepted.
+	 *
+	 * @param config the configuration
+	 */
+	record Configured(FleetConfig config) implements FleetChange {
+	}
+
+	/**
+	 * A replica's entry was written.
+	 *
+	 * @param replica the replica
+	 */
+	record Listed(Replica replica) implements FleetChange {
+	}
+
+	/**
+	 * A replica's entry was removed, or names no replica to use any more.
+	 *
+	 * @param id the replica
+	 */
+	record Unlisted(ReplicaId id) implements FleetChange {
+	}
+
+	/**
+	 * A roll-out was ordered.
+	 *
+	 * @param order the order
+	 * @param revision the store's revision of the order, another for each order
+	 */
+	record Ordered(RolloutOrder order, long revision) implements FleetChange {
+	}
+
+	/**
+	 * The state of a roll-out was written.
+	 *
+	 * @param service the service
+	 * @param target the release that it moves to
+	 * @param state the state
+	 * @param revision the store's revision of it
+	 */
+	record Progressed(ServiceName service, String target, RolloutState state, long revision) implements FleetChange {
+	}
+
+	/**
+	 * A node of this system wrote a note for the others.
+	 *
+	 * @param key where
+	 * @param value what
+	 */
+	record Noted(String key, String value) implements FleetChange {
+	}
+
+	/**
+	 * A record that cannot be read. It changes nothing.
+	 *
+	 * @param key where it stands
+	 * @param reason what is wrong with it
+	 */
+	record Unreadable(String key, String reason) implements FleetChange {
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/gullsaddle/fleet/FleetConfig.java
@@ -0,0 +1,107 @@
+package org.gullsaddle.fleet;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * One version of the operators' configuration. Immutable.
+ */
+public final class FleetConfig {
+
+	private final long version;
+
+	private final Map<String, List<Route>> routesByHost = new HashMap<>();
+
+	private final Map<String, Team> teamsByKey = new HashMap<>();
+
+	private final Map<ServiceName, ServiceSpec> services = new HashMap<>();
+
+	private final boolean keyed;
+
+	private final CallerLimits limits;
+
+	/**
+	 * Makes a configuration.
+	 * @param version its version; higher ones are newer
+	 * @param routes the routes
+	 * @param services the services
+	 * @param teams the teams; if there are none, requests need no key
+	 * @param limits what callers may send
+	 */
+	public FleetConfig(long version, List<Route> routes, List<ServiceSpec> services, List<Team> teams,
+			CallerLimits limits) {
+		this.version = version;
+		this.limits = limits;
+		this.keyed = !teams.isEmpty();
+		routes.forEach((route) -> this.routesByHost
+			.computeIfAbsent(route.host().toLowerCase(Locale.ROOT), (host) -> new ArrayList<>())
+			.add(route));
+		Comparator<Route> longestFirst = Comparator.comparingInt((Route route) -> route.prefix().length()).reversed();
+		this.routesByHost.values().forEach((list) -> list.sort(longestFirst));
+		services.forEach((service) -> this.services.put(service.name(), service));
+		teams.forEach((team) -> team.keys().forEach((key) -> this.teamsByKey.put(key, team)));
+	}
+
+	/**
+	 * Returns the version.
+	 * @return the version
+	 */
+	public long version() {
+		return this.version;
+	}
+
+	/**
+	 * Finds the route of a request, the one with the longest prefix.
+	 * @param host the host that the request names, perhaps with a port
+	 * @param path its path without the query
+	 * @return the route, or empty if none takes it
+	 */
+	public Optional<Route> route(String host, String path) {
+		int colon = host.lastIndexOf(':');
+		String name = ((colon < 0) ? host : host.substring(0, colon)).toLowerCase(Locale.ROOT);
+		return this.routesByHost.getOrDefault(name, List.of())
+			.stream()
+			.filter((route) -> path.startsWith(route.prefix()))
+			.findFirst();
+	}
+
+	/**
+	 * Says whether requests need a key unless their route is open.
+	 * @return true if there are teams
+	 */
+	public boolean keyed() {
+		return this.keyed;
+	}
+
+	/**
+	 * Finds the team that holds a key.
+	 * @param key the key
+	 * @return the team, or empty if none holds it
+	 */
+	public Optional<Team> team(String key) {
+		return Optional.ofNullable(this.teamsByKey.get(key));
+	}
+
+	/**
+	 * Finds a service.
+	 * @param name its name
+	 * @return the service, or empty if it is not configured
+	 */
+	public Optional<ServiceSpec> service(ServiceName name) {
+		return Optional.ofNullable(this.services.get(name));
+	}
+
+	/**
+	 * Returns what callers may send.
+	 * @return the limits
+	 */
+	public CallerLimits limits() {
+		return this.limits;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/gullsaddle/fleet/ServiceName.java
@@ -0,0 +1,26 @@
+package org.gullsaddle.fleet;
+
+import org.gullsaddle.base.Check;
+
+/**
+ * Names a service, a group of replicas that answer the same requests.
+ *
+ * @param value the text form, never {@code null}
+ */
+public record ServiceName(String value) implements Comparable<ServiceName> {
+
+	public ServiceName {
+		Check.notNull(value, "service");
+	}
+
+	@Override
+	public int compareTo(ServiceName other) {
+		return this.value.compareTo(other.value);
+	}
+
+	@Override
+	public String toString() {
+		return this.value;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/gullsaddle/fleet/ServiceSpec.java
@@ -0,0 +1,13 @@
+package org.gullsaddle.fleet;
+
+import java.util.Optional;
+
+/**
+ * A service as the operators configure it.
+ *
+ * @param name its name
+ * @param maxConnections how many connections one replica takes from all callers together
+ * @param engine the shape of its model engines, empty for a plain service
+ */
+public record ServiceSpec(ServiceName name, int maxConnections, Optional<EngineSpec> engine) {
+}
--- /dev/null
+++ b/core/src/main/java/org/gullsaddle/fleet/Team.java
@@ -0,0 +1,21 @@
+package org.gullsaddle.fleet;
+
+import java.util.OptionalInt;
+import java.util.Set;
+
+import org.gullsaddle.base.TeamId;
+
+/**
+ * A team and the keys that its callers present.
+ *
+ * @param id the team
+ * @param keys its keys
+ * @param rank its rank, 0 is the highest; it goes before that of a route
+ */
+public record Team(TeamId id, Set<String> keys, OptionalInt rank) {
+
+	public Team {
+		keys = Set.copyOf(keys);
+	}
+
+}
--- a/core/src/main/java/org/gullsaddle/rollout/ChangeDetector.java
+++ b/core/src/main/java/org/gullsaddle/rollout/ChangeDetector.java
@@ -5,26 +5,35 @@
  * whenever it falls below nothing, so that a long good time does not hide a turn for the
  * worse.
  */
-final class ChangeDetector {
+public final class ChangeDetector {
 
 	private final double threshold;
 
 	private double sum;
 
-	ChangeDetector(double threshold) {
+	/**
+	 * Makes a test.
+	 * @param threshold how much evidence is enough
+	 */
+	public ChangeDetector(double threshold) {
 		this.threshold = threshold;
 	}
 
 	/**
-	 * Adds evidence, positive for bad.
+	 * Adds evidence.
+	 * @param evidence the evidence, positive for bad
 	 * @return true once it is enough
 	 */
-	boolean add(double evidence) {
+	public boolean add(double evidence) {
 		this.sum = Math.max(0, this.sum + evidence);
 		return this.sum >= this.threshold;
 	}
 
-	double sum() {
+	/**
+	 * Returns the evidence so far.
+	 * @return the sum, 0 or more
+	 */
+	public double sum() {
 		return this.sum;
 	}
 
--- a/core/src/main/java/org/gullsaddle/route/AgentState.java
+++ b/core/src/main/java/org/gullsaddle/route/AgentState.java
@@ -6,20 +6,14 @@
 import org.gullsaddle.base.AgentInfo;
 import org.gullsaddle.base.AttemptId;
 import org.gullsaddle.base.LoadReport;
+import org.gullsaddle.serve.Ejection;
+import org.gullsaddle.serve.OthersLoad;
 
 /**
  * What the router knows of one agent.
  */
 final class AgentState {
 
-	private static final double SMOOTHING = 0.2;
-
-	private static final int FAILURES_TO_EJECT = 3;
-
-	private static final long EJECTED_MILLIS = 2000;
-
-	private static final int MAX_DOUBLINGS = 5;
-
 	private final Set<AttemptId> outstanding = new HashSet<>();
 
 	private AgentInfo info;
@@ -28,11 +22,9 @@
 
 	private boolean leaving;
 
-	private double others;
-
-	private int failures;
+	private final OthersLoad others = new OthersLoad();
 
-	private long ejectedUntil = Long.MIN_VALUE;
+	private final Ejection ejection = new Ejection();
 
 	AgentState(AgentInfo info) {
 		update(info);
@@ -45,8 +37,7 @@
 
 	void report(LoadReport newLoad) {
 		this.load = newLoad;
-		double notOurs = newLoad.running() + newLoad.waiting() - this.outstanding.size();
-		this.others += SMOOTHING * (notOurs - this.others);
+		this.others.report(newLoad, this.outstanding.size());
 	}
 
 	AgentInfo info() {
@@ -74,39 +65,25 @@
 	}
 
 	void succeeded() {
-		this.failures = 0;
-		this.ejectedUntil = Long.MIN_VALUE;
+		this.ejection.succeeded();
 	}
 
 	/**
 	 * Notes a failure; true if it is the first since a success.
-	 * <p>
-	 * A backend server that fails at once always looks empty, and would draw all work to
-	 * itself. After a few failures in a row it is left out for a while, then tried again.
 	 */
 	boolean failed(long now) {
-		this.failures++;
-		int over = this.failures - FAILURES_TO_EJECT;
-		if (over >= 0) {
-			this.ejectedUntil = now + (EJECTED_MILLIS << Math.min(over, MAX_DOUBLINGS));
-		}
-		return this.failures == 1;
+		return this.ejection.failed(now);
 	}
 
 	boolean ejected(long now) {
-		return now < this.ejectedUntil;
+		return this.ejection.ejected(now);
 	}
 
 	/**
 	 * Returns how full the backend server is likely to be; 1 is as many as it can run.
-	 * <p>
-	 * A report is seconds old, and every entry that trusts it sends to the same idle
-	 * server until the next one comes. What this entry has outstanding it knows exactly;
-	 * only the part of the others is taken from reports, and smoothed, as its moves are
-	 * old news.
 	 */
 	double pressure() {
-		return (this.outstanding.size() + Math.max(0, this.others)) / this.load.slots();
+		return (this.outstanding.size() + this.others.requests()) / this.load.slots();
 	}
 
 }
--- /dev/null
+++ b/core/src/main/java/org/gullsaddle/serve/AttemptEnd.java
@@ -0,0 +1,52 @@
+package org.gullsaddle.serve;
+
+/**
+ * How one attempt at a replica ended.
+ */
+public sealed interface AttemptEnd {
+
+	/**
+	 * The replica did not run it, and will not.
+	 *
+	 * @param unreachable whether no connection could be had, so that nothing was sent
+	 * @param reason why, in a word
+	 */
+	record NotRun(boolean unreachable, String reason) implements AttemptEnd {
+	}
+
+	/**
+	 * The replica gave its whole answer.
+	 *
+	 * @param status the HTTP status
+	 */
+	record Answered(int status) implements AttemptEnd {
+
+		private static final int SERVER_ERROR = 500;
+
+		/**
+		 * Says whether the replica failed.
+		 * @return true for a status of 500 or more
+		 */
+		public boolean failure() {
+			return this.status >= SERVER_ERROR;
+		}
+
+	}
+
+	/**
+	 * It may have run, wholly or in part, but no whole answer came.
+	 *
+	 * @param reason what went wrong, in a word
+	 */
+	record Broken(String reason) implements AttemptEnd {
+	}
+
+	/**
+	 * The caller left, or its time was over.
+	 *
+	 * @param reason which of them, in a word
+	 */
+	record Withdrawn(String reason) implements AttemptEnd {
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/gullsaddle/serve/Prompt.java
@@ -0,0 +1,33 @@
+package org.gullsaddle.serve;
+
+import java.util.List;
+import java.util.OptionalInt;
+
+/**
+ * What a caller tells of a generation before it runs.
+ *
+ * @param inputTokens how many tokens the prompt has
+ * @param maxOutputTokens how many tokens may be generated
+ * @param lengthHint the caller's estimate of the tokens generated: right at the median,
+ * often far off
+ * @param parts the prompt's parts in order, the last one its own or its session's
+ */
+public record Prompt(int inputTokens, int maxOutputTokens, OptionalInt lengthHint, List<PromptPart> parts) {
+
+	/** A request that generates nothing. */
+	public static final Prompt NONE = new Prompt(0, 0, OptionalInt.empty(), List.of());
+
+	public Prompt {
+		parts = List.copyOf(parts);
+	}
+
+	/**
+	 * Returns how many tokens will likely be generated.
+	 * @return the hint, or the allowed number without one
+	 */
+	public int likelyOutput() {
+		int hint = this.lengthHint.orElse(this.maxOutputTokens);
+		return (this.maxOutputTokens > 0) ? Math.min(hint, this.maxOutputTokens) : hint;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/gullsaddle/serve/ReplicaPicker.java
@@ -0,0 +1,202 @@
+package org.gullsaddle.serve;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.gullsaddle.base.LoadReport;
+import org.gullsaddle.base.Spread;
+import org.gullsaddle.fleet.Replica;
+import org.gullsaddle.fleet.ReplicaId;
+
+/**
+ * Picks the replica that a request goes to: the one with the least expected delay, where
+ * distance and what must be read of the prompt count as delay too. Confined to one
+ * thread.
+ */
+public final class ReplicaPicker {
+
+	/** How many prompt tokens an engine reads in a millisecond. */
+	private static final double PREFILL_TOKENS_PER_MILLI = 37.9;
+
+	/**
+	 * How much one more running request delays an engine's first token, in milliseconds:
+	 * its share of some twenty steps of a batch.
+	 */
+	private static final double ENGINE_REQUEST_MILLIS = 3;
+
+	/** How long a plain service works on a request, in milliseconds. */
+	private static final double SERVICE_REQUEST_MILLIS = 60;
+
+	/** What a replica in another data center of the region costs, in milliseconds. */
+	private static final double OTHER_DATA_CENTER_MILLIS = 60;
+
+	/**
+	 * What a replica in another region costs, in milliseconds: the round trips, and the
+	 * price of bytes on the link, which is some thirty times that of the time.
+	 */
+	private static final double OTHER_REGION_MILLIS = 400;
+
+	/**
+	 * What spoils the choice of a replica that nobody else would take for the same parts,
+	 * in milliseconds: nodes that do not tell each other what is kept where meet at the
+	 * same replica.
+	 */
+	private static final double NOT_PREFERRED_MILLIS = 60;
+
+	/** What a replica that fails all its requests costs, in milliseconds. */
+	private static final double FAILING_MILLIS = 3000;
+
+	/** The part of an engine's memory that is left for kept parts. */
+	private static final double KEPT_SHARE = 0.5;
+
+	private final Map<ReplicaId, ReplicaState> states = new HashMap<>();
+
+	private final Place here;
+
+	/**
+	 * Makes a picker.
+	 * @param here where this node is
+	 */
+	public ReplicaPicker(Place here) {
+		this.here = here;
+	}
+
+	/**
+	 * Picks a replica.
+	 * @param now the time in milliseconds
+	 * @param usable the replicas that take new work
+	 * @param tried those that refused or failed the request already
+	 * @param model the model that is to run, empty for a plain service
+	 * @param prompt the prompt
+	 * @return the replica, or empty if none is left
+	 */
+	public Optional<Choice> pick(long now, List<Replica> usable, Set<ReplicaId> tried, String model, Prompt prompt) {
+		List<ReplicaState> able = usable.stream()
+			.filter((replica) -> !tried.contains(replica.id()))
+			.map(this::state)
+			.toList();
+		List<ReplicaState> sound = able.stream().filter((state) -> !state.ejected(now)).toList();
+		ReplicaState best = null;
+		double least = Double.MAX_VALUE;
+		for (ReplicaState state : sound.isEmpty() ? able : sound) {
+			double cost = cost(state, model, prompt);
+			if (cost < least) {
+				least = cost;
+				best = state;
+			}
+		}
+		if (best == null) {
+			return Optional.empty();
+		}
+		return Optional.of(new Choice(best.replica(), unread(best, model, prompt), Math.round(least), best.requests()));
+	}
+
+	/**
+	 * Notes that a request was sent.
+	 * @param choice where to
+	 * @param model the model that runs
+	 * @param prompt its prompt
+	 * @param cacheTokens the tokens that the engine's memory holds
+	 */
+	public void sent(Choice choice, String model, Prompt prompt, long cacheTokens) {
+		state(choice.replica()).sent(model, prompt, choice.unreadTokens(), Math.round(cacheTokens * KEPT_SHARE));
+	}
+
+	/**
+	 * Notes that the replica has read the prompt, or gave the request up.
+	 * @param choice where it was sent
+	 */
+	public void promptRead(Choice choice) {
+		state(choice.replica()).read(choice.unreadTokens());
+	}
+
+	/**
+	 * Notes how an attempt ended.
+	 * @param now the time in milliseconds
+	 * @param choice where it was sent
+	 * @param end its end
+	 */
+	public void ended(long now, Choice choice, AttemptEnd end) {
+		ReplicaState state = state(choice.replica());
+		state.ended();
+		switch (end) {
+			case AttemptEnd.Answered answered -> {
+				if (answered.failure()) {
+					state.failed(now);
+				}
+				else {
+					state.succeeded();
+				}
+			}
+			case AttemptEnd.NotRun notRun -> {
+				if (notRun.unreachable()) {
+					state.unreachable(now);
+				}
+			}
+			case AttemptEnd.Broken broken -> state.failed(now);
+			case AttemptEnd.Withdrawn withdrawn -> {
+			}
+		}
+	}
+
+	/**
+	 * Takes in what a replica says of its load.
+	 * @param replica the replica
+	 * @param report the load
+	 */
+	public void report(Replica replica, LoadReport report) {
+		state(replica).report(report);
+	}
+
+	/**
+	 * Forgets replicas that are gone.
+	 * @param known those to remember
+	 */
+	public void retain(Set<ReplicaId> known) {
+		this.states.keySet().retainAll(known);
+	}
+
+	private double cost(ReplicaState state, String model, Prompt prompt) {
+		double cost = distance(state.replica()) + FAILING_MILLIS * state.failureShare();
+		if (model.isEmpty()) {
+			double queued = Math.max(0, state.requests() - state.replica().slots() + 1);
+			return cost + state.requests() + queued * SERVICE_REQUEST_MILLIS / state.replica().slots();
+		}
+		cost += (state.unreadTokens() + unread(state, model, prompt)) / PREFILL_TOKENS_PER_MILLI;
+		cost += state.requests() * ENGINE_REQUEST_MILLIS;
+		return cost + NOT_PREFERRED_MILLIS * preference(state.replica(), prompt);
+	}
+
+	private double distance(Replica replica) {
+		if (replica.dataCenter().equals(this.here.dataCenter())) {
+			return 0;
+		}
+		return this.here.sameRegion(replica.dataCenter()) ? OTHER_DATA_CENTER_MILLIS : OTHER_REGION_MILLIS;
+	}
+
+	/**
+	 * Returns a number from 0 to 1 that depends on the shared parts and the replica only.
+	 */
+	private static double preference(Replica replica, Prompt prompt) {
+		String shared = prompt.parts().isEmpty() ? "" : prompt.parts().get(0).id();
+		return Spread.unit(shared + '/' + replica.id());
+	}
+
+	private static int unread(ReplicaState state, String model, Prompt prompt) {
+		return Math.max(0, prompt.inputTokens() - state.kept(model, prompt));
+	}
+
+	private ReplicaState state(Replica replica) {
+		ReplicaState state = this.states.get(replica.id());
+		if (state == null || !state.replica().sameProcess(replica)) {
+			state = new ReplicaState(replica);
+			this.states.put(replica.id(), state);
+		}
+		state.describe(replica);
+		return state;
+	}
+
+}
--- a/daemon/src/main/java/org/gullsaddle/controller/MemberController.java
+++ b/daemon/src/main/java/org/gullsaddle/controller/MemberController.java
@@ -19,9 +19,9 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import org.gullsaddle.base.Address;
 import org.gullsaddle.base.Json;
 import org.gullsaddle.base.NodeId;
-import org.gullsaddle.settings.Address;
 import org.gullsaddle.settings.Role;
 import org.gullsaddle.settings.Settings;
 import org.gullsaddle.wire.Frame;
--- a/daemon/src/main/java/org/gullsaddle/daemon/Daemon.java
+++ b/daemon/src/main/java/org/gullsaddle/daemon/Daemon.java
@@ -13,11 +13,11 @@
 import org.slf4j.LoggerFactory;
 
 import org.gullsaddle.backend.AgentNode;
+import org.gullsaddle.base.Address;
 import org.gullsaddle.controller.LedgerController;
 import org.gullsaddle.controller.TemplateController;
 import org.gullsaddle.entry.EntryNode;
 import org.gullsaddle.entry.EntryServer;
-import org.gullsaddle.settings.Address;
 import org.gullsaddle.settings.Role;
 import org.gullsaddle.settings.Settings;
 import org.gullsaddle.store.EtcdStore;
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Attempt.java
@@ -0,0 +1,227 @@
+package org.gullsaddle.gateway;
+
+import io.vertx.core.MultiMap;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+
+import org.gullsaddle.serve.AttemptEnd;
+import org.gullsaddle.serve.Choice;
+
+/**
+ * One attempt at one replica, over one connection. Tells its listener of the head, the
+ * body's bytes and, exactly once, the end.
+ */
+final class Attempt {
+
+	private static final int MISDIRECTED = 421;
+
+	private final Choice choice;
+
+	private final ChannelPool pool;
+
+	private final HeaderCodec codec;
+
+	private final Listener listener;
+
+	private final String attemptId;
+
+	private final long startedAt = Clock.millis();
+
+	private ChannelPool.Channel channel;
+
+	private ReplicaAnswer answer;
+
+	private boolean sent;
+
+	private boolean broken;
+
+	private boolean ended;
+
+	private long lastByteAt = this.startedAt;
+
+	private long headAt = this.startedAt;
+
+	Attempt(Choice choice, String attemptId, ChannelPool pool, HeaderCodec codec, Listener listener) {
+		this.choice = choice;
+		this.attemptId = attemptId;
+		this.pool = pool;
+		this.codec = codec;
+		this.listener = listener;
+	}
+
+	/**
+	 * Sends the request.
+	 * @param fresh whether the connection must be new
+	 */
+	void send(HttpMethod method, String uri, MultiMap headers, Buffer body, boolean fresh) {
+		this.pool.take(this.choice.replica(), fresh).onComplete((taken, failure) -> {
+			if (failure != null) {
+				end(new AttemptEnd.NotRun(true, "unreachable"));
+				return;
+			}
+			this.channel = taken;
+			if (this.ended) {
+				taken.close();
+				return;
+			}
+			RequestOptions options = new RequestOptions().setMethod(method).setURI(uri);
+			taken.connection().request(options).onComplete((request, refused) -> {
+				if (refused != null) {
+					end(new AttemptEnd.NotRun(true, "connection closed before sending"));
+				}
+				else if (!this.ended) {
+					send(request, headers, body);
+				}
+			});
+		});
+	}
+
+	private void send(HttpClientRequest request, MultiMap headers, Buffer body) {
+		this.sent = true;
+		request.headers().setAll(headers);
+		request.exceptionHandler((failure) -> fail("connection broke"));
+		request.response().onComplete((response, failure) -> {
+			if (failure != null) {
+				fail("no answer: " + failure.getMessage());
+			}
+			else {
+				head(response);
+			}
+		});
+		if (body.length() == 0) {
+			request.end();
+		}
+		else {
+			request.end(body);
+		}
+	}
+
+	private void head(HttpClientResponse response) {
+		this.lastByteAt = Clock.millis();
+		this.headAt = this.lastByteAt;
+		if (this.ended) {
+			return;
+		}
+		this.answer = this.codec.read(response);
+		boolean ours = this.answer.attemptId().isEmpty() ? !this.answer.success()
+				: this.answer.attemptId().get().equals(this.attemptId);
+		if (!ours) {
+			fail("answer to another request");
+			return;
+		}
+		if (this.answer.success() && (!this.answer.signed() || this.answer.encoded())) {
+			fail("answer is not the replica's");
+			return;
+		}
+		response.exceptionHandler((failure) -> fail("answer broke off"));
+		response.handler((bytes) -> {
+			this.lastByteAt = Clock.millis();
+			if (!this.ended && !this.notRun()) {
+				this.listener.data(this, bytes);
+			}
+		});
+		response.endHandler((nothing) -> whole());
+		if (!notRun()) {
+			this.listener.head(this, this.answer, response.headers());
+		}
+	}
+
+	private boolean notRun() {
+		return this.answer.notRun() || this.answer.status() == MISDIRECTED;
+	}
+
+	/**
+	 * An answer without a length ends with its connection. If that was reset, bytes may
+	 * be missing, and the HTTP library still tells of an end; the connection's own
+	 * failure comes before it.
+	 */
+	private void whole() {
+		if (this.ended) {
+			return;
+		}
+		if (this.broken || this.channel.failed()) {
+			fail("connection broke in an answer without a length");
+			return;
+		}
+		if (this.answer.closes()) {
+			this.channel.close();
+		}
+		else {
+			this.pool.giveBack(this.channel, this.answer.keepMillis());
+		}
+		end(notRun() ? new AttemptEnd.NotRun(false, "refused with " + this.answer.status())
+				: new AttemptEnd.Answered(this.answer.status()));
+	}
+
+	private void fail(String reason) {
+		this.broken = true;
+		if (this.channel != null) {
+			this.channel.close();
+		}
+		end(new AttemptEnd.Broken(reason));
+	}
+
+	/**
+	 * Gives the attempt up: closes its connection, at which the replica stops its work.
+	 * @param end how it ends if anything of it was sent
+	 */
+	void withdraw(AttemptEnd end) {
+		if (this.ended) {
+			return;
+		}
+		if (this.channel != null) {
+			this.channel.close();
+		}
+		end(this.sent ? end : new AttemptEnd.NotRun(false, "given up before sending"));
+	}
+
+	private void end(AttemptEnd end) {
+		if (!this.ended) {
+			this.ended = true;
+			this.listener.ended(this, end);
+		}
+	}
+
+	Choice choice() {
+		return this.choice;
+	}
+
+	ReplicaAnswer answer() {
+		return this.answer;
+	}
+
+	long startedAt() {
+		return this.startedAt;
+	}
+
+	/**
+	 * Returns when the head of the answer came.
+	 */
+	long headAt() {
+		return this.headAt;
+	}
+
+	/**
+	 * Returns how long nothing has come from the replica, in milliseconds.
+	 */
+	long silentMillis(long now) {
+		return now - this.lastByteAt;
+	}
+
+	/**
+	 * Is told what becomes of an attempt.
+	 */
+	interface Listener {
+
+		void head(Attempt attempt, ReplicaAnswer answer, MultiMap headers);
+
+		void data(Attempt attempt, Buffer bytes);
+
+		void ended(Attempt attempt, AttemptEnd end);
+
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/gateway/CallerAnswerWriter.java
@@ -0,0 +1,107 @@
+package org.gullsaddle.gateway;
+
+import java.util.Locale;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+
+import io.vertx.core.MultiMap;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpHeaders;
+import io.vertx.core.http.HttpServerResponse;
+
+/**
+ * Writes one answer to a caller.
+ */
+final class CallerAnswerWriter {
+
+	private static final double MILLIS_PER_SECOND = 1000;
+
+	private final HttpServerResponse response;
+
+	private final BooleanSupplier stopping;
+
+	private boolean begun;
+
+	CallerAnswerWriter(HttpServerResponse response, BooleanSupplier stopping) {
+		this.response = response;
+		this.stopping = stopping;
+	}
+
+	/**
+	 * Says whether the caller has got any of the answer.
+	 */
+	boolean begun() {
+		return this.begun;
+	}
+
+	/**
+	 * Begins an answer whose length is not known, unless it has begun.
+	 */
+	void begin(int status, MultiMap headers) {
+		if (this.begun || this.response.closed()) {
+			return;
+		}
+		this.begun = true;
+		head(status, headers);
+		this.response.headers().remove(HttpHeaders.CONTENT_LENGTH);
+		this.response.setChunked(true);
+	}
+
+	void write(Buffer bytes) {
+		if (!this.response.closed()) {
+			this.response.write(bytes);
+		}
+	}
+
+	void end(Buffer rest) {
+		if (!this.response.closed()) {
+			this.response.end(rest);
+		}
+	}
+
+	/**
+	 * Sends a whole answer.
+	 */
+	void whole(int status, MultiMap headers, Buffer body) {
+		if (!this.response.closed()) {
+			this.begun = true;
+			head(status, headers);
+			this.response.end(body);
+		}
+	}
+
+	/**
+	 * Sends an answer of the router's own.
+	 * @param afterMillis when to come back, in milliseconds, if the request was not run
+	 */
+	void error(int status, Optional<Long> afterMillis, String reason) {
+		if (this.response.closed()) {
+			return;
+		}
+		this.begun = true;
+		head(status, MultiMap.caseInsensitiveMultiMap());
+		afterMillis.ifPresent((millis) -> this.response.putHeader("Retry-After",
+				String.format(Locale.ROOT, "%.2f", millis / MILLIS_PER_SECOND)));
+		this.response.putHeader(HttpHeaders.CONTENT_TYPE, "application/json");
+		this.response.end("{\"error\":\"" + reason.replace('"', '\'') + "\"}\n");
+	}
+
+	/**
+	 * Breaks an answer off that cannot be completed, so that the caller sees it is not
+	 * whole.
+	 */
+	void abort() {
+		if (!this.response.closed()) {
+			this.response.reset();
+		}
+	}
+
+	private void head(int status, MultiMap headers) {
+		this.response.setStatusCode(status);
+		this.response.headers().addAll(headers);
+		if (this.stopping.getAsBoolean()) {
+			this.response.putHeader(HttpHeaders.CONNECTION, "close");
+		}
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Clock.java
@@ -0,0 +1,17 @@
+package org.gullsaddle.gateway;
+
+/**
+ * The steady clock. The time of day may jump; nothing that the gateway decides reads it.
+ */
+final class Clock {
+
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
+	private Clock() {
+	}
+
+	static long millis() {
+		return System.nanoTime() / NANOS_PER_MILLI;
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
@@ -0,0 +1,170 @@
+package org.gullsaddle.gateway;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.slf4j.spi.LoggingEventBuilder;
+
+import org.gullsaddle.fleet.FleetChange;
+import org.gullsaddle.serve.Choice;
+
+/**
+ * One line for each decision on a request and each change of what the node believes. The
+ * volume is bounded: beyond {@link #LINES_PER_SECOND} only failures are written, beyond
+ * twice that nothing; how many lines were left out is told.
+ */
+final class DecisionLog {
+
+	private static final Logger LOG = LoggerFactory.getLogger("gullsaddle.decisions");
+
+	/**
+	 * How many lines a second are written: some 60 KB, and ten times an entry's usual
+	 * requests.
+	 */
+	private static final int LINES_PER_SECOND = 200;
+
+	private static final long SECOND_MILLIS = 1000;
+
+	private long windowStart;
+
+	private int lines;
+
+	private int leftOut;
+
+	void started(String node, String dataCenter) {
+		LOG.atInfo().addKeyValue("node", node).addKeyValue("dataCenter", dataCenter).log("started");
+	}
+
+	void stopping(int open) {
+		LOG.atInfo().addKeyValue("open", open).log("stopping");
+	}
+
+	void stopped(int open) {
+		LOG.atInfo().addKeyValue("cutOff", open).addKeyValue("linesLeftOut", this.leftOut).log("stopped");
+	}
+
+	void reloaded(String what) {
+		LOG.atInfo().addKeyValue("changed", what).log("settings reloaded");
+	}
+
+	void lost(String dependency, String reason, long age) {
+		LOG.atWarn()
+			.addKeyValue("dependency", dependency)
+			.addKeyValue("reason", reason)
+			.addKeyValue("lastHeardMillis", age)
+			.log("dependency lost");
+	}
+
+	void regained(String dependency, long now) {
+		LOG.atInfo().addKeyValue("dependency", dependency).log("dependency regained");
+	}
+
+	void learned(FleetChange change, long revision) {
+		if (!allowed(false)) {
+			return;
+		}
+		LoggingEventBuilder line = LOG.atInfo().addKeyValue("revision", revision);
+		switch (change) {
+			case FleetChange.Configured configured ->
+				line.addKeyValue("version", configured.config().version()).log("configuration in force");
+			case FleetChange.Listed listed -> line.addKeyValue("replica", listed.replica().id().value())
+				.addKeyValue("service", listed.replica().service().value())
+				.addKeyValue("address", listed.replica().address().toString())
+				.addKeyValue("release", listed.replica().release())
+				.addKeyValue("draining", listed.replica().draining())
+				.log("replica listed");
+			case FleetChange.Unlisted unlisted ->
+				line.addKeyValue("replica", unlisted.id().value()).log("replica unlisted");
+			case FleetChange.Ordered ordered -> line.addKeyValue("service", ordered.order().service().value())
+				.addKeyValue("target", ordered.order().target())
+				.addKeyValue("durationMillis", ordered.order().durationMillis())
+				.log("roll-out ordered");
+			case FleetChange.Progressed progressed -> line.addKeyValue("service", progressed.service().value())
+				.addKeyValue("target", progressed.target())
+				.addKeyValue("state", progressed.state().name())
+				.log("roll-out progressed");
+			case FleetChange.Noted noted -> line.addKeyValue("key", noted.key()).log("note taken in");
+			case FleetChange.Unreadable unreadable -> line.addKeyValue("key", unreadable.key())
+				.addKeyValue("reason", unreadable.reason())
+				.log("unreadable record skipped");
+		}
+	}
+
+	void rollout(String service, String target, String state, double evidence, int answers, String outcome) {
+		LOG.atInfo()
+			.addKeyValue("service", service)
+			.addKeyValue("target", target)
+			.addKeyValue("state", state)
+			.addKeyValue("evidence", evidence)
+			.addKeyValue("answers", answers)
+			.addKeyValue("outcome", outcome)
+			.log("roll-out state written");
+	}
+
+	void attempt(String id, Choice choice, String model, String end, long millis, boolean failure) {
+		if (allowed(failure)) {
+			LOG.atInfo()
+				.addKeyValue("id", id)
+				.addKeyValue("replica", choice.replica().id().value())
+				.addKeyValue("release", choice.replica().release())
+				.addKeyValue("model", model)
+				.addKeyValue("unreadTokens", choice.unreadTokens())
+				.addKeyValue("expectedMillis", choice.costMillis())
+				.addKeyValue("load", choice.load())
+				.addKeyValue("end", end)
+				.addKeyValue("millis", millis)
+				.log("attempt");
+		}
+	}
+
+	void request(RequestLine request) {
+		if (allowed(!request.outcome().equals("served"))) {
+			LOG.atInfo()
+				.addKeyValue("id", request.id())
+				.addKeyValue("route", request.route())
+				.addKeyValue("team", request.team())
+				.addKeyValue("outcome", request.outcome())
+				.addKeyValue("status", request.status())
+				.addKeyValue("reason", request.reason())
+				.addKeyValue("verdict", request.verdict())
+				.addKeyValue("attempts", request.attempts())
+				.addKeyValue("configVersion", request.configVersion())
+				.addKeyValue("fleetAgeMillis", request.fleetAgeMillis())
+				.addKeyValue("millis", request.millis())
+				.log("request");
+		}
+	}
+
+	private boolean allowed(boolean urgent) {
+		long now = Clock.millis();
+		if (now - this.windowStart >= SECOND_MILLIS) {
+			this.windowStart = now;
+			this.lines = 0;
+		}
+		this.lines++;
+		boolean allowed = this.lines <= (urgent ? 2 * LINES_PER_SECOND : LINES_PER_SECOND);
+		if (!allowed) {
+			this.leftOut++;
+		}
+		return allowed;
+	}
+
+	/**
+	 * The end of a request.
+	 *
+	 * @param id the caller's id of it
+	 * @param route its route, empty if none took it
+	 * @param team its team, empty if it presented no key
+	 * @param outcome {@code served}, {@code refused}, {@code failed} or {@code left}
+	 * @param status the status that the caller got, 0 for none
+	 * @param reason why, in a word
+	 * @param verdict whether it may have run
+	 * @param attempts how many replicas it was sent to
+	 * @param configVersion the configuration that decided it
+	 * @param fleetAgeMillis how long ago the platform last told anything
+	 * @param millis how long it took
+	 */
+	record RequestLine(String id, String route, String team, String outcome, int status, String reason, String verdict,
+			int attempts, long configVersion, long fleetAgeMillis, long millis) {
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Decisions.java
@@ -0,0 +1,98 @@
+package org.gullsaddle.gateway;
+
+import java.util.random.RandomGenerator;
+
+import org.gullsaddle.base.Spread;
+import org.gullsaddle.fleet.Route;
+import org.gullsaddle.fleet.RouteKind;
+import org.gullsaddle.fleet.ServiceName;
+import org.gullsaddle.fleet.ServiceShare;
+import org.gullsaddle.serve.Place;
+import org.gullsaddle.serve.Prompt;
+import org.gullsaddle.serve.ReplicaPicker;
+import org.gullsaddle.serve.RetryBudget;
+
+/**
+ * The state that all requests of a gateway decide by. Confined to the event loop.
+ */
+final class Decisions {
+
+	/** When a refused caller is to come back at the earliest, in milliseconds. */
+	private static final long COME_BACK_MILLIS = 250;
+
+	/** The part of the objective after which a silent replica is taken as lost. */
+	private static final double SILENT_PART = 0.6;
+
+	/**
+	 * Silence that is never taken as a loss, in milliseconds: a pause of a busy engine.
+	 */
+	private static final long MIN_SILENCE_MILLIS = 800;
+
+	private final ReplicaPicker picker;
+
+	private final RetryBudget budget;
+
+	private final RandomGenerator random = RandomGenerator.getDefault();
+
+	Decisions(Place here, double retryShare) {
+		this.picker = new ReplicaPicker(here);
+		this.budget = new RetryBudget(retryShare);
+	}
+
+	ReplicaPicker picker() {
+		return this.picker;
+	}
+
+	void earnRetry() {
+		this.budget.earn();
+	}
+
+	boolean spendRetry() {
+		return this.budget.spend();
+	}
+
+	/**
+	 * Returns when a refused caller is to come back, spread out, so that callers refused
+	 * together do not return together.
+	 */
+	long comeBackMillis() {
+		return COME_BACK_MILLIS + this.random.nextLong(COME_BACK_MILLIS);
+	}
+
+	/**
+	 * Returns the model to try first.
+	 */
+	String model(Route route, Prompt prompt) {
+		return route.models().get(Integer.getInteger("gullsaddle.size", route.models().size() - 1));
+	}
+
+	/**
+	 * Picks one of a route's services by their weights, the same for the same request.
+	 */
+	ServiceName service(Route route, String id) {
+		double total = route.shares().stream().mapToDouble(ServiceShare::weight).sum();
+		double point = Spread.unit(id) * total;
+		for (ServiceShare share : route.shares()) {
+			point -= share.weight();
+			if (point < 0) {
+				return share.service();
+			}
+		}
+		return route.shares().get(0).service();
+	}
+
+	/**
+	 * Returns how long a replica may be silent, in milliseconds.
+	 * @param begun whether the caller has got a part of the answer
+	 */
+	long silenceMillis(Route route, boolean begun) {
+		if (begun) {
+			return Math.max(MIN_SILENCE_MILLIS, route.gapMillis());
+		}
+		if (route.kind() == RouteKind.STREAM) {
+			return Math.max(MIN_SILENCE_MILLIS, Math.round(SILENT_PART * route.targetMillis()));
+		}
+		return Math.round(SILENT_PART * route.targetMillis());
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/gateway/FleetFeed.java
@@ -0,0 +1,123 @@
+package org.gullsaddle.gateway;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+
+import io.reactivex.rxjava3.core.Single;
+import io.vertx.core.Vertx;
+
+import org.gullsaddle.fleet.FleetChange;
+import org.gullsaddle.fleet.ReplicaId;
+
+/**
+ * Keeps {@link FleetState} up to date: reads everything once, then waits for changes, and
+ * reads everything anew when changes were missed.
+ */
+final class FleetFeed {
+
+	/**
+	 * How long one call waits for changes, in milliseconds. A connection that went silent
+	 * is only noticed after it, so it bounds how late a change comes then, and each call
+	 * costs.
+	 */
+	private static final long WAIT_MILLIS = 2500;
+
+	/** The pause before a call that follows a failure, in milliseconds. */
+	private static final long PAUSE_MILLIS = 150;
+
+	private static final long MAX_PAUSE_MILLIS = 600;
+
+	/** How many failures in a row mean that the store is away. */
+	private static final int FAILURES_TO_BE_AWAY = 2;
+
+	private final Vertx vertx;
+
+	private final FleetSource source;
+
+	private final FleetState state;
+
+	private final DecisionLog log;
+
+	private final Consumer<FleetChange> listener;
+
+	private long revision = -1;
+
+	private int failures;
+
+	private boolean stopped;
+
+	FleetFeed(Vertx vertx, FleetSource source, FleetState state, DecisionLog log, Consumer<FleetChange> listener) {
+		this.vertx = vertx;
+		this.source = source;
+		this.state = state;
+		this.log = log;
+		this.listener = listener;
+	}
+
+	void start() {
+		next();
+	}
+
+	void stop() {
+		this.stopped = true;
+	}
+
+	private void next() {
+		if (this.stopped) {
+			return;
+		}
+		boolean whole = this.revision < 0;
+		Single<FleetSource.News> call = whole ? this.source.readAll() : this.source.changes(this.revision, WAIT_MILLIS);
+		call.subscribe((news) -> took(news, whole), this::failed);
+	}
+
+	private void took(FleetSource.News news, boolean whole) {
+		long now = Clock.millis();
+		if (this.failures >= FAILURES_TO_BE_AWAY) {
+			this.log.regained("store", now);
+		}
+		this.failures = 0;
+		this.state.directory().storeAway(now, false);
+		this.state.heard(now);
+		if (whole) {
+			this.state.directory().retain(now, listed(news.changes()));
+		}
+		for (FleetChange change : news.changes()) {
+			if (this.state.apply(now, change)) {
+				this.log.learned(change, news.revision());
+			}
+			this.listener.accept(change);
+		}
+		this.revision = news.revision();
+		next();
+	}
+
+	private static Set<ReplicaId> listed(List<FleetChange> changes) {
+		Set<ReplicaId> ids = new HashSet<>();
+		for (FleetChange change : changes) {
+			if (change instanceof FleetChange.Listed listed) {
+				ids.add(listed.replica().id());
+			}
+		}
+		return ids;
+	}
+
+	private void failed(Throwable failure) {
+		long now = Clock.millis();
+		this.failures++;
+		if (failure instanceof HistoryGoneException) {
+			this.revision = -1;
+		}
+		if (this.failures == FAILURES_TO_BE_AWAY) {
+			// What changed meanwhile is read anew as a whole: an entry that lapsed in the
+			// outage and came back shows nothing in the changes alone.
+			this.state.directory().storeAway(now, true);
+			this.log.lost("store", failure.getMessage(), this.state.age(now));
+		}
+		long pause = Math.min(MAX_PAUSE_MILLIS, PAUSE_MILLIS * this.failures);
+		this.vertx.setTimer(pause, (timer) -> next());
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/gateway/FleetSource.java
@@ -0,0 +1,47 @@
+package org.gullsaddle.gateway;
+
+import java.util.List;
+
+import io.reactivex.rxjava3.core.Single;
+
+import org.gullsaddle.fleet.FleetChange;
+
+/**
+ * Tells what the platform knows of the deployment. Failures are
+ * {@link org.gullsaddle.store.StoreException}s, and {@link HistoryGoneException} if
+ * changes were missed.
+ */
+public interface FleetSource {
+
+	/**
+	 * Reads everything.
+	 * @return what stands now
+	 */
+	Single<News> readAll();
+
+	/**
+	 * Waits for changes.
+	 * @param after the revision up to which changes are known
+	 * @param waitMillis how long to wait for the first, in milliseconds
+	 * @return the changes in their order, none if there were none
+	 */
+	Single<News> changes(long after, long waitMillis);
+
+	/**
+	 * Things that the platform told.
+	 *
+	 * @param changes the changes in their order
+	 * @param revision the revision up to which they go
+	 */
+	record News(List<FleetChange> changes, long revision) {
+
+		/**
+		 * Copies the changes.
+		 */
+		public News {
+			changes = List.copyOf(changes);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/gateway/FleetState.java
@@ -0,0 +1,130 @@
+package org.gullsaddle.gateway;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.gullsaddle.fleet.FleetChange;
+import org.gullsaddle.fleet.FleetConfig;
+import org.gullsaddle.fleet.Replica;
+import org.gullsaddle.fleet.ReplicaDirectory;
+import org.gullsaddle.fleet.ServiceName;
+import org.gullsaddle.serve.Rollout;
+
+/**
+ * What the node believes of the deployment, and how old that is. Confined to the event
+ * loop.
+ */
+final class FleetState {
+
+	private final ReplicaDirectory directory = new ReplicaDirectory();
+
+	private final Map<ServiceName, Rollout> rollouts = new HashMap<>();
+
+	private final Map<ServiceName, FleetChange.Progressed> progress = new HashMap<>();
+
+	private FleetConfig config;
+
+	private long heardAt;
+
+	/**
+	 * Takes in a change.
+	 * @return whether it changed what the node believes
+	 */
+	boolean apply(long now, FleetChange change) {
+		return switch (change) {
+			case FleetChange.Configured configured -> configure(configured.config());
+			case FleetChange.Listed listed -> list(listed.replica());
+			case FleetChange.Unlisted unlisted -> {
+				boolean known = this.directory.find(unlisted.id()).isPresent();
+				this.directory.remove(now, unlisted.id());
+				yield known;
+			}
+			case FleetChange.Ordered ordered -> order(now, ordered);
+			case FleetChange.Progressed progressed -> progress(progressed);
+			case FleetChange.Noted noted -> false;
+			case FleetChange.Unreadable unreadable -> true;
+		};
+	}
+
+	/**
+	 * A node must never go back: a read that was slow on its way may bring a version
+	 * older than one that requests were served by.
+	 */
+	private boolean configure(FleetConfig newConfig) {
+		if (this.config != null && newConfig.version() <= this.config.version()) {
+			return false;
+		}
+		this.config = newConfig;
+		return true;
+	}
+
+	private boolean list(Replica replica) {
+		Optional<Replica> before = this.directory.find(replica.id());
+		this.directory.put(replica);
+		return !before.equals(Optional.of(replica));
+	}
+
+	private boolean order(long now, FleetChange.Ordered ordered) {
+		ServiceName service = ordered.order().service();
+		Rollout known = this.rollouts.get(service);
+		if (known != null && known.revision() >= ordered.revision()) {
+			return false;
+		}
+		Rollout rollout = new Rollout(now, ordered.order(), ordered.revision());
+		this.rollouts.put(service, rollout);
+		FleetChange.Progressed state = this.progress.get(service);
+		if (state != null) {
+			rollout.progressed(state.state(), state.target(), state.revision());
+		}
+		return true;
+	}
+
+	private boolean progress(FleetChange.Progressed progressed) {
+		FleetChange.Progressed before = this.progress.put(progressed.service(), progressed);
+		Rollout rollout = this.rollouts.get(progressed.service());
+		if (rollout != null) {
+			rollout.progressed(progressed.state(), progressed.target(), progressed.revision());
+		}
+		return !progressed.equals(before);
+	}
+
+	void heard(long now) {
+		this.heardAt = now;
+	}
+
+	/**
+	 * Returns how long ago the platform last told anything, in milliseconds.
+	 */
+	long age(long now) {
+		return now - this.heardAt;
+	}
+
+	Optional<FleetConfig> config() {
+		return Optional.ofNullable(this.config);
+	}
+
+	ReplicaDirectory directory() {
+		return this.directory;
+	}
+
+	Optional<Rollout> rollout(ServiceName service) {
+		return Optional.ofNullable(this.rollouts.get(service));
+	}
+
+	Collection<Rollout> rollouts() {
+		return this.rollouts.values();
+	}
+
+	/**
+	 * Returns the replicas that a request may go to.
+	 * @param session what the request keeps its release by
+	 */
+	List<Replica> replicas(long now, ServiceName service, String session) {
+		List<Replica> usable = this.directory.usable(now, service);
+		return rollout(service).map((rollout) -> rollout.allowed(now, usable, session)).orElse(usable);
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -0,0 +1,353 @@
+package org.gullsaddle.gateway;
+
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+
+import org.gullsaddle.fleet.FleetChange;
+import org.gullsaddle.fleet.FleetConfig;
+import org.gullsaddle.fleet.Route;
+import org.gullsaddle.fleet.Team;
+import org.gullsaddle.serve.AttemptEnd;
+import org.gullsaddle.store.Store;
+import org.gullsaddle.telemetry.Telemetry;
+
+/**
+ * One gateway node.
+ *
+ * <pre>
+ * Gateway gateway = Gateway.with(settings).source(source).store(store).codec(codec).on(vertx);
+ * gateway.start();
+ * ...
+ * gateway.drain();
+ * </pre>
+ */
+public final class Gateway {
+
+	/** How often open requests are looked at, in milliseconds. */
+	private static final long TICK_MILLIS = 50;
+
+	/** How often idle connections are looked at, in milliseconds. */
+	private static final long TIDY_MILLIS = 1000;
+
+	/**
+	 * How long requests are still taken after a stop was asked for, in milliseconds: the
+	 * balancer notices after two questions, a second apart.
+	 */
+	private static final long TAKE_ON_MILLIS = 2600;
+
+	/** What is left of the time to stop for ending the process, in milliseconds. */
+	private static final long LAST_MILLIS = 400;
+
+	/**
+	 * When an idle connection of a caller is closed, in seconds: longer than any caller
+	 * is told to keep one.
+	 */
+	private static final int CALLER_IDLE_SECONDS = 75;
+
+	private static final int MAX_HEADER_BYTES = 65_536;
+
+	private final Vertx vertx;
+
+	private final GatewaySettings settings;
+
+	private final HeaderCodec codec;
+
+	private final DecisionLog log = new DecisionLog();
+
+	private final Telemetry telemetry = new Telemetry();
+
+	private final FleetState fleet = new FleetState();
+
+	private final Decisions decisions;
+
+	private final ChannelPool pool;
+
+	private final FleetFeed feed;
+
+	private final RolloutController rollouts;
+
+	private final Set<Serving> open = new LinkedHashSet<>();
+
+	private final Set<HttpConnection> callers = new HashSet<>();
+
+	private HttpServer server;
+
+	private long stopAt = Long.MAX_VALUE;
+
+	private boolean refusing;
+
+	private Gateway(Builder builder, Vertx vertx) {
+		this.vertx = vertx;
+		this.settings = builder.settings;
+		this.codec = builder.codec;
+		this.decisions = new Decisions(this.settings.place(), this.settings.retryShare());
+		this.pool = new ChannelPool(vertx);
+		this.rollouts = new RolloutController(vertx, builder.board, builder.store, this.settings.node(), this.fleet,
+				this.log);
+		this.feed = new FleetFeed(vertx, builder.source, this.fleet, this.log, this::learned);
+	}
+
+	/**
+	 * Starts a gateway's parts.
+	 * @param settings its settings
+	 * @return a builder
+	 */
+	public static Builder with(GatewaySettings settings) {
+		return new Builder(settings);
+	}
+
+	/**
+	 * Starts listening and reading the platform's store.
+	 * @return completes when callers can connect
+	 */
+	public Future<Void> start() {
+		HttpServerOptions options = new HttpServerOptions().setMaxHeaderSize(MAX_HEADER_BYTES)
+			.setMaxInitialLineLength(MAX_HEADER_BYTES)
+			.setIdleTimeout(CALLER_IDLE_SECONDS)
+			.setTcpNoDelay(true)
+			.setTcpKeepAlive(true)
+			.setReuseAddress(true)
+			.setHandle100ContinueAutomatically(true)
+			.setDecompressionSupported(false)
+			.setHttp2ClearTextEnabled(false)
+			.setAcceptBacklog(1024);
+		this.server = this.vertx.createHttpServer(options)
+			.connectionHandler(this::connected)
+			.requestHandler((request) -> new Intake(this, request).begin());
+		this.feed.start();
+		this.rollouts.start();
+		this.vertx.setPeriodic(TICK_MILLIS, (timer) -> tick());
+		this.vertx.setPeriodic(TIDY_MILLIS, (timer) -> tidy());
+		return this.server.listen(this.settings.callers().port(), this.settings.callers().host())
+			.compose((listening) -> StatusServer.listen(this.vertx, this))
+			.onSuccess((nothing) -> this.log.started(this.settings.node(), this.settings.place().dataCenter()));
+	}
+
+	private void connected(HttpConnection connection) {
+		this.callers.add(connection);
+		connection.closeHandler((nothing) -> this.callers.remove(connection));
+	}
+
+	/**
+	 * Stops gracefully: tells the balancer, serves what still comes for a moment, then
+	 * ends what is open.
+	 * @return completes when nothing is open, or the time to stop is over
+	 */
+	public Future<Void> drain() {
+		Promise<Void> stopped = Promise.promise();
+		this.vertx.runOnContext((nothing) -> {
+			long now = Clock.millis();
+			this.stopAt = now + this.settings.stopMillis() - LAST_MILLIS;
+			this.log.stopping(this.open.size());
+			this.vertx.setTimer(TAKE_ON_MILLIS, (timer) -> {
+				this.refusing = true;
+				this.vertx.setPeriodic(TICK_MILLIS, (tick) -> endIfIdle(stopped));
+			});
+		});
+		return stopped.future();
+	}
+
+	private void endIfIdle(Promise<Void> stopped) {
+		boolean over = Clock.millis() >= this.stopAt;
+		if (!this.open.isEmpty() && !over) {
+			return;
+		}
+		this.log.stopped(this.open.size());
+		List.copyOf(this.open).forEach(Serving::cutOff);
+		this.feed.stop();
+		stopped.tryComplete();
+	}
+
+	/**
+	 * Notes that the settings were read anew.
+	 * @param what what has changed, for the log
+	 */
+	public void reloaded(String what) {
+		this.log.reloaded(what);
+	}
+
+	/**
+	 * Says whether callers' connections are welcome.
+	 * @return true once the configuration and the replicas are known, until a stop
+	 */
+	public boolean ready() {
+		return !stopping() && this.fleet.config().isPresent() && this.fleet.directory().told();
+	}
+
+	/**
+	 * Takes in a request whose body is complete.
+	 */
+	void serve(HttpServerRequest request, CallerRequest caller, Buffer body, long startedAt) {
+		CallerAnswerWriter writer = new CallerAnswerWriter(request.response(), this::stopping);
+		Optional<FleetConfig> config = this.fleet.config();
+		if (config.isEmpty() || this.refusing) {
+			String reason = this.refusing ? "stopping" : "no configuration yet";
+			refused(writer, caller, Statuses.UNAVAILABLE, Optional.of(this.decisions.comeBackMillis()), reason);
+			return;
+		}
+		Optional<Route> route = config.get().route(caller.host(), caller.path());
+		if (route.isEmpty()) {
+			refused(writer, caller, Statuses.NOT_FOUND, Optional.empty(), "no route");
+			return;
+		}
+		boolean keyed = config.get().keyed() && !route.get().open();
+		Optional<Team> team = keyed ? caller.key().flatMap(config.get()::team) : Optional.empty();
+		if (keyed && team.isEmpty()) {
+			refused(writer, caller, Statuses.UNAUTHORIZED, Optional.empty(), "unknown key");
+			return;
+		}
+		Serving.of(this, request)
+			.caller(caller, team)
+			.under(config.get(), route.get())
+			.body(body, startedAt)
+			.build()
+			.start();
+	}
+
+	void refused(CallerAnswerWriter writer, CallerRequest caller, int status, Optional<Long> after, String reason) {
+		writer.error(status, after, reason);
+		long version = this.fleet.config().map(FleetConfig::version).orElse(0L);
+		this.log.request(new DecisionLog.RequestLine(caller.attemptId().orElse(""), "", "", "refused", status, reason,
+				"not-run", 0, version, this.fleet.age(Clock.millis()), 0));
+		this.telemetry.count("refused." + status);
+	}
+
+	void opened(Serving serving) {
+		this.open.add(serving);
+	}
+
+	void attemptEnded(Serving serving, Attempt attempt, AttemptEnd end, long now) {
+		long millis = now - attempt.startedAt();
+		this.decisions.picker().ended(now, attempt.choice(), end);
+		this.log.attempt(serving.id(), attempt.choice(), serving.model(), end.toString(), millis,
+				!(end instanceof AttemptEnd.Answered answered) || answered.failure());
+		this.rollouts.ended(serving.service(), attempt, end);
+	}
+
+	void closed(Serving serving, String outcome, int status, String reason) {
+		this.open.remove(serving);
+		long now = Clock.millis();
+		DecisionLog.RequestLine line = serving.line(outcome, status, reason, now, this.fleet.age(now));
+		this.log.request(line);
+		this.telemetry.request(serving.route().name(), serving.teamName(), outcome, line.millis());
+	}
+
+	private void learned(FleetChange change) {
+		this.rollouts.learned(change);
+	}
+
+	private void tick() {
+		long now = Clock.millis();
+		if (!this.open.isEmpty()) {
+			List.copyOf(this.open).forEach((serving) -> serving.tick(now));
+		}
+	}
+
+	private void tidy() {
+		this.pool.tidy(this.fleet.directory().known());
+		this.decisions.picker().retain(this.fleet.directory().known());
+	}
+
+	boolean stopping() {
+		return this.stopAt != Long.MAX_VALUE;
+	}
+
+	FleetState fleet() {
+		return this.fleet;
+	}
+
+	Decisions decisions() {
+		return this.decisions;
+	}
+
+	ChannelPool pool() {
+		return this.pool;
+	}
+
+	HeaderCodec codec() {
+		return this.codec;
+	}
+
+	GatewaySettings settings() {
+		return this.settings;
+	}
+
+	Telemetry telemetry() {
+		return this.telemetry;
+	}
+
+	/**
+	 * Collects a {@link Gateway}'s parts.
+	 */
+	public static final class Builder {
+
+		private final GatewaySettings settings;
+
+		private FleetSource source;
+
+		private Store store;
+
+		private RolloutBoard board;
+
+		private HeaderCodec codec;
+
+		private Builder(GatewaySettings settings) {
+			this.settings = settings;
+		}
+
+		/**
+		 * Sets where the deployment is told of.
+		 * @param newSource the source
+		 * @param newBoard where the state of roll-outs is written
+		 * @return this builder
+		 */
+		public Builder source(FleetSource newSource, RolloutBoard newBoard) {
+			this.source = newSource;
+			this.board = newBoard;
+			return this;
+		}
+
+		/**
+		 * Sets where nodes leave notes for each other.
+		 * @param newStore the store
+		 * @return this builder
+		 */
+		public Builder store(Store newStore) {
+			this.store = newStore;
+			return this;
+		}
+
+		/**
+		 * Sets how headers are translated.
+		 * @param newCodec the codec
+		 * @return this builder
+		 */
+		public Builder codec(HeaderCodec newCodec) {
+			this.codec = newCodec;
+			return this;
+		}
+
+		/**
+		 * Builds the gateway.
+		 * @param vertx where it runs, with one event loop
+		 * @return the gateway, not started
+		 */
+		public Gateway on(Vertx vertx) {
+			return new Gateway(this, vertx);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/gateway/GatewaySettings.java
@@ -0,0 +1,19 @@
+package org.gullsaddle.gateway;
+
+import org.gullsaddle.base.Address;
+import org.gullsaddle.serve.Place;
+
+/**
+ * What a gateway is told at its start. All times are in milliseconds.
+ *
+ * @param node the node's name
+ * @param place where it is
+ * @param callers where callers connect
+ * @param ready where it is asked whether it is ready
+ * @param metrics where its metrics are served, port 0 for nowhere
+ * @param stopMillis how long a graceful stop may take
+ * @param retryShare how many retries each request earns
+ */
+public record GatewaySettings(String node, Place place, Address callers, Address ready, Address metrics,
+		long stopMillis, double retryShare) {
+}
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/gateway/HistoryGoneException.java
@@ -0,0 +1,18 @@
+package org.gullsaddle.gateway;
+
+import org.gullsaddle.store.StoreException;
+
+/**
+ * The store has forgotten the changes that were asked for; everything must be read anew.
+ */
+public final class HistoryGoneException extends StoreException {
+
+	/**
+	 * Makes an exception.
+	 * @param message what the store said
+	 */
+	public HistoryGoneException(String message) {
+		super(message, false, null);
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/gateway/ReplicaAnswer.java
@@ -0,0 +1,36 @@
+package org.gullsaddle.gateway;
+
+import java.util.Optional;
+import java.util.OptionalInt;
+
+import org.gullsaddle.base.LoadReport;
+
+/**
+ * What the head of a replica's answer says, in the product's terms.
+ *
+ * @param status the HTTP status
+ * @param attemptId the id of the attempt that it answers, if it names one
+ * @param signed whether it bears the replica's signature
+ * @param notRun whether it states that the replica did not and will not run the request
+ * @param load the replica's load, if it tells
+ * @param confidence the model's own opinion of its answer, 0 to 100, if it tells
+ * @param closes whether the connection ends with the answer
+ * @param keepMillis how long the replica keeps the connection when idle, in milliseconds
+ * @param encoded whether the body is encoded, so that it is not the replica's own
+ */
+public record ReplicaAnswer(int status, Optional<String> attemptId, boolean signed, boolean notRun,
+		Optional<LoadReport> load, OptionalInt confidence, boolean closes, long keepMillis, boolean encoded) {
+
+	private static final int FIRST_SUCCESS = 200;
+
+	private static final int LAST_SUCCESS = 299;
+
+	/**
+	 * Says whether the status is one of success.
+	 * @return true for 200 to 299
+	 */
+	public boolean success() {
+		return this.status >= FIRST_SUCCESS && this.status <= LAST_SUCCESS;
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/gateway/RolloutController.java
@@ -0,0 +1,206 @@
+package org.gullsaddle.gateway;
+
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+import io.vertx.core.Vertx;
+
+import org.gullsaddle.base.Json;
+import org.gullsaddle.fleet.FleetChange;
+import org.gullsaddle.fleet.RolloutState;
+import org.gullsaddle.fleet.ServiceName;
+import org.gullsaddle.serve.AttemptEnd;
+import org.gullsaddle.serve.Rollout;
+import org.gullsaddle.serve.RolloutNote;
+import org.gullsaddle.store.Store;
+
+/**
+ * Drives roll-outs: tells other nodes what this one saw, and writes the state when it is
+ * due.
+ * <p>
+ * No node is elected for it. The state is written under the condition that it still has
+ * the revision that the decision was made by, so that of several nodes that find it due
+ * at once one succeeds, and a node that was frozen and wakes writes nothing.
+ */
+final class RolloutController {
+
+	static final String NOTES = "gullsaddle/rollouts/";
+
+	/** How often roll-outs are looked at, in milliseconds; spread out between nodes. */
+	private static final long LOOK_MILLIS = 200;
+
+	/** How often a note is written while it changes, in milliseconds: each is a call. */
+	private static final long NOTE_MILLIS = 2000;
+
+	/** New evidence that is told at once: that of a failure. */
+	private static final double URGENT_EVIDENCE = 1;
+
+	/** How long urgent notes are apart at least, in milliseconds. */
+	private static final long URGENT_NOTE_MILLIS = 400;
+
+	private final Vertx vertx;
+
+	private final RolloutBoard board;
+
+	private final Store store;
+
+	private final String node;
+
+	private final FleetState fleet;
+
+	private final DecisionLog log;
+
+	private final RandomGenerator random = RandomGenerator.getDefault();
+
+	private final Set<ServiceName> writing = new HashSet<>();
+
+	private final Map<String, Told> told = new HashMap<>();
+
+	RolloutController(Vertx vertx, RolloutBoard board, Store store, String node, FleetState fleet, DecisionLog log) {
+		this.vertx = vertx;
+		this.board = board;
+		this.store = store;
+		this.node = node;
+		this.fleet = fleet;
+		this.log = log;
+	}
+
+	void start() {
+		this.vertx.setTimer(LOOK_MILLIS + this.random.nextLong(LOOK_MILLIS), (timer) -> {
+			this.fleet.rollouts().forEach(this::look);
+			start();
+		});
+	}
+
+	/**
+	 * Notes the end of an attempt. An answer that was lost on the way says nothing of the
+	 * release; only a failure that the replica itself reports does.
+	 */
+	void ended(ServiceName service, Attempt attempt, AttemptEnd end) {
+		Optional<Rollout> rollout = this.fleet.rollout(service);
+		if (rollout.isEmpty() || !(end instanceof AttemptEnd.Answered answered)) {
+			return;
+		}
+		rollout.get()
+			.answered(attempt.choice().replica().release(), answered.failure(), attempt.headAt() - attempt.startedAt());
+	}
+
+	/**
+	 * Takes in another node's note.
+	 */
+	void learned(FleetChange change) {
+		if (!(change instanceof FleetChange.Noted noted) || !noted.key().startsWith(NOTES)) {
+			return;
+		}
+		for (Rollout rollout : this.fleet.rollouts()) {
+			if (noted.key().startsWith(prefix(rollout)) && !noted.key().equals(key(rollout))) {
+				learn(rollout, noted);
+			}
+		}
+	}
+
+	private void learn(Rollout rollout, FleetChange.Noted noted) {
+		try {
+			rollout.learn(Clock.millis(), Json.read(noted.value(), RolloutNote.class));
+		}
+		catch (IOException ex) {
+			this.log.learned(new FleetChange.Unreadable(noted.key(), ex.getMessage()), 0);
+		}
+	}
+
+	private void look(Rollout rollout) {
+		long now = Clock.millis();
+		rollout.due(now).ifPresent((state) -> write(rollout, state));
+		if (rollout.state().equals(Optional.of(RolloutState.RUNNING))) {
+			tell(rollout, now);
+		}
+	}
+
+	private void write(Rollout rollout, RolloutState state) {
+		ServiceName service = rollout.order().service();
+		if (!this.writing.add(service)) {
+			return;
+		}
+		this.board.write(rollout.order(), state, rollout.stateRevision()).subscribe((written) -> {
+			this.writing.remove(service);
+			report(rollout, state, written ? "written" : "another node was first");
+		}, (failure) -> {
+			this.writing.remove(service);
+			report(rollout, state, "not answered: " + failure.getMessage());
+		});
+	}
+
+	private void report(Rollout rollout, RolloutState state, String outcome) {
+		this.log.rollout(rollout.order().service().value(), rollout.order().target(), state.name(), rollout.evidence(),
+				rollout.answers(), outcome);
+	}
+
+	private void tell(Rollout rollout, long now) {
+		Told last = this.told.computeIfAbsent(key(rollout), (key) -> new Told());
+		RolloutNote note = rollout.note(now, this.node);
+		boolean urgent = note.evidence() - last.evidence >= URGENT_EVIDENCE && now - last.at >= URGENT_NOTE_MILLIS;
+		boolean due = note.answers() != last.answers && now - last.at >= NOTE_MILLIS;
+		if (last.writing || !(urgent || due)) {
+			return;
+		}
+		last.at = now;
+		last.evidence = note.evidence();
+		last.answers = note.answers();
+		last.writing = true;
+		String key = key(rollout);
+		this.store.write(key, last.revision, List.of(new Store.Put(key, Json.write(note))))
+			.subscribe((revision) -> wrote(key, last, revision), (failure) -> refresh(key, last));
+	}
+
+	private void wrote(String key, Told last, Optional<Long> revision) {
+		last.writing = false;
+		if (revision.isPresent()) {
+			last.revision = revision.get();
+		}
+		else {
+			refresh(key, last);
+		}
+	}
+
+	/**
+	 * Reads the note's revision anew: an answer was lost, or an earlier life of this node
+	 * wrote it.
+	 */
+	private void refresh(String key, Told last) {
+		last.writing = true;
+		this.store.get(key).subscribe((value) -> {
+			last.writing = false;
+			last.answers = -1;
+			last.revision = value.map(Store.StoredValue::revision).orElse(0L);
+		}, (failure) -> last.writing = false);
+	}
+
+	private String prefix(Rollout rollout) {
+		return NOTES + rollout.order().service() + '/' + rollout.order().target() + '/';
+	}
+
+	private String key(Rollout rollout) {
+		return prefix(rollout) + this.node;
+	}
+
+	private static final class Told {
+
+		private long at;
+
+		private double evidence;
+
+		private int answers;
+
+		private long revision;
+
+		private boolean writing;
+
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
@@ -0,0 +1,472 @@
+package org.gullsaddle.gateway;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+
+import io.vertx.core.MultiMap;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpHeaders;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+
+import org.gullsaddle.base.TeamId;
+import org.gullsaddle.base.Verdict;
+import org.gullsaddle.fleet.EngineSpec;
+import org.gullsaddle.fleet.FleetConfig;
+import org.gullsaddle.fleet.Replica;
+import org.gullsaddle.fleet.ReplicaId;
+import org.gullsaddle.fleet.Route;
+import org.gullsaddle.fleet.RouteKind;
+import org.gullsaddle.fleet.ServiceName;
+import org.gullsaddle.fleet.ServiceSpec;
+import org.gullsaddle.fleet.Team;
+import org.gullsaddle.serve.AttemptEnd;
+import org.gullsaddle.serve.Choice;
+import org.gullsaddle.serve.Prompt;
+import org.gullsaddle.serve.RetryRule;
+
+/**
+ * Serves one request: from its route to its final answer, over one or more attempts.
+ */
+final class Serving implements Attempt.Listener {
+
+	/** An answer up to this size is held back until it is whole, in bytes. */
+	private static final int MAX_HELD = 262_144;
+
+	private static final int MAX_URGENCY = 9;
+
+	private final Gateway gateway;
+
+	private final HttpServerRequest request;
+
+	private final CallerRequest caller;
+
+	private final FleetConfig config;
+
+	private final Route route;
+
+	private final Optional<Team> team;
+
+	private final Buffer body;
+
+	private final long startedAt;
+
+	private final long endsAt;
+
+	private final ServiceName service;
+
+	private final RetryRule rule;
+
+	private final Set<ReplicaId> tried = new HashSet<>();
+
+	private final EventScanner events = new EventScanner();
+
+	private final CallerAnswerWriter writer;
+
+	private Attempt attempt;
+
+	private Buffer held = Buffer.buffer();
+
+	private MultiMap heldHeaders;
+
+	private String model = "";
+
+	private int attempts;
+
+	private boolean promptRead;
+
+	private boolean done;
+
+	private Serving(Builder builder) {
+		this.gateway = builder.gateway;
+		this.request = builder.request;
+		this.caller = builder.caller;
+		this.config = builder.config;
+		this.route = builder.route;
+		this.team = builder.team;
+		this.body = builder.body;
+		this.startedAt = builder.startedAt;
+		long patience = this.caller.deadlineMillis().orElse(this.route.timeoutMillis());
+		this.endsAt = this.startedAt + Math.min(patience, this.route.timeoutMillis());
+		this.service = this.gateway.decisions().service(this.route, id());
+		this.rule = new RetryRule(this.route);
+		this.writer = new CallerAnswerWriter(this.request.response(), this.gateway::stopping);
+	}
+
+	static Builder of(Gateway gateway, HttpServerRequest request) {
+		return new Builder(gateway, request);
+	}
+
+	void start() {
+		HttpServerResponse response = this.request.response();
+		response.closeHandler((nothing) -> left());
+		response.exceptionHandler((failure) -> left());
+		this.gateway.opened(this);
+		this.gateway.decisions().earnRetry();
+		this.model = this.caller.model();
+		if (!this.route.models().isEmpty()) {
+			this.model = this.gateway.decisions().model(this.route, this.caller.prompt());
+		}
+		tryNext();
+	}
+
+	private void tryNext() {
+		long now = Clock.millis();
+		long left = this.endsAt - now;
+		if (left <= 0) {
+			refuse("no time left");
+			return;
+		}
+		List<Replica> usable = this.gateway.fleet().replicas(now, this.service, session());
+		Optional<Choice> choice = this.gateway.decisions()
+			.picker()
+			.pick(now, usable, this.tried, modelOf(), this.caller.prompt());
+		if (choice.isEmpty()) {
+			refuse(usable.isEmpty() ? "no replica" : "no replica left");
+			return;
+		}
+		send(choice.get(), left);
+	}
+
+	private void send(Choice choice, long left) {
+		this.attempts++;
+		this.tried.add(choice.replica().id());
+		this.promptRead = false;
+		this.gateway.decisions().picker().sent(choice, modelOf(), this.caller.prompt(), cacheTokens());
+		Optional<String> lastEvent = this.events.lastId().or(this.caller::lastEvent);
+		OptionalInt urgency = generation() ? OptionalInt.of(Math.clamp(rank(), 0, MAX_URGENCY)) : OptionalInt.empty();
+		Handover handover = new Handover(choice.replica().id(), left, this.team.map(Team::id),
+				this.route.models().isEmpty() ? "" : this.model, urgency, lastEvent);
+		MultiMap headers = this.gateway.codec().toReplica(this.request.headers(), handover);
+		this.attempt = new Attempt(choice, id(), this.gateway.pool(), this.gateway.codec(), this);
+		this.attempt.send(this.request.method(), this.request.uri(), headers, this.body,
+				this.route.kind() == RouteKind.ONCE);
+	}
+
+	@Override
+	public void head(Attempt from, ReplicaAnswer answer, MultiMap headers) {
+		readPrompt(from);
+		this.held = Buffer.buffer();
+		this.events.dropRest();
+		this.heldHeaders = this.gateway.codec().toCaller(headers);
+		answer.load().ifPresent((load) -> this.gateway.decisions().picker().report(from.choice().replica(), load));
+		if (this.writer.begun() && !answer.success()) {
+			from.withdraw(new AttemptEnd.Broken("no answer to go on with"));
+		}
+	}
+
+	@Override
+	public void data(Attempt from, Buffer bytes) {
+		if (this.done) {
+			return;
+		}
+		if (streamed(from)) {
+			Buffer whole = this.events.add(bytes);
+			if (whole.length() > 0) {
+				this.writer.begin(from.answer().status(), this.heldHeaders);
+				this.writer.write(whole);
+			}
+			return;
+		}
+		this.held.appendBuffer(bytes);
+		if (this.held.length() > MAX_HELD) {
+			this.writer.begin(from.answer().status(), this.heldHeaders);
+			this.writer.write(this.held);
+			this.held = Buffer.buffer();
+		}
+	}
+
+	@Override
+	public void ended(Attempt from, AttemptEnd end) {
+		long now = Clock.millis();
+		AttemptEnd counted = end;
+		if (end instanceof AttemptEnd.Answered && streamed(from) && !this.events.atEventEnd()) {
+			counted = new AttemptEnd.Broken("stream ended within an event");
+		}
+		readPrompt(from);
+		this.rule.ended(counted);
+		this.gateway.attemptEnded(this, from, counted, now);
+		if (this.done) {
+			return;
+		}
+		if (counted instanceof AttemptEnd.Answered answered && !(answered.failure() && tryAgain(now, false))) {
+			finish(from, answered);
+			return;
+		}
+		if (counted instanceof AttemptEnd.Answered || (this.done)) {
+			return;
+		}
+		if (!tryAgain(now, true)) {
+			giveUp(counted);
+		}
+	}
+
+	/**
+	 * Tries another replica if that is allowed.
+	 */
+	private boolean tryAgain(long now, boolean required) {
+		boolean held = !this.writer.begun() || (this.route.resumable() && this.events.lastId().isPresent());
+		if (!held || !this.rule.mayTryAgain(this.endsAt - now)) {
+			return false;
+		}
+		boolean another = this.gateway.fleet()
+			.replicas(now, this.service, session())
+			.stream()
+			.anyMatch((replica) -> !this.tried.contains(replica.id()));
+		if (!another && !required) {
+			return false;
+		}
+		if (!another || !this.gateway.decisions().spendRetry()) {
+			return false;
+		}
+		tryNext();
+		return true;
+	}
+
+	private void finish(Attempt from, AttemptEnd.Answered answered) {
+		if (this.writer.begun()) {
+			this.writer.end(this.held);
+		}
+		else {
+			sendWhole(from.answer(), answered.status());
+		}
+		close(answered.failure() ? "failed" : "served", answered.status(), "answered");
+	}
+
+	/**
+	 * A refusal status of a replica that has not said that it did not run the request
+	 * must not reach the caller: there it is a promise that nothing ran.
+	 */
+	private void sendWhole(ReplicaAnswer answer, int status) {
+		if (Statuses.promisesNotRun(status) && this.route.kind() != RouteKind.IDEMPOTENT) {
+			this.writer.error(Statuses.BAD_GATEWAY, Optional.empty(), "the backend server gave no definite answer");
+			return;
+		}
+		if (this.request.method() != HttpMethod.HEAD) {
+			this.heldHeaders.remove(HttpHeaders.CONTENT_LENGTH);
+		}
+		this.writer.whole(answer.status(), this.heldHeaders, this.held);
+	}
+
+	private void giveUp(AttemptEnd end) {
+		String reason = switch (end) {
+			case AttemptEnd.NotRun notRun -> notRun.reason();
+			case AttemptEnd.Broken broken -> broken.reason();
+			case AttemptEnd.Withdrawn withdrawn -> withdrawn.reason();
+			case AttemptEnd.Answered answered -> "answered";
+		};
+		refuse(reason);
+	}
+
+	/**
+	 * Ends the request without a replica's answer.
+	 */
+	private void refuse(String reason) {
+		if (this.done) {
+			return;
+		}
+		if (this.writer.begun()) {
+			this.writer.abort();
+			close("failed", 0, reason);
+			return;
+		}
+		boolean notRun = this.rule.verdict() == Verdict.NOT_RUN;
+		int status = notRun ? Statuses.UNAVAILABLE : Statuses.BAD_GATEWAY;
+		Optional<Long> after = notRun ? Optional.of(this.gateway.decisions().comeBackMillis()) : Optional.empty();
+		this.writer.error(status, after, reason);
+		close(notRun ? "refused" : "failed", status, reason);
+	}
+
+	/**
+	 * Is called some times a second while the request is open.
+	 */
+	void tick(long now) {
+		if (this.done) {
+			return;
+		}
+		if (now >= this.endsAt) {
+			expire();
+			return;
+		}
+		if (this.attempt != null && silent(now)) {
+			this.attempt.withdraw(new AttemptEnd.Broken("silent"));
+		}
+	}
+
+	/**
+	 * A replica that went dark sends nothing, not even a reset. Waiting for it until the
+	 * deadline loses the request, though another replica could still answer in time. Only
+	 * what may run again is moved, and only while the budget lasts.
+	 */
+	private boolean silent(long now) {
+		if (!this.route.repeatable() || !this.rule.mayTryAgain(this.endsAt - now)) {
+			return false;
+		}
+		return this.attempt.silentMillis(now) > this.gateway.decisions().silenceMillis(this.route, this.writer.begun());
+	}
+
+	private void expire() {
+		if (this.attempt == null) {
+			refuse("deadline");
+			return;
+		}
+		this.done = true;
+		this.attempt.withdraw(new AttemptEnd.Withdrawn("deadline"));
+		this.done = false;
+		if (!this.writer.begun() && this.rule.verdict() != Verdict.NOT_RUN) {
+			this.writer.error(Statuses.TIMED_OUT, Optional.empty(), "deadline");
+			close("failed", Statuses.TIMED_OUT, "deadline");
+			return;
+		}
+		refuse("deadline");
+	}
+
+	/**
+	 * The caller has closed its connection.
+	 */
+	private void left() {
+		if (this.done) {
+			return;
+		}
+		this.done = true;
+		if (this.attempt != null) {
+			this.attempt.withdraw(new AttemptEnd.Withdrawn("caller left"));
+		}
+		this.done = false;
+		close("left", 0, "caller left");
+	}
+
+	/**
+	 * Cuts the request off as the process ends.
+	 */
+	void cutOff() {
+		left();
+		this.request.connection().close();
+	}
+
+	private void close(String outcome, int status, String reason) {
+		this.done = true;
+		this.gateway.closed(this, outcome, status, reason);
+	}
+
+	private void readPrompt(Attempt from) {
+		if (!this.promptRead) {
+			this.promptRead = true;
+			this.gateway.decisions().picker().promptRead(from.choice());
+		}
+	}
+
+	private boolean streamed(Attempt from) {
+		return this.route.kind() == RouteKind.STREAM && from.answer() != null && from.answer().success();
+	}
+
+	private boolean generation() {
+		return engine().isPresent();
+	}
+
+	private Optional<EngineSpec> engine() {
+		return this.config.service(this.service).flatMap(ServiceSpec::engine);
+	}
+
+	private long cacheTokens() {
+		return engine().map(EngineSpec::cacheTokens).orElse(0L);
+	}
+
+	private String modelOf() {
+		return generation() ? this.model : "";
+	}
+
+	private int rank() {
+		return this.route.rank(this.team.map(Team::rank).orElse(OptionalInt.empty()));
+	}
+
+	private String session() {
+		return this.caller.session().orElseGet(this::sharedPart);
+	}
+
+	private String sharedPart() {
+		Prompt prompt = this.caller.prompt();
+		return prompt.parts().isEmpty() ? id() : prompt.parts().get(prompt.parts().size() - 1).id();
+	}
+
+	String id() {
+		return this.caller.attemptId().orElse("");
+	}
+
+	Route route() {
+		return this.route;
+	}
+
+	ServiceName service() {
+		return this.service;
+	}
+
+	String model() {
+		return this.model;
+	}
+
+	DecisionLog.RequestLine line(String outcome, int status, String reason, long now, long age) {
+		return new DecisionLog.RequestLine(id(), this.route.name(),
+				this.team.map(Team::id).map(TeamId::value).orElse(""), outcome, status, reason,
+				this.rule.verdict().toString(), this.attempts, this.config.version(), age, now - this.startedAt);
+	}
+
+	String teamName() {
+		return this.team.map((each) -> each.id().value()).orElse("none");
+	}
+
+	/**
+	 * Collects what a {@link Serving} needs.
+	 */
+	static final class Builder {
+
+		private final Gateway gateway;
+
+		private final HttpServerRequest request;
+
+		private CallerRequest caller;
+
+		private FleetConfig config;
+
+		private Route route;
+
+		private Optional<Team> team = Optional.empty();
+
+		private Buffer body;
+
+		private long startedAt;
+
+		private Builder(Gateway gateway, HttpServerRequest request) {
+			this.gateway = gateway;
+			this.request = request;
+		}
+
+		Builder caller(CallerRequest newCaller, Optional<Team> newTeam) {
+			this.caller = newCaller;
+			this.team = newTeam;
+			return this;
+		}
+
+		Builder under(FleetConfig newConfig, Route newRoute) {
+			this.config = newConfig;
+			this.route = newRoute;
+			return this;
+		}
+
+		Builder body(Buffer newBody, long newStartedAt) {
+			this.body = newBody;
+			this.startedAt = newStartedAt;
+			return this;
+		}
+
+		Serving build() {
+			return new Serving(this);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Statuses.java
@@ -0,0 +1,40 @@
+package org.gullsaddle.gateway;
+
+/**
+ * HTTP statuses and what they tell a caller.
+ */
+final class Statuses {
+
+	static final int OK = 200;
+
+	static final int BAD_REQUEST = 400;
+
+	static final int UNAUTHORIZED = 401;
+
+	static final int NOT_FOUND = 404;
+
+	static final int TOO_LARGE = 413;
+
+	static final int BAD_GATEWAY = 502;
+
+	static final int UNAVAILABLE = 503;
+
+	static final int TIMED_OUT = 504;
+
+	private static final int REQUEST_TIMEOUT = 408;
+
+	private static final int MISDIRECTED = 421;
+
+	private static final int TOO_MANY = 429;
+
+	private Statuses() {
+	}
+
+	/**
+	 * Says whether callers read a status as: not run, and never will be.
+	 */
+	static boolean promisesNotRun(int status) {
+		return status == UNAVAILABLE || status == REQUEST_TIMEOUT || status == MISDIRECTED || status == TOO_MANY;
+	}
+
+}
--- a/daemon/src/main/java/org/gullsaddle/settings/Settings.java
+++ b/daemon/src/main/java/org/gullsaddle/settings/Settings.java
@@ -12,6 +12,7 @@
 import java.util.TreeSet;
 import java.util.function.Function;
 
+import org.gullsaddle.base.Address;
 import org.gullsaddle.base.ModelVersion;
 import org.gullsaddle.base.NodeId;
 import org.gullsaddle.base.TeamId;
--- a/daemon/src/main/java/org/gullsaddle/telemetry/Telemetry.java
+++ b/daemon/src/main/java/org/gullsaddle/telemetry/Telemetry.java
@@ -38,6 +38,8 @@
 				new MapperConfig("gullsaddle.between.*.*", "gullsaddle_between_tokens_seconds", teamLabels()),
 				new MapperConfig("gullsaddle.outcome.*.*.*", "gullsaddle_requests",
 						Map.of("template", "${0}", "team", "${1}", "outcome", "${2}")),
+				new MapperConfig("gullsaddle.request.*.*.*", "gullsaddle_request_seconds",
+						Map.of("route", "${0}", "team", "${1}", "outcome", "${2}")),
 				new MapperConfig("gullsaddle.served.*.*", "gullsaddle_served",
 						Map.of("template", "${0}", "version", "${1}")));
 		new DropwizardExports(this.metrics, new CustomMappingSampleBuilder(labels)).register(this.collectors);
@@ -73,6 +75,18 @@
 		timer("gullsaddle.between." + part(template) + "." + part(team)).update(millis, TimeUnit.MILLISECONDS);
 	}
 
+	/**
+	 * Notes the end of a request that went straight to replicas.
+	 * @param route its route
+	 * @param team its team
+	 * @param outcome {@code served}, {@code refused}, {@code failed} or {@code left}
+	 * @param millis how long it took, in milliseconds
+	 */
+	public void request(String route, String team, String outcome, long millis) {
+		timer("gullsaddle.request." + part(route) + "." + part(team) + "." + part(outcome)).update(millis,
+				TimeUnit.MILLISECONDS);
+	}
+
 	/**
 	 * Counts a request by its outcome.
 	 * @param template its template
--- a/daemon/src/main/java/org/gullsaddle/wire/PeerDialer.java
+++ b/daemon/src/main/java/org/gullsaddle/wire/PeerDialer.java
@@ -5,7 +5,7 @@
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
 
-import org.gullsaddle.settings.Address;
+import org.gullsaddle.base.Address;
 
 /**
  * Dials other nodes.
--- a/daemon/src/main/java/org/gullsaddle/wire/PeerServer.java
+++ b/daemon/src/main/java/org/gullsaddle/wire/PeerServer.java
@@ -4,7 +4,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetServer;
 
-import org.gullsaddle.settings.Address;
+import org.gullsaddle.base.Address;
 
 /**
  * Accepts links from other nodes.
--- a/daemon/src/test/java/org/gullsaddle/wire/PeerLinkTests.java
+++ b/daemon/src/test/java/org/gullsaddle/wire/PeerLinkTests.java
@@ -14,8 +14,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
+import org.gullsaddle.base.Address;
 import org.gullsaddle.base.NodeId;
-import org.gullsaddle.settings.Address;
 import org.gullsaddle.settings.Role;
 import org.gullsaddle.telemetry.NodeClock;
 
