--- a/core/src/main/java/org/gullsaddle/serve/AttemptEnd.java
+++ b/core/src/main/java/org/gullsaddle/serve/AttemptEnd.java
@@ -49,4 +49,12 @@
 	record Withdrawn(String reason) implements AttemptEnd {
 	}
 
+	/**
+	 * Its answer was dropped for a larger model's.
+	 *
+	 * @param confidence the model's own opinion of the answer, 0 to 100
+	 */
+	record Dropped(int confidence) implements AttemptEnd {
+	}
+
 }
--- a/core/src/main/java/org/gullsaddle/serve/ReplicaPicker.java
+++ b/core/src/main/java/org/gullsaddle/serve/ReplicaPicker.java
@@ -21,6 +21,9 @@
 	/** How many prompt tokens an engine reads in a millisecond. */
 	private static final double PREFILL_TOKENS_PER_MILLI = 37.9;
 
+	/** How many times longer the largest models take over a token. */
+	private static final double SLOWEST_MODEL = 3;
+
 	/**
 	 * How much one more running request delays an engine's first token, in milliseconds:
 	 * its share of some twenty steps of a batch.
@@ -113,6 +116,30 @@
 		state(choice.replica()).read(choice.unreadTokens());
 	}
 
+	/**
+	 * Notes that bytes came from a replica.
+	 * @param now the time in milliseconds
+	 * @param replica the replica
+	 */
+	public void heard(long now, Replica replica) {
+		state(replica).heard(now);
+	}
+
+	/**
+	 * Says whether a replica has gone dark: nothing came from it, on any connection, for
+	 * longer than it may take over the prompt that it was given.
+	 * @param now the time in milliseconds
+	 * @param choice where a request was sent
+	 * @param since since when that request waits for bytes, in milliseconds
+	 * @param patienceMillis how long a replica that has nothing to read may be silent
+	 * @return true if the request is better tried elsewhere
+	 */
+	public boolean dark(long now, Choice choice, long since, long patienceMillis) {
+		long heard = Math.max(since, state(choice.replica()).heardAt());
+		double reading = SLOWEST_MODEL * choice.unreadTokens() / PREFILL_TOKENS_PER_MILLI;
+		return now - heard > patienceMillis + reading;
+	}
+
 	/**
 	 * Notes how an attempt ended.
 	 * @param now the time in milliseconds
@@ -139,6 +166,7 @@
 			case AttemptEnd.Broken broken -> state.failed(now);
 			case AttemptEnd.Withdrawn withdrawn -> {
 			}
+			case AttemptEnd.Dropped dropped -> state.succeeded();
 		}
 	}
 
--- a/core/src/main/java/org/gullsaddle/serve/ReplicaState.java
+++ b/core/src/main/java/org/gullsaddle/serve/ReplicaState.java
@@ -27,6 +27,8 @@
 
 	private double failureShare;
 
+	private long heardAt = Long.MIN_VALUE;
+
 	ReplicaState(Replica replica) {
 		this.replica = replica;
 	}
@@ -60,6 +62,14 @@
 		this.others.report(report, this.running);
 	}
 
+	void heard(long now) {
+		this.heardAt = now;
+	}
+
+	long heardAt() {
+		return this.heardAt;
+	}
+
 	void succeeded() {
 		this.ejection.succeeded();
 		this.failureShare -= SMOOTHING * this.failureShare;
--- a/core/src/main/java/org/gullsaddle/serve/RetryRule.java
+++ b/core/src/main/java/org/gullsaddle/serve/RetryRule.java
@@ -43,6 +43,7 @@
 			case AttemptEnd.Answered answered -> ran(Verdict.RAN);
 			case AttemptEnd.Broken broken -> ran(Verdict.MAY_HAVE_RUN);
 			case AttemptEnd.Withdrawn withdrawn -> ran(Verdict.MAY_HAVE_RUN);
+			case AttemptEnd.Dropped dropped -> ran(Verdict.MAY_HAVE_RUN);
 		}
 	}
 
@@ -59,6 +60,15 @@
 		return this.verdict;
 	}
 
+	/**
+	 * Says whether the answer under way may be dropped for another attempt.
+	 * @param leftMillis the time left in milliseconds
+	 * @return true if one more attempt is allowed after it
+	 */
+	public boolean mayDrop(long leftMillis) {
+		return leftMillis >= WORTH_MILLIS && this.runs + 1 < this.route.maxAttempts() && this.route.repeatable();
+	}
+
 	/**
 	 * Says whether another attempt is allowed and worth it. The budget is not asked.
 	 * @param leftMillis the time left in milliseconds
--- a/daemon/src/main/java/org/gullsaddle/gateway/Attempt.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Attempt.java
@@ -205,10 +205,10 @@
 	}
 
 	/**
-	 * Returns how long nothing has come from the replica, in milliseconds.
+	 * Returns when the last bytes came, or the attempt began.
 	 */
-	long silentMillis(long now) {
-		return now - this.lastByteAt;
+	long lastByteAt() {
+		return this.lastByteAt;
 	}
 
 	/**
--- a/daemon/src/main/java/org/gullsaddle/gateway/Decisions.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Decisions.java
@@ -7,8 +7,8 @@
 import org.gullsaddle.fleet.RouteKind;
 import org.gullsaddle.fleet.ServiceName;
 import org.gullsaddle.fleet.ServiceShare;
+import org.gullsaddle.serve.ModelChooser;
 import org.gullsaddle.serve.Place;
-import org.gullsaddle.serve.Prompt;
 import org.gullsaddle.serve.ReplicaPicker;
 import org.gullsaddle.serve.RetryBudget;
 
@@ -32,6 +32,8 @@
 
 	private final RetryBudget budget;
 
+	private final ModelChooser models = new ModelChooser();
+
 	private final RandomGenerator random = RandomGenerator.getDefault();
 
 	Decisions(Place here, double retryShare) {
@@ -59,11 +61,8 @@
 		return COME_BACK_MILLIS + this.random.nextLong(COME_BACK_MILLIS);
 	}
 
-	/**
-	 * Returns the model to try first.
-	 */
-	String model(Route route, Prompt prompt) {
-		return route.models().get(Integer.getInteger("gullsaddle.size", route.models().size() - 1));
+	ModelChooser models() {
+		return this.models;
 	}
 
 	/**
--- a/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
@@ -109,7 +109,7 @@
 		this.gateway.decisions().earnRetry();
 		this.model = this.caller.model();
 		if (!this.route.models().isEmpty()) {
-			this.model = this.gateway.decisions().model(this.route, this.caller.prompt());
+			this.model = this.gateway.decisions().models().first(this.route);
 		}
 		tryNext();
 	}
@@ -154,9 +154,28 @@
 		this.events.dropRest();
 		this.heldHeaders = this.gateway.codec().toCaller(headers);
 		answer.load().ifPresent((load) -> this.gateway.decisions().picker().report(from.choice().replica(), load));
+		this.gateway.decisions().picker().heard(Clock.millis(), from.choice().replica());
 		if (this.writer.begun() && !answer.success()) {
 			from.withdraw(new AttemptEnd.Broken("no answer to go on with"));
 		}
+		else if (answer.success() && !this.writer.begun()) {
+			doubt(from, answer);
+		}
+	}
+
+	/**
+	 * Drops an answer that its model itself doubts, while the caller has none of it, and
+	 * asks a larger model.
+	 */
+	private void doubt(Attempt from, ReplicaAnswer answer) {
+		Optional<String> larger = this.gateway.decisions().models().larger(this.route, this.model, answer.confidence());
+		long left = this.endsAt - Clock.millis();
+		if (larger.isEmpty() || !this.rule.mayDrop(left) || !this.gateway.decisions().spendRetry()) {
+			return;
+		}
+		this.model = larger.get();
+		this.tried.remove(from.choice().replica().id());
+		from.withdraw(new AttemptEnd.Dropped(answer.confidence().orElse(0)));
 	}
 
 	@Override
@@ -164,6 +183,7 @@
 		if (this.done) {
 			return;
 		}
+		this.gateway.decisions().picker().heard(Clock.millis(), from.choice().replica());
 		if (streamed(from)) {
 			Buffer whole = this.events.add(bytes);
 			if (whole.length() > 0) {
@@ -193,14 +213,15 @@
 		if (this.done) {
 			return;
 		}
-		if (counted instanceof AttemptEnd.Answered answered && !(answered.failure() && tryAgain(now, false))) {
-			finish(from, answered);
+		if (counted instanceof AttemptEnd.Dropped) {
+			tryNext();
 			return;
 		}
-		if (counted instanceof AttemptEnd.Answered || (this.done)) {
+		if (counted instanceof AttemptEnd.Answered answered && !(answered.failure() && tryAgain(now))) {
+			finish(from, answered);
 			return;
 		}
-		if (!tryAgain(now, true)) {
+		if (!(counted instanceof AttemptEnd.Answered) && !tryAgain(now)) {
 			giveUp(counted);
 		}
 	}
@@ -208,7 +229,7 @@
 	/**
 	 * Tries another replica if that is allowed.
 	 */
-	private boolean tryAgain(long now, boolean required) {
+	private boolean tryAgain(long now) {
 		boolean held = !this.writer.begun() || (this.route.resumable() && this.events.lastId().isPresent());
 		if (!held || !this.rule.mayTryAgain(this.endsAt - now)) {
 			return false;
@@ -217,9 +238,6 @@
 			.replicas(now, this.service, session())
 			.stream()
 			.anyMatch((replica) -> !this.tried.contains(replica.id()));
-		if (!another && !required) {
-			return false;
-		}
 		if (!another || !this.gateway.decisions().spendRetry()) {
 			return false;
 		}
@@ -257,6 +275,7 @@
 			case AttemptEnd.NotRun notRun -> notRun.reason();
 			case AttemptEnd.Broken broken -> broken.reason();
 			case AttemptEnd.Withdrawn withdrawn -> withdrawn.reason();
+			case AttemptEnd.Dropped dropped -> "dropped";
 			case AttemptEnd.Answered answered -> "answered";
 		};
 		refuse(reason);
@@ -300,13 +319,18 @@
 	/**
 	 * A replica that went dark sends nothing, not even a reset. Waiting for it until the
 	 * deadline loses the request, though another replica could still answer in time. Only
-	 * what may run again is moved, and only while the budget lasts.
+	 * what may run again is moved. One that answers others is alive, and only busy: moved
+	 * away, its queue would be built up anew elsewhere.
 	 */
 	private boolean silent(long now) {
-		if (!this.route.repeatable() || !this.rule.mayTryAgain(this.endsAt - now)) {
+		if (!this.rule.mayDrop(this.endsAt - now)) {
 			return false;
 		}
-		return this.attempt.silentMillis(now) > this.gateway.decisions().silenceMillis(this.route, this.writer.begun());
+		long patience = this.gateway.decisions().silenceMillis(this.route, this.writer.begun());
+		if (this.route.kind() == RouteKind.IDEMPOTENT) {
+			return now - this.attempt.lastByteAt() > patience;
+		}
+		return this.gateway.decisions().picker().dark(now, this.attempt.choice(), this.attempt.lastByteAt(), patience);
 	}
 
 	private void expire() {
