Classes of a gateway are archived in the build, by a rehearsal against stand-ins

Change: the build makes a base archive and one of the classes that a rehearsed gateway loads; SIGTERM ends by a regular exit, as an archive is only written then.

--- a/build/deploy.sh
+++ b/build/deploy.sh
@@ -5,11 +5,11 @@
 home=$(cd "$(dirname "$0")/.." && pwd)
 . "$home/build/jdk.sh"
 cd "$home"
-mvn -B -q -Dmaven.test.skip -pl core,daemon,platform package
+mvn -B -q -Dmaven.test.skip -pl platform,standin -am package
 mkdir -p target/lib
 rm -rf target/lib/* target/runtime target/app.jsa
 cp platform/target/lib/*.jar target/lib/
 cp platform/target/gullsaddle-platform-*.jar target/gullsaddle.jar
 jlink --add-modules java.base,java.logging,java.management,jdk.management,java.naming,java.sql,java.xml,jdk.unsupported,java.desktop,jdk.net \
-	--strip-debug --no-header-files --no-man-pages --output target/runtime
+	--generate-cds-archive --strip-debug --no-header-files --no-man-pages --output target/runtime
 . build/train.sh
--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -161,7 +161,7 @@
 
 	private void endIfIdle(Promise<Void> stopped) {
 		boolean over = Clock.millis() >= this.stopAt;
-		if (!this.open.isEmpty() && !over) {
+		if (stopped.future().isComplete() || (!this.open.isEmpty() && !over)) {
 			return;
 		}
 		this.log.stopped(this.open.size());
--- /dev/null
+++ b/standin/src/main/java/org/gullsaddle/standin/FleetReplica.java
@@ -0,0 +1,210 @@
+package org.gullsaddle.standin;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+
+/**
+ * Stands in for a replica on the machines' platform: answers requests whole or as a
+ * stream of numbered events, and notes what ran. What it does next can be scripted. Runs
+ * on one event loop.
+ */
+public final class FleetReplica {
+
+	private static final int EVENTS = 5;
+
+	private static final long EVENT_MILLIS = 5;
+
+	private static final int MISDIRECTED = 421;
+
+	private final Vertx vertx;
+
+	private final String id;
+
+	private final String service;
+
+	private final List<JsonObject> runs = new ArrayList<>();
+
+	private final List<Consumer<HttpServerRequest>> script = new ArrayList<>();
+
+	private int port;
+
+	/**
+	 * Makes a replica.
+	 * @param vertx where it runs
+	 * @param id its id
+	 * @param service the service that it runs
+	 */
+	public FleetReplica(Vertx vertx, String id, String service) {
+		this.vertx = vertx;
+		this.id = id;
+		this.service = service;
+	}
+
+	/**
+	 * Starts listening.
+	 * @return completes when it listens
+	 */
+	public Future<Void> listen() {
+		return this.vertx.createHttpServer()
+			.requestHandler((request) -> request.body().onSuccess((body) -> serve(request, body.toString())))
+			.listen(0, "127.0.0.1")
+			.onSuccess((server) -> this.port = server.actualPort())
+			.mapEmpty();
+	}
+
+	/**
+	 * Returns its entry in the registry.
+	 * @param dataCenter where it is
+	 * @param release the version of its software
+	 * @param state {@code ready} or {@code draining}
+	 * @return the entry's JSON text
+	 */
+	public String entry(String dataCenter, String release, String state) {
+		return new JsonObject().put("service", this.service)
+			.put("address", "127.0.0.1:" + this.port)
+			.put("zone", dataCenter)
+			.put("version", release)
+			.put("slots", 8)
+			.put("state", state)
+			.put("coldRemainingMs", 0)
+			.put("sequence", 1)
+			.put("born", 1)
+			.encode();
+	}
+
+	/**
+	 * Returns its id.
+	 * @return the id
+	 */
+	public String id() {
+		return this.id;
+	}
+
+	/**
+	 * Has the next request that is not yet scripted treated in a certain way instead of
+	 * answered.
+	 * @param treatment what to do with it
+	 */
+	public void next(Consumer<HttpServerRequest> treatment) {
+		this.script.add(treatment);
+	}
+
+	/**
+	 * Returns what it was asked to run, each with its headers and body.
+	 * @return the runs in their order
+	 */
+	public List<JsonObject> runs() {
+		return List.copyOf(this.runs);
+	}
+
+	private void serve(HttpServerRequest request, String body) {
+		String target = request.getHeader("Gullsaddle-Target-Instance");
+		if (target != null && !target.equals(this.id)) {
+			request.response().setStatusCode(MISDIRECTED).putHeader("Gullsaddle-Instance-Id", this.id).end();
+			return;
+		}
+		JsonObject headers = new JsonObject();
+		request.headers().forEach((name, value) -> headers.put(name.toLowerCase(), value));
+		this.runs.add(new JsonObject().put("uri", request.uri()).put("headers", headers).put("body", body));
+		if (!this.script.isEmpty()) {
+			this.script.remove(0).accept(request);
+			return;
+		}
+		if (request.getHeader("Gullsaddle-Token-Usage") == null) {
+			signed(request).end("{\"done\":\"" + request.getHeader("Gullsaddle-Attempt-Id") + "\"}");
+			return;
+		}
+		String last = request.getHeader("Last-Event-Id");
+		stream(signed(request).setChunked(true), (last != null) ? Integer.parseInt(last) + 1 : 1, EVENTS);
+	}
+
+	/**
+	 * Begins a response with the headers of a whole one.
+	 * @param request the request to answer
+	 * @return the response
+	 */
+	public HttpServerResponse signed(HttpServerRequest request) {
+		return request.response()
+			.putHeader("Gullsaddle-Attempt-Id", request.getHeader("Gullsaddle-Attempt-Id"))
+			.putHeader("Gullsaddle-Response-Signature", "signature-of-" + this.id)
+			.putHeader("Gullsaddle-Server-Load", "1,0,8")
+			.putHeader("Gullsaddle-Confidence", "90");
+	}
+
+	/**
+	 * Sends events and ends the stream.
+	 * @param response the response, begun
+	 * @param from the first event's number
+	 * @param to the last one's
+	 */
+	public void stream(HttpServerResponse response, int from, int to) {
+		if (from > to) {
+			response.end();
+			return;
+		}
+		response.write(event(from));
+		this.vertx.setTimer(EVENT_MILLIS, (timer) -> stream(response, from + 1, to));
+	}
+
+	/**
+	 * Returns an event's text.
+	 * @param number its number
+	 * @return the text
+	 */
+	public static String event(int number) {
+		return "id: " + number + "\ndata: piece-" + number + "\n\n";
+	}
+
+	/**
+	 * Returns a configuration with a stream route {@code /ask/} to the service
+	 * {@code engines}, a route {@code /read/} of requests that may run again and one
+	 * {@code /order/} of requests that may not, both to the service {@code desk}.
+	 * @param version its version
+	 * @return its JSON text
+	 */
+	public static String config(long version) {
+		JsonArray routes = new JsonArray()
+			.add(route("ask", "stream", "engines", 3).put("streamResume", true)
+				.put("gapAimMs", 1000)
+				.put("sizes", new JsonArray().add("small").add("large")))
+			.add(route("read", "safe", "desk", 2))
+			.add(route("order", "unsafe", "desk", 1));
+		JsonObject engine = new JsonObject().put("slots", 8)
+			.put("kvCapacityTokens", 100_000)
+			.put("stride", 4)
+			.put("models", new JsonArray().add(new JsonObject().put("name", "small").put("cost", 0.01))
+				.add(new JsonObject().put("name", "large").put("cost", 0.1)));
+		JsonArray services = new JsonArray()
+			.add(new JsonObject().put("name", "engines").put("maxConnections", 100).put("engine", engine))
+			.add(new JsonObject().put("name", "desk").put("maxConnections", 100));
+		JsonObject team = new JsonObject().put("name", "bakers").put("apiKeys", new JsonArray().add("key-of-bakers"));
+		return new JsonObject().put("version", version)
+			.put("routes", routes)
+			.put("services", services)
+			.put("limits", new JsonObject().put("maxHeaderBytes", 16_384).put("maxBodyBytes", 65_536))
+			.put("tenants", new JsonArray().add(team))
+			.encode();
+	}
+
+	private static JsonObject route(String name, String kind, String service, int attempts) {
+		return new JsonObject().put("name", name)
+			.put("host", "shop.example")
+			.put("prefix", "/" + name + "/")
+			.put("kind", kind)
+			.put("timeoutMs", 5000)
+			.put("targetLatencyMs", 1000)
+			.put("priority", 1)
+			.put("service", service)
+			.put("maxAttempts", attempts)
+			.put("public", false);
+	}
+
+}
