Escalation gives way under load; replicas that left are forgotten; prompts weigh by pace

And DRAIN: a directory that never had an outage took each removal as a lapse, by an overflow of 'long ago'. Change: the confidence that is enough falls with late answers of the largest; unread tokens count by the model's learned pace; the overflow is gone.

--- a/core/src/main/java/org/gullsaddle/fleet/ReplicaDirectory.java
+++ b/core/src/main/java/org/gullsaddle/fleet/ReplicaDirectory.java
@@ -33,7 +33,9 @@
 
 	private boolean told;
 
-	private long backAt = Long.MIN_VALUE;
+	private boolean everAway;
+
+	private long backAt;
 
 	/**
 	 * Takes in that the whole registry was read.
@@ -75,6 +77,7 @@
 		if (this.away && !isAway) {
 			this.backAt = now;
 		}
+		this.everAway = this.everAway || isAway;
 		this.away = isAway;
 	}
 
@@ -112,7 +115,7 @@
 	 * @return the replicas, in the order of their ids
 	 */
 	public List<Replica> usable(long now, ServiceName service) {
-		if (!this.away && now - this.backAt > LAPSED_MILLIS) {
+		if (!outage(now)) {
 			this.lapsed.clear();
 		}
 		TreeMap<ReplicaId, Replica> all = new TreeMap<>(this.lapsed);
@@ -125,10 +128,13 @@
 	}
 
 	private void missing(long now, Replica replica) {
-		boolean outage = this.away || now - this.backAt <= LAPSED_MILLIS;
-		if (outage && !replica.draining()) {
+		if (outage(now) && !replica.draining()) {
 			this.lapsed.put(replica.id(), replica);
 		}
 	}
 
+	private boolean outage(long now) {
+		return this.away || (this.everAway && now - this.backAt <= LAPSED_MILLIS);
+	}
+
 }
--- a/core/src/main/java/org/gullsaddle/serve/ModelChooser.java
+++ b/core/src/main/java/org/gullsaddle/serve/ModelChooser.java
@@ -8,16 +8,32 @@
 
 /**
  * Chooses among a route's models: the smallest first, and the largest if the smallest
- * doubts its own answer.
+ * doubts its own answer. Confined to one thread.
+ * <p>
+ * The largest takes ten times as long. When many ask for it, its queues make all answers
+ * late, also those of the small model that run beside it. So the confidence that is
+ * enough falls by a part with each late answer of the largest, and rises a little with
+ * each in time: under load only the answers that are most likely wrong are replaced.
  */
 public final class ModelChooser {
 
 	/**
-	 * The confidence below which an answer is dropped. Of answers of the smallest model
-	 * about two in five lie below it, near the share that is too hard for it; at 80 the
-	 * large models' queues made one in four late.
+	 * The confidence that is always enough. Of the answers of the smallest model about
+	 * two in five lie below it, near the share that is too hard for it.
 	 */
-	private static final int DOUBT_BELOW = 55;
+	private static final double MOST = 55;
+
+	/** The answers that are surely wrong lie below it. */
+	private static final double LEAST = 4;
+
+	private static final double RISE = 0.8;
+
+	private static final double FALL = 0.85;
+
+	/** The part of the objective after which a first event counts as late. */
+	private static final double LATE_PART = 0.6;
+
+	private double enough = MOST;
 
 	/**
 	 * Returns the model to ask first.
@@ -37,11 +53,39 @@
 	 */
 	public Optional<String> larger(Route route, String model, OptionalInt confidence) {
 		List<String> models = route.models();
-		if (confidence.isEmpty() || confidence.getAsInt() >= DOUBT_BELOW || models.isEmpty()) {
+		if (confidence.isEmpty() || confidence.getAsInt() >= this.enough || models.isEmpty()) {
 			return Optional.empty();
 		}
-		String largest = models.get(models.size() - 1);
+		String largest = largest(route);
 		return model.equals(largest) ? Optional.empty() : Optional.of(largest);
 	}
 
+	/**
+	 * Notes how a larger model kept to the objectives.
+	 * @param route the route
+	 * @param model the model
+	 * @param firstMillis how long its first event took, in milliseconds
+	 * @param gapMillis the longest pause between its events, in milliseconds
+	 */
+	public void answered(Route route, String model, long firstMillis, long gapMillis) {
+		if (route.models().isEmpty() || !model.equals(largest(route))) {
+			return;
+		}
+		boolean late = firstMillis > LATE_PART * route.targetMillis()
+				|| (route.gapMillis() > 0 && gapMillis > route.gapMillis());
+		this.enough = late ? Math.max(LEAST, this.enough * FALL) : Math.min(MOST, this.enough + RISE);
+	}
+
+	/**
+	 * Returns the confidence that is enough now.
+	 * @return 0 to 100
+	 */
+	public double enough() {
+		return this.enough;
+	}
+
+	private static String largest(Route route) {
+		return route.models().get(route.models().size() - 1);
+	}
+
 }
--- /dev/null
+++ b/core/src/main/java/org/gullsaddle/serve/ModelPace.java
@@ -0,0 +1,54 @@
+package org.gullsaddle.serve;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.gullsaddle.fleet.ModelSize;
+
+/**
+ * How much longer models take over a token, learned from the streams that pass through.
+ * Confined to one thread.
+ */
+public final class ModelPace {
+
+	private static final double SMOOTHING = 0.05;
+
+	/** How many times slower than the smallest a model is taken for at most. */
+	private static final double MAX_PACE = 15;
+
+	private final Map<String, Double> eventMillis = new HashMap<>();
+
+	/**
+	 * Notes a stream.
+	 * @param model the model that made it
+	 * @param millis the time between two of its events on average, in milliseconds
+	 */
+	public void streamed(String model, double millis) {
+		this.eventMillis.merge(model, millis, (before, now) -> before + SMOOTHING * (now - before));
+	}
+
+	/**
+	 * Returns a model's pace. Until both were seen, the prices stand for it: who takes
+	 * longer costs more.
+	 * @param model the model
+	 * @param models all models of its service
+	 * @return how many times longer it takes over a token than the cheapest
+	 */
+	public double of(String model, List<ModelSize> models) {
+		ModelSize cheapest = null;
+		ModelSize asked = null;
+		for (ModelSize each : models) {
+			cheapest = (cheapest == null || each.cost() < cheapest.cost()) ? each : cheapest;
+			asked = each.name().equals(model) ? each : asked;
+		}
+		if (asked == null) {
+			return 1;
+		}
+		Double own = this.eventMillis.get(asked.name());
+		Double least = this.eventMillis.get(cheapest.name());
+		double pace = (own != null && least != null) ? own / least : asked.cost() / Math.max(1e-9, cheapest.cost());
+		return Math.clamp(pace, 1, MAX_PACE);
+	}
+
+}
--- a/core/src/main/java/org/gullsaddle/serve/ReplicaPicker.java
+++ b/core/src/main/java/org/gullsaddle/serve/ReplicaPicker.java
@@ -18,11 +18,16 @@
  */
 public final class ReplicaPicker {
 
-	/** How many prompt tokens an engine reads in a millisecond. */
-	private static final double PREFILL_TOKENS_PER_MILLI = 37.9;
+	/**
+	 * How many prompt tokens an engine reads in a millisecond with the smallest model:
+	 * the operators' sheet gives 37.9 for one that takes three times as long.
+	 */
+	private static final double PREFILL_TOKENS_PER_MILLI = 120;
 
-	/** How many times longer the largest models take over a token. */
-	private static final double SLOWEST_MODEL = 3;
+	/**
+	 * How much longer than expected a replica may take to read before it counts as dark.
+	 */
+	private static final double READ_MARGIN = 2;
 
 	/**
 	 * How much one more running request delays an engine's first token, in milliseconds:
@@ -72,11 +77,10 @@
 	 * @param now the time in milliseconds
 	 * @param usable the replicas that take new work
 	 * @param tried those that refused or failed the request already
-	 * @param model the model that is to run, empty for a plain service
-	 * @param prompt the prompt
+	 * @param task what it is to do
 	 * @return the replica, or empty if none is left
 	 */
-	public Optional<Choice> pick(long now, List<Replica> usable, Set<ReplicaId> tried, String model, Prompt prompt) {
+	public Optional<Choice> pick(long now, List<Replica> usable, Set<ReplicaId> tried, Task task) {
 		List<ReplicaState> able = usable.stream()
 			.filter((replica) -> !tried.contains(replica.id()))
 			.map(this::state)
@@ -85,7 +89,7 @@
 		ReplicaState best = null;
 		double least = Double.MAX_VALUE;
 		for (ReplicaState state : sound.isEmpty() ? able : sound) {
-			double cost = cost(state, model, prompt);
+			double cost = cost(state, task);
 			if (cost < least) {
 				least = cost;
 				best = state;
@@ -94,26 +98,28 @@
 		if (best == null) {
 			return Optional.empty();
 		}
-		return Optional.of(new Choice(best.replica(), unread(best, model, prompt), Math.round(least), best.requests()));
+		int unread = unread(best, task);
+		return Optional.of(new Choice(best.replica(), unread, Math.round(least),
+				Math.round(unread * task.pace() / PREFILL_TOKENS_PER_MILLI), best.requests()));
 	}
 
 	/**
 	 * Notes that a request was sent.
 	 * @param choice where to
-	 * @param model the model that runs
-	 * @param prompt its prompt
-	 * @param cacheTokens the tokens that the engine's memory holds
+	 * @param task what the replica is to do
 	 */
-	public void sent(Choice choice, String model, Prompt prompt, long cacheTokens) {
-		state(choice.replica()).sent(model, prompt, choice.unreadTokens(), Math.round(cacheTokens * KEPT_SHARE));
+	public void sent(Choice choice, Task task) {
+		long kept = Math.round(task.cacheTokens() * KEPT_SHARE);
+		state(choice.replica()).sent(task, choice.unreadTokens() * task.pace(), kept);
 	}
 
 	/**
 	 * Notes that the replica has read the prompt, or gave the request up.
 	 * @param choice where it was sent
+	 * @param task what the replica was to do
 	 */
-	public void promptRead(Choice choice) {
-		state(choice.replica()).read(choice.unreadTokens());
+	public void promptRead(Choice choice, Task task) {
+		state(choice.replica()).read(choice.unreadTokens() * task.pace());
 	}
 
 	/**
@@ -136,8 +142,7 @@
 	 */
 	public boolean dark(long now, Choice choice, long since, long patienceMillis) {
 		long heard = Math.max(since, state(choice.replica()).heardAt());
-		double reading = SLOWEST_MODEL * choice.unreadTokens() / PREFILL_TOKENS_PER_MILLI;
-		return now - heard > patienceMillis + reading;
+		return now - heard > patienceMillis + READ_MARGIN * choice.readMillis();
 	}
 
 	/**
@@ -187,15 +192,15 @@
 		this.states.keySet().retainAll(known);
 	}
 
-	private double cost(ReplicaState state, String model, Prompt prompt) {
+	private double cost(ReplicaState state, Task task) {
 		double cost = distance(state.replica()) + FAILING_MILLIS * state.failureShare();
-		if (model.isEmpty()) {
+		if (task.plain()) {
 			double queued = Math.max(0, state.requests() - state.replica().slots() + 1);
 			return cost + state.requests() + queued * SERVICE_REQUEST_MILLIS / state.replica().slots();
 		}
-		cost += (state.unreadTokens() + unread(state, model, prompt)) / PREFILL_TOKENS_PER_MILLI;
+		cost += (state.unread() + unread(state, task) * task.pace()) / PREFILL_TOKENS_PER_MILLI;
 		cost += state.requests() * ENGINE_REQUEST_MILLIS;
-		return cost + NOT_PREFERRED_MILLIS * preference(state.replica(), prompt);
+		return cost + NOT_PREFERRED_MILLIS * preference(state.replica(), task.prompt());
 	}
 
 	private double distance(Replica replica) {
@@ -213,8 +218,8 @@
 		return Spread.unit(shared + '/' + replica.id());
 	}
 
-	private static int unread(ReplicaState state, String model, Prompt prompt) {
-		return Math.max(0, prompt.inputTokens() - state.kept(model, prompt));
+	private static int unread(ReplicaState state, Task task) {
+		return Math.max(0, task.prompt().inputTokens() - state.kept(task));
 	}
 
 	private ReplicaState state(Replica replica) {
--- a/core/src/main/java/org/gullsaddle/serve/ReplicaState.java
+++ b/core/src/main/java/org/gullsaddle/serve/ReplicaState.java
@@ -23,7 +23,7 @@
 
 	private int running;
 
-	private long unreadTokens;
+	private double unread;
 
 	private double failureShare;
 
@@ -41,17 +41,17 @@
 		this.replica = newReplica;
 	}
 
-	void sent(String model, Prompt prompt, int unread, long capacity) {
+	void sent(Task task, double unread, long capacity) {
 		this.running++;
-		this.unreadTokens += unread;
-		this.parts.read(model, prompt.parts(), capacity);
+		this.unread += unread;
+		this.parts.read(task.model(), task.prompt().parts(), capacity);
 	}
 
 	/**
 	 * Notes that the replica has read a prompt, or need not any more.
 	 */
-	void read(int unread) {
-		this.unreadTokens = Math.max(0, this.unreadTokens - unread);
+	void read(double unread) {
+		this.unread = Math.max(0, this.unread - unread);
 	}
 
 	void ended() {
@@ -97,12 +97,16 @@
 		return this.running + this.others.requests();
 	}
 
-	long unreadTokens() {
-		return this.unreadTokens;
+	/**
+	 * Returns what this node gave it to read and it has not read yet, in tokens of the
+	 * smallest model.
+	 */
+	double unread() {
+		return this.unread;
 	}
 
-	int kept(String model, Prompt prompt) {
-		return this.parts.kept(model, prompt.parts());
+	int kept(Task task) {
+		return this.parts.kept(task.model(), task.prompt().parts());
 	}
 
 }
--- a/daemon/src/main/java/org/gullsaddle/gateway/Decisions.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Decisions.java
@@ -8,6 +8,7 @@
 import org.gullsaddle.fleet.ServiceName;
 import org.gullsaddle.fleet.ServiceShare;
 import org.gullsaddle.serve.ModelChooser;
+import org.gullsaddle.serve.ModelPace;
 import org.gullsaddle.serve.Place;
 import org.gullsaddle.serve.ReplicaPicker;
 import org.gullsaddle.serve.RetryBudget;
@@ -34,6 +35,8 @@
 
 	private final ModelChooser models = new ModelChooser();
 
+	private final ModelPace pace = new ModelPace();
+
 	private final RandomGenerator random = RandomGenerator.getDefault();
 
 	Decisions(Place here, double retryShare) {
@@ -65,6 +68,20 @@
 		return this.models;
 	}
 
+	ModelPace pace() {
+		return this.pace;
+	}
+
+	/**
+	 * Learns from a stream that has ended.
+	 */
+	void streamed(Route route, String model, StreamClock clock) {
+		this.models.answered(route, model, clock.firstMillis(Clock.millis()), clock.longestGap());
+		if (clock.events() > 1) {
+			this.pace.streamed(model, clock.eventMillis());
+		}
+	}
+
 	/**
 	 * Picks one of a route's services by their weights, the same for the same request.
 	 */
--- a/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
@@ -28,6 +28,7 @@
 import org.gullsaddle.serve.Choice;
 import org.gullsaddle.serve.Prompt;
 import org.gullsaddle.serve.RetryRule;
+import org.gullsaddle.serve.Task;
 
 /**
  * Serves one request: from its route to its final answer, over one or more attempts.
@@ -75,6 +76,10 @@
 
 	private String model = "";
 
+	private Task task = Task.PLAIN;
+
+	private final StreamClock clock = new StreamClock();
+
 	private int attempts;
 
 	private boolean promptRead;
@@ -122,9 +127,7 @@
 			return;
 		}
 		List<Replica> usable = this.gateway.fleet().replicas(now, this.service, session());
-		Optional<Choice> choice = this.gateway.decisions()
-			.picker()
-			.pick(now, usable, this.tried, modelOf(), this.caller.prompt());
+		Optional<Choice> choice = this.gateway.decisions().picker().pick(now, usable, this.tried, task());
 		if (choice.isEmpty()) {
 			refuse(usable.isEmpty() ? "no replica" : "no replica left");
 			return;
@@ -136,7 +139,9 @@
 		this.attempts++;
 		this.tried.add(choice.replica().id());
 		this.promptRead = false;
-		this.gateway.decisions().picker().sent(choice, modelOf(), this.caller.prompt(), cacheTokens());
+		this.clock.begin(Clock.millis());
+		this.task = task();
+		this.gateway.decisions().picker().sent(choice, this.task);
 		Optional<String> lastEvent = this.events.lastId().or(this.caller::lastEvent);
 		OptionalInt urgency = generation() ? OptionalInt.of(Math.clamp(rank(), 0, MAX_URGENCY)) : OptionalInt.empty();
 		Handover handover = new Handover(choice.replica().id(), left, this.team.map(Team::id),
@@ -187,6 +192,7 @@
 		if (streamed(from)) {
 			Buffer whole = this.events.add(bytes);
 			if (whole.length() > 0) {
+				this.clock.event(Clock.millis());
 				this.writer.begin(from.answer().status(), this.heldHeaders);
 				this.writer.write(whole);
 			}
@@ -208,6 +214,10 @@
 			counted = new AttemptEnd.Broken("stream ended within an event");
 		}
 		readPrompt(from);
+		if (this.route.kind() == RouteKind.STREAM && !(counted instanceof AttemptEnd.Dropped)
+				&& !(counted instanceof AttemptEnd.NotRun)) {
+			this.gateway.decisions().streamed(this.route, this.model, this.clock);
+		}
 		this.rule.ended(counted);
 		this.gateway.attemptEnded(this, from, counted, now);
 		if (this.done) {
@@ -380,7 +390,7 @@
 	private void readPrompt(Attempt from) {
 		if (!this.promptRead) {
 			this.promptRead = true;
-			this.gateway.decisions().picker().promptRead(from.choice());
+			this.gateway.decisions().picker().promptRead(from.choice(), this.task);
 		}
 	}
 
@@ -396,12 +406,11 @@
 		return this.config.service(this.service).flatMap(ServiceSpec::engine);
 	}
 
-	private long cacheTokens() {
-		return engine().map(EngineSpec::cacheTokens).orElse(0L);
-	}
-
-	private String modelOf() {
-		return generation() ? this.model : "";
+	private Task task() {
+		return engine()
+			.map((engine) -> new Task(this.model, this.caller.prompt(),
+					this.gateway.decisions().pace().of(this.model, engine.models()), engine.cacheTokens()))
+			.orElse(Task.PLAIN);
 	}
 
 	private int rank() {
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/gateway/StreamClock.java
@@ -0,0 +1,58 @@
+package org.gullsaddle.gateway;
+
+/**
+ * Times the events of a stream. All times are in milliseconds.
+ */
+final class StreamClock {
+
+	private long begunAt;
+
+	private long firstAt = -1;
+
+	private long lastAt;
+
+	private int events;
+
+	private long longestGap;
+
+	void begin(long now) {
+		this.begunAt = now;
+		this.firstAt = -1;
+		this.events = 0;
+		this.longestGap = 0;
+	}
+
+	void event(long now) {
+		if (this.firstAt < 0) {
+			this.firstAt = now;
+		}
+		else {
+			this.longestGap = Math.max(this.longestGap, now - this.lastAt);
+		}
+		this.lastAt = now;
+		this.events++;
+	}
+
+	/**
+	 * Returns how long the first event took, up to now if there was none.
+	 */
+	long firstMillis(long now) {
+		return ((this.firstAt >= 0) ? this.firstAt : now) - this.begunAt;
+	}
+
+	long longestGap() {
+		return this.longestGap;
+	}
+
+	int events() {
+		return this.events;
+	}
+
+	/**
+	 * Returns the mean time between two events, 0 if there were fewer than two.
+	 */
+	double eventMillis() {
+		return (this.events > 1) ? (double) (this.lastAt - this.firstAt) / (this.events - 1) : 0;
+	}
+
+}
