Sizes of models are kept on replicas of their own; the largest is asked where it would answer soon

Cause: a batch steps at the pace of its slowest model. Change: a quarter of a data center's replicas is home to the small models, the others to the large; another home costs 350 ms in the choice. The largest is asked only if it is expected to begin within 0.8 of the objective; models weigh by their prices.

--- a/core/src/main/java/org/gullsaddle/serve/ModelChooser.java
+++ b/core/src/main/java/org/gullsaddle/serve/ModelChooser.java
@@ -33,7 +33,20 @@
 	/** The part of the objective after which a first event counts as late. */
 	private static final double LATE_PART = 0.6;
 
-	private double enough = MOST;
+	/**
+	 * The part of the objective, or of the time left, that a larger model may be expected
+	 * to wait and read before its first event. Beyond it the large answers queue behind
+	 * each other, and the caller is better served by what is there.
+	 */
+	private static final double WAIT_PART = 0.8;
+
+	/**
+	 * Where a node begins that knows nothing of the load, as after a restart, when many
+	 * callers come back at once.
+	 */
+	private static final double FIRST = 45;
+
+	private double enough = FIRST;
 
 	/**
 	 * Returns the model to ask first.
@@ -60,6 +73,17 @@
 		return model.equals(largest) ? Optional.empty() : Optional.of(largest);
 	}
 
+	/**
+	 * Says whether a larger model would answer soon enough.
+	 * @param route the route
+	 * @param expectedMillis how long it is expected to wait and read, in milliseconds
+	 * @param leftMillis the time left, in milliseconds
+	 * @return true if it is worth asking
+	 */
+	public boolean inTime(Route route, long expectedMillis, long leftMillis) {
+		return expectedMillis <= WAIT_PART * Math.min(route.targetMillis(), leftMillis);
+	}
+
 	/**
 	 * Notes how a larger model kept to the objectives.
 	 * @param route the route
--- a/core/src/main/java/org/gullsaddle/serve/ModelPace.java
+++ b/core/src/main/java/org/gullsaddle/serve/ModelPace.java
@@ -12,7 +12,14 @@
  */
 public final class ModelPace {
 
-	private static final double SMOOTHING = 0.05;
+	/**
+	 * How fast the least time forgets. Models that run side by side all slow down to the
+	 * slowest, so that means say nothing; the least times are those of streams alone.
+	 */
+	private static final double FORGETTING = 0.01;
+
+	/** Stands for a price of nothing. */
+	private static final double MIN_COST = 1e-9;
 
 	/** How many times slower than the smallest a model is taken for at most. */
 	private static final double MAX_PACE = 15;
@@ -25,7 +32,7 @@
 	 * @param millis the time between two of its events on average, in milliseconds
 	 */
 	public void streamed(String model, double millis) {
-		this.eventMillis.merge(model, millis, (before, now) -> before + SMOOTHING * (now - before));
+		this.eventMillis.merge(model, millis, (before, now) -> Math.min(now, before + FORGETTING * (now - before)));
 	}
 
 	/**
@@ -45,9 +52,7 @@
 		if (asked == null) {
 			return 1;
 		}
-		Double own = this.eventMillis.get(asked.name());
-		Double least = this.eventMillis.get(cheapest.name());
-		double pace = (own != null && least != null) ? own / least : asked.cost() / Math.max(1e-9, cheapest.cost());
+		double pace = asked.cost() / Math.max(MIN_COST, cheapest.cost());
 		return Math.clamp(pace, 1, MAX_PACE);
 	}
 
--- a/core/src/main/java/org/gullsaddle/serve/ReplicaPicker.java
+++ b/core/src/main/java/org/gullsaddle/serve/ReplicaPicker.java
@@ -1,10 +1,14 @@
 package org.gullsaddle.serve;
 
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.gullsaddle.base.LoadReport;
 import org.gullsaddle.base.Spread;
@@ -54,6 +58,23 @@
 	 */
 	private static final double NOT_PREFERRED_MILLIS = 60;
 
+	/**
+	 * What a replica costs that another size of model is at home on, in milliseconds. A
+	 * batch steps at the pace of its slowest model: one request of the largest beside
+	 * many of the smallest makes all of them ten times slower. Kept apart, each runs at
+	 * its own.
+	 */
+	private static final double NOT_AT_HOME_MILLIS = 350;
+
+	/**
+	 * The part of a data center's replicas on which small models are at home. The largest
+	 * gets two in five requests, and each takes ten times as long.
+	 */
+	private static final double SMALL_HOMES = 0.25;
+
+	/** From this pace on a model counts as large. */
+	private static final double LARGE_PACE = 3;
+
 	/** What a replica that fails all its requests costs, in milliseconds. */
 	private static final double FAILING_MILLIS = 3000;
 
@@ -88,8 +109,9 @@
 		List<ReplicaState> sound = able.stream().filter((state) -> !state.ejected(now)).toList();
 		ReplicaState best = null;
 		double least = Double.MAX_VALUE;
+		Set<ReplicaId> away = away(usable, task);
 		for (ReplicaState state : sound.isEmpty() ? able : sound) {
-			double cost = cost(state, task);
+			double cost = cost(state, task) + (away.contains(state.replica().id()) ? NOT_AT_HOME_MILLIS : 0);
 			if (cost < least) {
 				least = cost;
 				best = state;
@@ -192,13 +214,36 @@
 		this.states.keySet().retainAll(known);
 	}
 
+	/**
+	 * Returns the replicas that models of another size are at home on. All nodes that see
+	 * the same replicas come to the same.
+	 */
+	private static Set<ReplicaId> away(List<Replica> usable, Task task) {
+		if (task.plain()) {
+			return Set.of();
+		}
+		Map<String, List<Replica>> byDataCenter = usable.stream().collect(Collectors.groupingBy(Replica::dataCenter));
+		Set<ReplicaId> away = new HashSet<>();
+		for (List<Replica> near : byDataCenter.values()) {
+			List<Replica> ordered = new ArrayList<>(near);
+			ordered.sort(Comparator.comparingDouble((replica) -> Spread.unit(replica.id().value())));
+			long small = (near.size() > 1) ? Math.max(1, Math.round(SMALL_HOMES * near.size())) : 0;
+			for (int i = 0; i < ordered.size() && small > 0; i++) {
+				if ((i < small) == (task.pace() >= LARGE_PACE)) {
+					away.add(ordered.get(i).id());
+				}
+			}
+		}
+		return away;
+	}
+
 	private double cost(ReplicaState state, Task task) {
 		double cost = distance(state.replica()) + FAILING_MILLIS * state.failureShare();
 		if (task.plain()) {
 			double queued = Math.max(0, state.requests() - state.replica().slots() + 1);
 			return cost + state.requests() + queued * SERVICE_REQUEST_MILLIS / state.replica().slots();
 		}
-		cost += (state.unread() + unread(state, task) * task.pace()) / PREFILL_TOKENS_PER_MILLI;
+		cost += (state.backlog() + unread(state, task) * task.pace()) / PREFILL_TOKENS_PER_MILLI;
 		cost += state.requests() * ENGINE_REQUEST_MILLIS;
 		return cost + NOT_PREFERRED_MILLIS * preference(state.replica(), task.prompt());
 	}
--- a/core/src/main/java/org/gullsaddle/serve/ReplicaState.java
+++ b/core/src/main/java/org/gullsaddle/serve/ReplicaState.java
@@ -98,11 +98,11 @@
 	}
 
 	/**
-	 * Returns what this node gave it to read and it has not read yet, in tokens of the
-	 * smallest model.
+	 * Returns what it likely has still to read, in tokens of the smallest model: what
+	 * this node gave it, and as much for each request of other nodes.
 	 */
-	double unread() {
-		return this.unread;
+	double backlog() {
+		return (this.running > 0) ? this.unread * requests() / this.running : 0;
 	}
 
 	int kept(Task task) {
--- a/daemon/src/main/java/org/gullsaddle/gateway/Decisions.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Decisions.java
@@ -21,6 +21,9 @@
 	/** When a refused caller is to come back at the earliest, in milliseconds. */
 	private static final long COME_BACK_MILLIS = 250;
 
+	/** How many events make a pace; fewer may lie in one packet. */
+	private static final int MIN_EVENTS = 5;
+
 	/** The part of the objective after which a silent replica is taken as lost. */
 	private static final double SILENT_PART = 0.6;
 
@@ -77,7 +80,7 @@
 	 */
 	void streamed(Route route, String model, StreamClock clock) {
 		this.models.answered(route, model, clock.firstMillis(Clock.millis()), clock.longestGap());
-		if (clock.events() > 1) {
+		if (clock.laterEvents() >= MIN_EVENTS) {
 			this.pace.streamed(model, clock.eventMillis());
 		}
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
@@ -76,6 +76,8 @@
 
 	private String model = "";
 
+	private String largerModel = "";
+
 	private Task task = Task.PLAIN;
 
 	private final StreamClock clock = new StreamClock();
@@ -127,7 +129,7 @@
 			return;
 		}
 		List<Replica> usable = this.gateway.fleet().replicas(now, this.service, session());
-		Optional<Choice> choice = this.gateway.decisions().picker().pick(now, usable, this.tried, task());
+		Optional<Choice> choice = this.gateway.decisions().picker().pick(now, usable, this.tried, task(this.model));
 		if (choice.isEmpty()) {
 			refuse(usable.isEmpty() ? "no replica" : "no replica left");
 			return;
@@ -140,7 +142,7 @@
 		this.tried.add(choice.replica().id());
 		this.promptRead = false;
 		this.clock.begin(Clock.millis());
-		this.task = task();
+		this.task = task(this.model);
 		this.gateway.decisions().picker().sent(choice, this.task);
 		Optional<String> lastEvent = this.events.lastId().or(this.caller::lastEvent);
 		OptionalInt urgency = generation() ? OptionalInt.of(Math.clamp(rank(), 0, MAX_URGENCY)) : OptionalInt.empty();
@@ -175,14 +177,24 @@
 	private void doubt(Attempt from, ReplicaAnswer answer) {
 		Optional<String> larger = this.gateway.decisions().models().larger(this.route, this.model, answer.confidence());
 		long left = this.endsAt - Clock.millis();
-		if (larger.isEmpty() || !this.rule.mayDrop(left) || !this.gateway.decisions().spendRetry()) {
+		if (larger.isEmpty() || !this.rule.mayDrop(left) || !soonEnough(larger.get(), left)
+				|| !this.gateway.decisions().spendRetry()) {
 			return;
 		}
-		this.model = larger.get();
+		this.largerModel = larger.get();
 		this.tried.remove(from.choice().replica().id());
 		from.withdraw(new AttemptEnd.Dropped(answer.confidence().orElse(0)));
 	}
 
+	private boolean soonEnough(String larger, long left) {
+		long now = Clock.millis();
+		return this.gateway.decisions()
+			.picker()
+			.pick(now, this.gateway.fleet().replicas(now, this.service, session()), Set.of(), task(larger))
+			.filter((choice) -> this.gateway.decisions().models().inTime(this.route, choice.costMillis(), left))
+			.isPresent();
+	}
+
 	@Override
 	public void data(Attempt from, Buffer bytes) {
 		if (this.done) {
@@ -190,9 +202,10 @@
 		}
 		this.gateway.decisions().picker().heard(Clock.millis(), from.choice().replica());
 		if (streamed(from)) {
+			int before = this.events.events();
 			Buffer whole = this.events.add(bytes);
 			if (whole.length() > 0) {
-				this.clock.event(Clock.millis());
+				this.clock.events(Clock.millis(), this.events.events() - before);
 				this.writer.begin(from.answer().status(), this.heldHeaders);
 				this.writer.write(whole);
 			}
@@ -224,6 +237,7 @@
 			return;
 		}
 		if (counted instanceof AttemptEnd.Dropped) {
+			this.model = this.largerModel;
 			tryNext();
 			return;
 		}
@@ -406,10 +420,10 @@
 		return this.config.service(this.service).flatMap(ServiceSpec::engine);
 	}
 
-	private Task task() {
+	private Task task(String chosen) {
 		return engine()
-			.map((engine) -> new Task(this.model, this.caller.prompt(),
-					this.gateway.decisions().pace().of(this.model, engine.models()), engine.cacheTokens()))
+			.map((engine) -> new Task(chosen, this.caller.prompt(),
+					this.gateway.decisions().pace().of(chosen, engine.models()), engine.cacheTokens()))
 			.orElse(Task.PLAIN);
 	}
 
--- a/daemon/src/main/java/org/gullsaddle/gateway/StreamClock.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/StreamClock.java
@@ -13,6 +13,8 @@
 
 	private int events;
 
+	private int firstEvents;
+
 	private long longestGap;
 
 	void begin(long now) {
@@ -22,15 +24,19 @@
 		this.longestGap = 0;
 	}
 
-	void event(long now) {
+	/**
+	 * Notes events that came together.
+	 */
+	void events(long now, int count) {
 		if (this.firstAt < 0) {
 			this.firstAt = now;
+			this.firstEvents = count;
 		}
 		else {
 			this.longestGap = Math.max(this.longestGap, now - this.lastAt);
 		}
 		this.lastAt = now;
-		this.events++;
+		this.events += count;
 	}
 
 	/**
@@ -44,15 +50,18 @@
 		return this.longestGap;
 	}
 
-	int events() {
-		return this.events;
+	/**
+	 * Returns how many events came after the first.
+	 */
+	int laterEvents() {
+		return this.events - this.firstEvents;
 	}
 
 	/**
 	 * Returns the mean time between two events, 0 if there were fewer than two.
 	 */
 	double eventMillis() {
-		return (this.events > 1) ? (double) (this.lastAt - this.firstAt) / (this.events - 1) : 0;
+		return (laterEvents() > 0) ? (double) (this.lastAt - this.firstAt) / laterEvents() : 0;
 	}
 
 }
