--- a/cli/src/test/java/org/gullsaddle/cli/GullsaddleTests.java
+++ b/cli/src/test/java/org/gullsaddle/cli/GullsaddleTests.java
@@ -1,6 +1,9 @@
 package org.gullsaddle.cli;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 
@@ -47,6 +50,36 @@
 		assertThat(Gullsaddle.run("status", "--admin", NOBODY, "--key-file", file("key"))).isEqualTo(1);
 	}
 
+	/**
+	 * A request was tried at one entry, and its caller came back to another. The on-call
+	 * engineer has both logs, one of them cut off in its last line.
+	 */
+	@Test
+	void linesOfARequestAreShownInTheirOrderOverAllLogs() throws IOException {
+		Path one = Files.writeString(this.folder.resolve("one.log"),
+				"{\"@timestamp\":\"T2\",\"message\":\"request\",\"id\":\"r7\",\"status\":503}\n"
+						+ "{\"@timestamp\":\"T1\",\"message\":\"request\",\"id\":\"r70\"}\n{\"id\":\"r7\",\"mess");
+		Path two = Files.writeString(this.folder.resolve("two.log"),
+				"{\"@timestamp\":\"T1\",\"message\":\"attempt\",\"id\":\"r7\",\"replica\":\"i-1\"}\n");
+		PrintStream out = System.out;
+		ByteArrayOutputStream shown = new ByteArrayOutputStream();
+		System.setOut(new PrintStream(shown, true, StandardCharsets.UTF_8));
+		try {
+			assertThat(Gullsaddle.run("logs", "r7", one.toString(), two.toString())).isZero();
+		}
+		finally {
+			System.setOut(out);
+		}
+		assertThat(shown.toString(StandardCharsets.UTF_8))
+			.isEqualToNormalizingNewlines("T1 two.log attempt replica=i-1\nT2 one.log request status=503\n");
+	}
+
+	@Test
+	void requestThatNoLogKnowsHasItsOwnExitCode() throws IOException {
+		assertThat(Gullsaddle.run("logs", "r8", file("{}\n"))).isEqualTo(5);
+		assertThat(Gullsaddle.run("logs", "r8")).isEqualTo(2);
+	}
+
 	@ParameterizedTest
 	@ValueSource(strings = { "2026-01-31T06:00:00Z", "24h", "7d", "now" })
 	void timesAreReadAsPeopleWriteThem(String text) throws CommandException {
