--- /dev/null
+++ b/core/src/test/java/org/gullsaddle/serve/ReplicaPickerTests.java
@@ -0,0 +1,163 @@
+package org.gullsaddle.serve;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalInt;
+import java.util.Set;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.gullsaddle.base.Address;
+import org.gullsaddle.fleet.Replica;
+import org.gullsaddle.fleet.ReplicaId;
+import org.gullsaddle.fleet.ServiceName;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class ReplicaPickerTests {
+
+	private static final long CACHE = 400_000;
+
+	private final ReplicaPicker picker = new ReplicaPicker(
+			new Place("a", Map.of("a", "north", "b", "north", "c", "south")));
+
+	private final List<Replica> replicas = new ArrayList<>();
+
+	ReplicaPickerTests() {
+		for (int i = 0; i < 4; i++) {
+			this.replicas.add(replica("near-" + i, "a"));
+			this.replicas.add(replica("far-" + i, "c"));
+		}
+	}
+
+	private static Replica replica(String id, String dataCenter) {
+		return new Replica(new ReplicaId(id), new ServiceName("engines"), new Address("10.0.0.1", 80), dataCenter, "v1",
+				64, false, 1);
+	}
+
+	private static Task task(String model, double pace, String part) {
+		List<PromptPart> parts = List.of(new PromptPart(part, 12_000), new PromptPart(part + "-own", 500));
+		return new Task(model, new Prompt(12_500, 100, OptionalInt.empty(), parts), pace, CACHE);
+	}
+
+	private Choice send(Task task) {
+		Choice choice = pick(task);
+		this.picker.sent(choice, task);
+		return choice;
+	}
+
+	private Choice pick(Task task) {
+		return this.picker.pick(0, this.replicas, Set.of(), task).orElseThrow();
+	}
+
+	@Test
+	void nearReplicaIsChosenWhileItIsFree() {
+		assertThat(pick(task("small", 1, "x")).replica().dataCenter()).isEqualTo("a");
+	}
+
+	@Test
+	void promptGoesWhereItsSharedPartIsKept() {
+		Choice first = send(task("small", 1, "x"));
+		this.picker.promptRead(first, task("small", 1, "x"));
+		this.picker.ended(0, first, new AttemptEnd.Answered(200));
+		Choice second = pick(task("small", 1, "x"));
+		assertThat(second.replica()).isEqualTo(first.replica());
+		assertThat(second.unreadTokens()).isZero();
+	}
+
+	/**
+	 * A replica starts again under its old id. It keeps nothing of before, and a prompt
+	 * sent there for its kept parts would be read whole.
+	 */
+	@Test
+	void replicaThatStartedAnewKeepsNothing() {
+		Choice first = send(task("small", 1, "x"));
+		Replica again = new Replica(first.replica().id(), first.replica().service(), first.replica().address(), "a",
+				"v1", 64, false, 2);
+		Choice second = this.picker.pick(0, List.of(again), Set.of(), task("small", 1, "x")).orElseThrow();
+		assertThat(second.unreadTokens()).isEqualTo(12_500);
+	}
+
+	@Test
+	void replicaThatCannotBeReachedIsLeftOutForAWhile() {
+		Choice first = send(task("small", 1, "x"));
+		this.picker.ended(0, first, new AttemptEnd.NotRun(true, "unreachable"));
+		assertThat(pick(task("small", 1, "x")).replica()).isNotEqualTo(first.replica());
+	}
+
+	/**
+	 * Long prompts arrive faster than the near replicas read them. Sent on and on to the
+	 * nearest, they would queue there while the other region is idle.
+	 */
+	@Test
+	void loadSpillsToTheOtherRegionWhenTheNearOneIsFull() {
+		Set<String> dataCenters = new HashSet<>();
+		for (int i = 0; i < 40; i++) {
+			dataCenters.add(send(task("large", 15, "x" + i)).replica().dataCenter());
+		}
+		assertThat(dataCenters).containsExactlyInAnyOrder("a", "c");
+	}
+
+	@Nested
+	class WithModelsOfDifferentSize {
+
+		/**
+		 * A batch steps at the pace of its slowest model. Mixed, the small model's
+		 * callers waited as long as the large one's.
+		 */
+		@Test
+		void smallAndLargeRunOnReplicasOfTheirOwn() {
+			Set<ReplicaId> small = new HashSet<>();
+			Set<ReplicaId> large = new HashSet<>();
+			for (int i = 0; i < 6; i++) {
+				Task little = task("small", 1, "x" + i);
+				Task big = task("large", 15, "x" + i);
+				Choice first = send(little);
+				Choice second = send(big);
+				small.add(first.replica().id());
+				large.add(second.replica().id());
+				ReplicaPickerTests.this.picker.promptRead(first, little);
+				ReplicaPickerTests.this.picker.promptRead(second, big);
+				ReplicaPickerTests.this.picker.ended(0, first, new AttemptEnd.Answered(200));
+				ReplicaPickerTests.this.picker.ended(0, second, new AttemptEnd.Answered(200));
+			}
+			assertThat(small).doesNotContainAnyElementsOf(large);
+		}
+
+		@Test
+		void onlyReplicaLeftRunsBoth() {
+			List<Replica> one = List.of(replica("near-0", "a"));
+			assertThat(ReplicaPickerTests.this.picker.pick(0, one, Set.of(), task("small", 1, "x"))).isPresent();
+			assertThat(ReplicaPickerTests.this.picker.pick(0, one, Set.of(), task("large", 15, "x"))).isPresent();
+		}
+
+	}
+
+	@Nested
+	class WhenAReplicaIsSilent {
+
+		@Test
+		void itIsDarkOnlyIfItHadTimeToReadThePrompt() {
+			Choice choice = send(task("large", 15, "x"));
+			long reading = 2 * choice.readMillis();
+			assertThat(ReplicaPickerTests.this.picker.dark(reading + 800, choice, 0, 800)).isFalse();
+			assertThat(ReplicaPickerTests.this.picker.dark(reading + 801, choice, 0, 800)).isTrue();
+		}
+
+		/**
+		 * A request waits in a long queue. Taken for lost, it was moved and queued anew,
+		 * as were all others, and next to none was served.
+		 */
+		@Test
+		void oneThatAnswersOthersIsOnlyBusy() {
+			Choice choice = send(task("small", 1, "x"));
+			ReplicaPickerTests.this.picker.heard(9_500, choice.replica());
+			assertThat(ReplicaPickerTests.this.picker.dark(10_000, choice, 0, 800)).isFalse();
+		}
+
+	}
+
+}
--- a/standin/src/test/java/org/gullsaddle/standin/ProcessFaultTests.java
+++ b/standin/src/test/java/org/gullsaddle/standin/ProcessFaultTests.java
@@ -108,8 +108,8 @@
 	/**
 	 * An agent is paused while an order goes to it; the caller's deadline passes, and it
 	 * is told that the order may have run. The agent wakes, and does not run it any more.
-	 * Its word of that frees the key, if it comes before the caller orders again; then the
-	 * second order runs, and nothing but it.
+	 * Its word of that frees the key, if it comes before the caller orders again; then
+	 * the second order runs, and nothing but it.
 	 */
 	@Test
 	void agentPausedPastTheDeadlineDoesNotRunTheOrder() throws Exception {
