--- a/core/src/main/java/org/gullsaddle/serve/ReplicaPicker.java
+++ b/core/src/main/java/org/gullsaddle/serve/ReplicaPicker.java
@@ -159,12 +159,14 @@
 	 * @param now the time in milliseconds
 	 * @param choice where a request was sent
 	 * @param since since when that request waits for bytes, in milliseconds
+	 * @param reading whether the replica may still be reading the prompt; once its answer
+	 * has begun, a long prompt is no excuse for silence
 	 * @param patienceMillis how long a replica that has nothing to read may be silent
 	 * @return true if the request is better tried elsewhere
 	 */
-	public boolean dark(long now, Choice choice, long since, long patienceMillis) {
+	public boolean dark(long now, Choice choice, long since, boolean reading, long patienceMillis) {
 		long heard = Math.max(since, state(choice.replica()).heardAt());
-		return now - heard > patienceMillis + READ_MARGIN * choice.readMillis();
+		return now - heard > patienceMillis + (reading ? READ_MARGIN * choice.readMillis() : 0);
 	}
 
 	/**
--- a/core/src/test/java/org/gullsaddle/serve/ReplicaPickerTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/ReplicaPickerTests.java
@@ -143,8 +143,19 @@
 		void itIsDarkOnlyIfItHadTimeToReadThePrompt() {
 			Choice choice = send(task("large", 15, "x"));
 			long reading = 2 * choice.readMillis();
-			assertThat(ReplicaPickerTests.this.picker.dark(reading + 800, choice, 0, 800)).isFalse();
-			assertThat(ReplicaPickerTests.this.picker.dark(reading + 801, choice, 0, 800)).isTrue();
+			assertThat(ReplicaPickerTests.this.picker.dark(reading + 800, choice, 0, true, 800)).isFalse();
+			assertThat(ReplicaPickerTests.this.picker.dark(reading + 801, choice, 0, true, 800)).isTrue();
+		}
+
+		/**
+		 * A replica crashes in the middle of a stream that it began after a long prompt.
+		 * The caller saw a pause of three seconds, as the replica was taken to read
+		 * still.
+		 */
+		@Test
+		void oneThatHasBegunItsAnswerHasNoPromptToReadAnyMore() {
+			Choice choice = send(task("large", 15, "x"));
+			assertThat(ReplicaPickerTests.this.picker.dark(801, choice, 0, false, 800)).isTrue();
 		}
 
 		/**
@@ -155,7 +166,7 @@
 		void oneThatAnswersOthersIsOnlyBusy() {
 			Choice choice = send(task("small", 1, "x"));
 			ReplicaPickerTests.this.picker.heard(9_500, choice.replica());
-			assertThat(ReplicaPickerTests.this.picker.dark(10_000, choice, 0, 800)).isFalse();
+			assertThat(ReplicaPickerTests.this.picker.dark(10_000, choice, 0, true, 800)).isFalse();
 		}
 
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
@@ -354,7 +354,9 @@
 		if (this.route.kind() == RouteKind.IDEMPOTENT) {
 			return now - this.attempt.lastByteAt() > patience;
 		}
-		return this.gateway.decisions().picker().dark(now, this.attempt.choice(), this.attempt.lastByteAt(), patience);
+		return this.gateway.decisions()
+			.picker()
+			.dark(now, this.attempt.choice(), this.attempt.lastByteAt(), this.attempt.answer() == null, patience);
 	}
 
 	private void expire() {
