What nothing read any more is gone: the learned pace of models, a flag beside another

An attempt kept 'broken' beside 'ended', which is set with it; 421 stood as a constant twice; looking for an event's end copied the whole buffer each time. Behaviour is the same; no test changed.

--- a/daemon/src/main/java/org/gullsaddle/gateway/Attempt.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Attempt.java
@@ -16,8 +16,6 @@
  */
 final class Attempt {
 
-	private static final int MISDIRECTED = 421;
-
 	private final Choice choice;
 
 	private final ChannelPool pool;
@@ -36,8 +34,6 @@
 
 	private boolean sent;
 
-	private boolean broken;
-
 	private boolean ended;
 
 	private long lastByteAt = this.startedAt;
@@ -130,7 +126,7 @@
 	}
 
 	private boolean notRun() {
-		return this.answer.notRun() || this.answer.status() == MISDIRECTED;
+		return this.answer.notRun() || this.answer.status() == Statuses.MISDIRECTED;
 	}
 
 	/**
@@ -142,7 +138,7 @@
 		if (this.ended) {
 			return;
 		}
-		if (this.broken || this.channel.failed()) {
+		if (this.channel.failed()) {
 			fail("connection broke in an answer without a length");
 			return;
 		}
@@ -157,7 +153,6 @@
 	}
 
 	private void fail(String reason) {
-		this.broken = true;
 		if (this.channel != null) {
 			this.channel.close();
 		}
--- a/daemon/src/main/java/org/gullsaddle/gateway/Decisions.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Decisions.java
@@ -8,7 +8,6 @@
 import org.gullsaddle.fleet.ServiceName;
 import org.gullsaddle.fleet.ServiceShare;
 import org.gullsaddle.serve.ModelChooser;
-import org.gullsaddle.serve.ModelPace;
 import org.gullsaddle.serve.Place;
 import org.gullsaddle.serve.ReplicaPicker;
 import org.gullsaddle.serve.RetryBudget;
@@ -21,9 +20,6 @@
 	/** When a refused caller is to come back at the earliest, in milliseconds. */
 	private static final long COME_BACK_MILLIS = 250;
 
-	/** How many events make a pace; fewer may lie in one packet. */
-	private static final int MIN_EVENTS = 5;
-
 	/** The part of the objective after which a silent replica is taken as lost. */
 	private static final double SILENT_PART = 0.6;
 
@@ -38,8 +34,6 @@
 
 	private final ModelChooser models = new ModelChooser();
 
-	private final ModelPace pace = new ModelPace();
-
 	private final RandomGenerator random = RandomGenerator.getDefault();
 
 	Decisions(Place here, double retryShare) {
@@ -71,18 +65,11 @@
 		return this.models;
 	}
 
-	ModelPace pace() {
-		return this.pace;
-	}
-
 	/**
 	 * Learns from a stream that has ended.
 	 */
 	void streamed(Route route, String model, StreamClock clock) {
 		this.models.answered(route, model, clock.firstMillis(Clock.millis()), clock.longestGap());
-		if (clock.laterEvents() >= MIN_EVENTS) {
-			this.pace.streamed(model, clock.eventMillis());
-		}
 	}
 
 	/**
--- a/daemon/src/main/java/org/gullsaddle/gateway/EventScanner.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/EventScanner.java
@@ -20,8 +20,6 @@
 
 	private Optional<String> lastId = Optional.empty();
 
-	private int events;
-
 	/**
 	 * Takes in bytes.
 	 * @return the whole events among what has come, perhaps none
@@ -58,20 +56,19 @@
 		return this.lastId;
 	}
 
-	int events() {
-		return this.events;
-	}
-
 	/**
 	 * Returns where the event that begins at a place ends, or -1 if its end has not come.
 	 */
 	private int eventEnd(int from) {
-		byte[] bytes = this.rest.getBytes();
-		for (int i = from; i + 1 < bytes.length; i++) {
-			if (bytes[i] == '\n' && bytes[i + 1] == '\n') {
+		int length = this.rest.length();
+		for (int i = from; i + 1 < length; i++) {
+			if (this.rest.getByte(i) != '\n') {
+				continue;
+			}
+			if (this.rest.getByte(i + 1) == '\n') {
 				return i + 2;
 			}
-			if (bytes[i] == '\n' && i + 2 < bytes.length && bytes[i + 1] == '\r' && bytes[i + 2] == '\n') {
+			if (i + 2 < length && this.rest.getByte(i + 1) == '\r' && this.rest.getByte(i + 2) == '\n') {
 				return i + 3;
 			}
 		}
@@ -79,7 +76,6 @@
 	}
 
 	private void read(String event) {
-		this.events++;
 		event.lines()
 			.filter((line) -> line.startsWith(ID_FIELD))
 			.map((line) -> line.substring(ID_FIELD.length()).strip())
--- a/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
@@ -26,6 +26,7 @@
 import org.gullsaddle.fleet.Team;
 import org.gullsaddle.serve.AttemptEnd;
 import org.gullsaddle.serve.Choice;
+import org.gullsaddle.serve.ModelPace;
 import org.gullsaddle.serve.Prompt;
 import org.gullsaddle.serve.RetryRule;
 import org.gullsaddle.serve.Task;
@@ -202,10 +203,9 @@
 		}
 		this.gateway.decisions().picker().heard(Clock.millis(), from.choice().replica());
 		if (streamed(from)) {
-			int before = this.events.events();
 			Buffer whole = this.events.add(bytes);
 			if (whole.length() > 0) {
-				this.clock.events(Clock.millis(), this.events.events() - before);
+				this.clock.event(Clock.millis());
 				this.writer.begin(from.answer().status(), this.heldHeaders);
 				this.writer.write(whole);
 			}
@@ -364,9 +364,7 @@
 			refuse("deadline");
 			return;
 		}
-		this.done = true;
-		this.attempt.withdraw(new AttemptEnd.Withdrawn("deadline"));
-		this.done = false;
+		withdraw("deadline");
 		if (!this.writer.begun() && this.rule.verdict() != Verdict.NOT_RUN) {
 			this.writer.error(Statuses.TIMED_OUT, Optional.empty(), "deadline");
 			close("failed", Statuses.TIMED_OUT, "deadline");
@@ -382,14 +380,21 @@
 		if (this.done) {
 			return;
 		}
-		this.done = true;
 		if (this.attempt != null) {
-			this.attempt.withdraw(new AttemptEnd.Withdrawn("caller left"));
+			withdraw("caller left");
 		}
-		this.done = false;
 		close("left", 0, "caller left");
 	}
 
+	/**
+	 * Ends the attempt under way, without another one after it.
+	 */
+	private void withdraw(String reason) {
+		this.done = true;
+		this.attempt.withdraw(new AttemptEnd.Withdrawn(reason));
+		this.done = false;
+	}
+
 	/**
 	 * Cuts the request off as the process ends.
 	 */
@@ -424,8 +429,8 @@
 
 	private Task task(String chosen) {
 		return engine()
-			.map((engine) -> new Task(chosen, this.caller.prompt(),
-					this.gateway.decisions().pace().of(chosen, engine.models()), engine.cacheTokens()))
+			.map((engine) -> new Task(chosen, this.caller.prompt(), ModelPace.of(chosen, engine.models()),
+					engine.cacheTokens()))
 			.orElse(Task.PLAIN);
 	}
 
--- a/daemon/src/main/java/org/gullsaddle/gateway/Statuses.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Statuses.java
@@ -23,7 +23,7 @@
 
 	private static final int REQUEST_TIMEOUT = 408;
 
-	private static final int MISDIRECTED = 421;
+	static final int MISDIRECTED = 421;
 
 	private static final int TOO_MANY = 429;
 
--- a/daemon/src/main/java/org/gullsaddle/gateway/StreamClock.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/StreamClock.java
@@ -11,32 +11,25 @@
 
 	private long lastAt;
 
-	private int events;
-
-	private int firstEvents;
-
 	private long longestGap;
 
 	void begin(long now) {
 		this.begunAt = now;
 		this.firstAt = -1;
-		this.events = 0;
 		this.longestGap = 0;
 	}
 
 	/**
-	 * Notes events that came together.
+	 * Notes that one event came, or several together.
 	 */
-	void events(long now, int count) {
+	void event(long now) {
 		if (this.firstAt < 0) {
 			this.firstAt = now;
-			this.firstEvents = count;
 		}
 		else {
 			this.longestGap = Math.max(this.longestGap, now - this.lastAt);
 		}
 		this.lastAt = now;
-		this.events += count;
 	}
 
 	/**
@@ -50,18 +43,4 @@
 		return this.longestGap;
 	}
 
-	/**
-	 * Returns how many events came after the first.
-	 */
-	int laterEvents() {
-		return this.events - this.firstEvents;
-	}
-
-	/**
-	 * Returns the mean time between two events, 0 if there were fewer than two.
-	 */
-	double eventMillis() {
-		return (laterEvents() > 0) ? (double) (this.lastAt - this.firstAt) / laterEvents() : 0;
-	}
-
 }
