The stand-ins of the users' platform live below platform/

Cause: the store, the replica and the rehearsal speak the platform's words, and stood in standin/. They are a module of their own now, platform/standin, with the rehearsal as its program.

--- a/build/deploy.sh
+++ b/build/deploy.sh
@@ -5,7 +5,7 @@
 home=$(cd "$(dirname "$0")/.." && pwd)
 . "$home/build/jdk.sh"
 cd "$home"
-mvn -B -q -Dmaven.test.skip -pl platform,standin -am package
+mvn -B -q -Dmaven.test.skip -pl platform,platform/standin -am package
 mkdir -p target/lib
 rm -rf target/lib/* target/runtime target/app.jsa
 cp platform/target/lib/*.jar target/lib/
--- a/build/train.sh
+++ b/build/train.sh
@@ -5,8 +5,8 @@
 # Rehearses once on five ports from a given one; fails if they are not all free.
 rehearse() {
 	rm -f target/rehearsal.yaml
-	java -cp "standin/target/gullsaddle-standin-0.1.0-SNAPSHOT.jar:standin/target/lib/*" org.gullsaddle.standin.Standin \
-		rehearse --port "$1" --settings target/rehearsal.yaml >target/rehearsal.log 2>&1 &
+	java -cp "platform/standin/target/gullsaddle-platform-standin-0.1.0-SNAPSHOT.jar:platform/standin/target/lib/*" \
+		org.gullsaddle.platform.standin.Rehearsal --port "$1" --settings target/rehearsal.yaml >target/rehearsal.log 2>&1 &
 	local standin=$!
 	while kill -0 "$standin" 2>/dev/null && [ ! -s target/rehearsal.yaml ]; do
 		sleep 0.05
--- a/standin/src/main/java/org/gullsaddle/standin/Standin.java
+++ b/standin/src/main/java/org/gullsaddle/standin/Standin.java
@@ -10,7 +10,7 @@
  */
 @Cli(name = "standin", description = "Stand-ins for the platform, a model engine and a plain service",
 		defaultCommand = Help.class, commands = { PlatformCommand.class, EngineCommand.class, ServiceCommand.class,
-				DemoCommand.class, LoadCommand.class, RehearseCommand.class, Help.class })
+				DemoCommand.class, LoadCommand.class, Help.class })
 public final class Standin {
 
 	private Standin() {
