A release is judged for each kind of request by what the old one does there

Its failures were answers of the largest model, which takes ten times as long to its first token as the smallest; they were held against a mean of all models. The same would have come of a service that fails a quarter of its reads on any release. Each route and model now has a trial of its own (ReleaseTrial), with the old release's rate of failures and pace there; the strongest of them is the node's evidence, so that good answers of other kinds no longer hide a release that is bad for one. Ruled out: replicas' failures (none of the 34 was one); notes counted twice. Three tests failed before: largeModelsAnswersAreComparedWithItsOwn, failuresThatTheOldReleaseHasTooAreNoReason, failuresOfOneKindAreNotHiddenByTheOthers.

--- /dev/null
+++ b/core/src/main/java/org/gullsaddle/serve/ReleaseTrial.java
@@ -0,0 +1,86 @@
+package org.gullsaddle.serve;
+
+import org.gullsaddle.rollout.ChangeDetector;
+
+/**
+ * The evidence against a new release from one kind of request, judged by how the old
+ * release answers the same kind.
+ * <p>
+ * Kinds differ: a large model takes ten times as long to its first token as a small one,
+ * and some services fail a quarter of their reads on any release. Judged by the mean of
+ * all kinds, a good release is taken back for what the old one does as well.
+ */
+final class ReleaseTrial {
+
+	/**
+	 * What a release may fail without being bad, however sound the old one is: replicas
+	 * crash, and answers are spoiled on the way.
+	 */
+	private static final double USUAL_FAILURE_RATE = 0.06;
+
+	/** How many answers of the old release it takes to trust its rate of failures. */
+	private static final double USUAL_WEIGHT = 20;
+
+	/**
+	 * The part of what an old release would have answered well that a bad one fails. Most
+	 * bad releases fail half; a smaller figure finds those that are less bad, later.
+	 */
+	private static final double BAD_SHARE = 0.3;
+
+	/** How many times slower than the old release an answer counts as a failure. */
+	private static final double SLOW = 4;
+
+	private static final double SLOW_MARGIN_MILLIS = 300;
+
+	/**
+	 * How many answers of the old release are needed to know its pace: the first few
+	 * after a start are slow for want of kept prompts.
+	 */
+	private static final int ENOUGH_FOR_PACE = 5;
+
+	private static final double SMOOTHING = 0.1;
+
+	private final ChangeDetector detector;
+
+	private int oldAnswers;
+
+	private int oldFailures;
+
+	private double oldMillis;
+
+	ReleaseTrial(double threshold) {
+		this.detector = new ChangeDetector(threshold);
+	}
+
+	void oldAnswered(boolean failed, double firstMillis) {
+		this.oldAnswers++;
+		if (failed) {
+			this.oldFailures++;
+			return;
+		}
+		int sound = this.oldAnswers - this.oldFailures;
+		this.oldMillis += Math.max(SMOOTHING, 1.0 / sound) * (firstMillis - this.oldMillis);
+	}
+
+	void newAnswered(boolean failed, double firstMillis) {
+		double good = goodRate();
+		double bad = good + BAD_SHARE * (1 - good);
+		boolean counts = failed || slow(firstMillis);
+		this.detector.add(counts ? Math.log(bad / good) : Math.log((1 - bad) / (1 - good)));
+	}
+
+	private double goodRate() {
+		double seen = (this.oldFailures + USUAL_WEIGHT * USUAL_FAILURE_RATE) / (this.oldAnswers + USUAL_WEIGHT);
+		return Math.max(USUAL_FAILURE_RATE, seen);
+	}
+
+	private boolean slow(double firstMillis) {
+		return this.oldAnswers - this.oldFailures >= ENOUGH_FOR_PACE
+				&& firstMillis > SLOW * this.oldMillis + SLOW_MARGIN_MILLIS;
+	}
+
+	double evidence() {
+		return this.detector.sum();
+	}
+
+}
--- a/core/src/main/java/org/gullsaddle/serve/Rollout.java
+++ b/core/src/main/java/org/gullsaddle/serve/Rollout.java
@@ -9,7 +9,6 @@
 import org.gullsaddle.fleet.Replica;
 import org.gullsaddle.fleet.RolloutOrder;
 import org.gullsaddle.fleet.RolloutState;
-import org.gullsaddle.rollout.ChangeDetector;
 
 /**
  * One roll-out as a node sees it: which part of the traffic the new release gets, and
@@ -42,23 +41,13 @@
 
 	private static final int ENOUGH_ANSWERS = 10;
 
-	private static final double GOOD_FAILURE_RATE = 0.06;
-
-	private static final double BAD_FAILURE_RATE = 0.3;
-
-	private static final double FAILED = Math.log(BAD_FAILURE_RATE / GOOD_FAILURE_RATE);
-
-	private static final double SUCCEEDED = Math.log((1 - BAD_FAILURE_RATE) / (1 - GOOD_FAILURE_RATE));
-
 	/** A hundred to one for a bad release. */
 	private static final double THRESHOLD = Math.log(100);
 
-	/** How many times slower than the old release an answer counts as a failure. */
-	private static final double SLOW = 4;
-
-	private static final double SLOW_MARGIN_MILLIS = 300;
+	/** How many kinds of request are judged, each by itself; later ones count as one. */
+	private static final int MAX_KINDS = 64;
 
-	private static final double SMOOTHING = 0.1;
+	private static final String OTHER_KINDS = "other";
 
 	private final RolloutOrder order;
 
@@ -66,7 +55,7 @@
 
 	private final long seenAt;
 
-	private final ChangeDetector detector = new ChangeDetector(THRESHOLD);
+	private final Map<String, ReleaseTrial> trials = new HashMap<>();
 
 	private final Map<String, RolloutNote> others = new HashMap<>();
 
@@ -76,8 +65,6 @@
 
 	private int answers;
 
-	private double oldMillis;
-
 	private long headStart;
 
 	private boolean condemned;
@@ -142,19 +129,21 @@
 	/**
 	 * Notes the end of an answer.
 	 * @param release the release that gave it
+	 * @param kind what kind of request it answers, of those that are alike in their pace
+	 * and failures
 	 * @param failed whether it was a failure
 	 * @param firstMillis how long its first part took, in milliseconds
 	 */
-	public void answered(String release, boolean failed, double firstMillis) {
+	public void answered(String release, String kind, boolean failed, double firstMillis) {
+		boolean known = this.trials.containsKey(kind) || this.trials.size() < MAX_KINDS;
+		ReleaseTrial trial = this.trials.computeIfAbsent(known ? kind : OTHER_KINDS,
+				(missing) -> new ReleaseTrial(THRESHOLD));
 		if (!release.equals(this.order.target())) {
-			if (!failed) {
-				this.oldMillis += SMOOTHING * (firstMillis - this.oldMillis);
-			}
+			trial.oldAnswered(failed, firstMillis);
 			return;
 		}
 		this.answers++;
-		boolean slow = this.oldMillis > 0 && firstMillis > SLOW * this.oldMillis + SLOW_MARGIN_MILLIS;
-		this.detector.add((failed || slow) ? FAILED : SUCCEEDED);
+		trial.newAnswered(failed, firstMillis);
 		judge();
 	}
 
@@ -176,7 +165,7 @@
 	 * @return the note
 	 */
 	public RolloutNote note(long now, String node) {
-		return new RolloutNote(node, this.detector.sum(), this.answers, elapsed(now));
+		return new RolloutNote(node, ownEvidence(), this.answers, elapsed(now));
 	}
 
 	/**
@@ -184,7 +173,7 @@
 	 * @return the sum of logarithms, 0 or more
 	 */
 	public double evidence() {
-		return this.detector.sum() + this.others.values().stream().mapToDouble(RolloutNote::evidence).sum();
+		return ownEvidence() + this.others.values().stream().mapToDouble(RolloutNote::evidence).sum();
 	}
 
 	/**
@@ -257,6 +246,14 @@
 		return replicas.stream().filter((replica) -> replica.release().equals(this.order.target()) == target).toList();
 	}
 
+	/**
+	 * A release may be bad for one kind of request only; the others' good answers must
+	 * not hide that.
+	 */
+	private double ownEvidence() {
+		return this.trials.values().stream().mapToDouble(ReleaseTrial::evidence).max().orElse(0);
+	}
+
 	private void judge() {
 		this.condemned = this.condemned || evidence() >= THRESHOLD;
 	}
--- a/core/src/test/java/org/gullsaddle/serve/RolloutTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/RolloutTests.java
@@ -38,10 +38,10 @@
 
 	private void answers(int good, int bad) {
 		for (int i = 0; i < good; i++) {
-			this.rollout.answered("v2", false, 100);
+			this.rollout.answered("v2", "chat", false, 100);
 		}
 		for (int i = 0; i < bad; i++) {
-			this.rollout.answered("v2", true, 100);
+			this.rollout.answered("v2", "chat", true, 100);
 		}
 	}
 
@@ -110,6 +110,40 @@
 			assertThat(RolloutTests.this.rollout.due(DURATION * 95 / 100)).contains(RolloutState.ROLLED_BACK);
 		}
 
+		/**
+		 * Some requests go to a large model, whose first token takes ten times as long on
+		 * either release. Against the mean of all answers each of them looked slow, and
+		 * the good release was taken back after some ten of them.
+		 */
+		@Test
+		void largeModelsAnswersAreComparedWithItsOwn() {
+			RolloutTests.this.rollout.progressed(RolloutState.RUNNING, "v2", 11);
+			for (int i = 0; i < 40; i++) {
+				RolloutTests.this.rollout.answered("v1", "chat/small", false, 90);
+				RolloutTests.this.rollout.answered("v1", "chat/large", false, 1100);
+			}
+			for (int i = 0; i < 20; i++) {
+				RolloutTests.this.rollout.answered("v2", "chat/large", false, 1300);
+			}
+			assertThat(RolloutTests.this.rollout.evidence()).isZero();
+		}
+
+		/**
+		 * A quarter of the stock reads fail on the old release too, for the service's own
+		 * reasons. The new one does no worse, and is completed.
+		 */
+		@Test
+		void failuresThatTheOldReleaseHasTooAreNoReason() {
+			RolloutTests.this.rollout.progressed(RolloutState.RUNNING, "v2", 11);
+			for (int i = 0; i < 100; i++) {
+				RolloutTests.this.rollout.answered("v1", "read", i % 4 == 0, 30);
+			}
+			for (int i = 0; i < 200; i++) {
+				RolloutTests.this.rollout.answered("v2", "read", i % 4 == 0, 30);
+			}
+			assertThat(RolloutTests.this.rollout.due(DURATION / 2)).isEmpty();
+		}
+
 		@Test
 		void fewFailuresAmongManyAnswersAreNoReason() {
 			RolloutTests.this.rollout.progressed(RolloutState.RUNNING, "v2", 11);
@@ -153,13 +187,29 @@
 			assertThat(RolloutTests.this.rollout.allowed(1000, List.of(replica("new", "v2")), "s")).isEmpty();
 		}
 
+		/**
+		 * The new release fails half of one kind of request and answers the others well.
+		 * Taken together, its answers looked sound.
+		 */
+		@Test
+		void failuresOfOneKindAreNotHiddenByTheOthers() {
+			RolloutTests.this.rollout.progressed(RolloutState.RUNNING, "v2", 11);
+			for (int i = 0; i < 8; i++) {
+				RolloutTests.this.rollout.answered("v2", "briefs", i % 2 == 0, 100);
+				for (int j = 0; j < 6; j++) {
+					RolloutTests.this.rollout.answered("v2", "notes", false, 100);
+				}
+			}
+			assertThat(RolloutTests.this.rollout.due(DURATION / 2)).contains(RolloutState.ROLLED_BACK);
+		}
+
 		@Test
 		void answersSeveralTimesSlowerThanTheOldOnesCountAsFailures() {
 			for (int i = 0; i < 50; i++) {
-				RolloutTests.this.rollout.answered("v1", false, 100);
+				RolloutTests.this.rollout.answered("v1", "chat", false, 100);
 			}
 			for (int i = 0; i < 4; i++) {
-				RolloutTests.this.rollout.answered("v2", false, 2000);
+				RolloutTests.this.rollout.answered("v2", "chat", false, 2000);
 			}
 			assertThat(RolloutTests.this.rollout.evidence()).isGreaterThan(4);
 		}
--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -233,7 +233,7 @@
 		this.decisions.picker().ended(now, attempt.choice(), end);
 		this.log.attempt(serving.id(), attempt.choice(), serving.model(), end.toString(), millis,
 				!(end instanceof AttemptEnd.Answered answered) || answered.failure());
-		this.rollouts.ended(serving.service(), attempt, end);
+		this.rollouts.ended(serving.service(), serving.route().name() + '/' + serving.model(), attempt, end);
 	}
 
 	void closed(Serving serving, String outcome, int status, String reason) {
--- a/daemon/src/main/java/org/gullsaddle/gateway/RolloutController.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/RolloutController.java
@@ -81,14 +81,16 @@
 	/**
 	 * Notes the end of an attempt. An answer that was lost on the way says nothing of the
 	 * release; only a failure that the replica itself reports does.
+	 * @param kind the route, and the model that answered
 	 */
-	void ended(ServiceName service, Attempt attempt, AttemptEnd end) {
+	void ended(ServiceName service, String kind, Attempt attempt, AttemptEnd end) {
 		Optional<Rollout> rollout = this.fleet.rollout(service);
 		if (rollout.isEmpty() || !(end instanceof AttemptEnd.Answered answered)) {
 			return;
 		}
 		rollout.get()
-			.answered(attempt.choice().replica().release(), answered.failure(), attempt.headAt() - attempt.startedAt());
+			.answered(attempt.choice().replica().release(), kind, answered.failure(),
+					attempt.headAt() - attempt.startedAt());
 	}
 
 	/**
