--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -78,6 +78,8 @@
 
 	private final RolloutController rollouts;
 
+	private final HeldRequests held = new HeldRequests();
+
 	private final Set<Serving> open = new LinkedHashSet<>();
 
 	private final Set<HttpConnection> callers = new HashSet<>();
@@ -122,12 +124,13 @@
 			.setHandle100ContinueAutomatically(true)
 			.setDecompressionSupported(false)
 			.setHttp2ClearTextEnabled(false)
-			.setAcceptBacklog(1024);
+			.setAcceptBacklog(EarlyListener.BACKLOG);
 		this.server = this.vertx.createHttpServer(options)
 			.connectionHandler(this::connected)
 			.requestHandler((request) -> new Intake(this, request).begin());
 		this.feed.start();
 		this.rollouts.start();
+		this.vertx.setTimer(HeldRequests.HOLD_MILLIS, (timer) -> this.held.release());
 		this.vertx.setPeriodic(TICK_MILLIS, (timer) -> tick());
 		this.vertx.setPeriodic(TIDY_MILLIS, (timer) -> tidy());
 		return this.server.listen(this.settings.callers().port(), this.settings.callers().host())
@@ -186,12 +189,27 @@
 		return !stopping() && this.fleet.config().isPresent() && this.fleet.directory().told();
 	}
 
+	/**
+	 * Returns how many requests wait for the configuration of a node that has just
+	 * started.
+	 * @return the number
+	 */
+	public int held() {
+		return this.held.count();
+	}
+
 	/**
 	 * Takes in a request whose body is complete.
 	 */
 	void serve(HttpServerRequest request, CallerRequest caller, Buffer body, long startedAt) {
 		CallerAnswerWriter writer = new CallerAnswerWriter(request.response(), this::stopping);
 		Optional<FleetConfig> config = this.fleet.config();
+		if (request.response().closed()) {
+			return;
+		}
+		if (config.isEmpty() && !this.refusing && this.held.hold(() -> serve(request, caller, body, startedAt))) {
+			return;
+		}
 		if (config.isEmpty() || this.refusing) {
 			String reason = this.refusing ? "stopping" : "no configuration yet";
 			refused(writer, caller, Statuses.UNAVAILABLE, Optional.of(this.decisions.comeBackMillis()), reason);
@@ -245,6 +263,10 @@
 	}
 
 	private void learned(FleetChange change) {
+		if (change instanceof FleetChange.Configured) {
+			// The replicas that were read with it are taken in first.
+			this.vertx.runOnContext((nothing) -> this.held.release());
+		}
 		this.rollouts.learned(change);
 	}
 
--- /dev/null
+++ b/daemon/src/test/java/org/gullsaddle/gateway/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the gateway's parts.
+ */
+package org.gullsaddle.gateway;
