A request that crashes its replicas is refused after the third, at every node

Cause: such a request comes again at any node; no node knew what the others had seen, nor counted itself, so that each copy cost one more replica with all that ran there. CrashWatch suspects what broke off at a replica that is found dead within 6 s (refused connection, entry gone, another process under its id), clears what is answered whole, and refuses a content for 30 s after three crashes; CrashController tells the other nodes by a note in the store. Writing such a note by compare-and-swap stood in RolloutController and is a type of its own now (NodeNote). Ruled out: the agents' SuspectBook as it is, whose two crashes would convict streams that are moved within a failing rack; it also lets a suspect run alone, which shared replicas cannot.

--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/gateway/CrashController.java
@@ -0,0 +1,130 @@
+package org.gullsaddle.gateway;
+
+import java.io.IOException;
+
+import io.vertx.core.Vertx;
+
+import org.gullsaddle.base.Fingerprint;
+import org.gullsaddle.base.Json;
+import org.gullsaddle.fleet.FleetChange;
+import org.gullsaddle.fleet.Replica;
+import org.gullsaddle.serve.AttemptEnd;
+import org.gullsaddle.serve.CrashNote;
+import org.gullsaddle.serve.CrashWatch;
+import org.gullsaddle.store.Store;
+
+/**
+ * Watches for requests that crash their replicas, and tells the other nodes by a note.
+ */
+final class CrashController {
+
+	static final String NOTES = "gullsaddle/crashes/";
+
+	/**
+	 * How long crashes are gathered before they are told, in milliseconds: the failure of
+	 * a rack is one note.
+	 */
+	private static final long GATHER_MILLIS = 200;
+
+	private final Vertx vertx;
+
+	private final DecisionLog log;
+
+	private final String key;
+
+	private final NodeNote note;
+
+	private final CrashWatch watch = new CrashWatch();
+
+	private boolean due;
+
+	CrashController(Vertx vertx, Store store, String node, DecisionLog log) {
+		this.vertx = vertx;
+		this.log = log;
+		this.key = NOTES + node;
+		this.note = new NodeNote(store, this.key);
+	}
+
+	/**
+	 * Notes how an attempt ended.
+	 */
+	void ended(Serving serving, Replica replica, AttemptEnd end) {
+		switch (end) {
+			case AttemptEnd.Broken broken -> this.watch.broke(Clock.millis(), replica, serving.content());
+			case AttemptEnd.Answered answered -> {
+				if (this.watch.any()) {
+					this.watch.answered(serving.content());
+				}
+			}
+			case AttemptEnd.NotRun notRun -> {
+				if (notRun.unreachable()) {
+					down(replica);
+				}
+			}
+			case AttemptEnd.Withdrawn withdrawn -> {
+			}
+			case AttemptEnd.Dropped dropped -> {
+			}
+		}
+	}
+
+	/**
+	 * Takes in a change of the deployment, or another node's note.
+	 */
+	void learned(FleetChange change) {
+		switch (change) {
+			case FleetChange.Unlisted unlisted -> tell(this.watch.down(Clock.millis(), unlisted.id()));
+			case FleetChange.Listed listed -> tell(this.watch.listed(Clock.millis(), listed.replica()));
+			case FleetChange.Noted noted -> {
+				if (noted.key().startsWith(NOTES) && !noted.key().equals(this.key)) {
+					learn(noted);
+				}
+			}
+			default -> {
+			}
+		}
+	}
+
+	/**
+	 * Returns how long a request is refused for the crashes of its content.
+	 * @return milliseconds, 0 if it may run
+	 */
+	long refusedFor(Serving serving) {
+		return this.watch.any() ? this.watch.refusedFor(Clock.millis(), serving.content()) : 0;
+	}
+
+	private void learn(FleetChange.Noted noted) {
+		try {
+			this.watch.learn(Clock.millis(), Json.read(noted.value(), CrashNote.class));
+		}
+		catch (IOException ex) {
+			this.log.learned(new FleetChange.Unreadable(noted.key(), ex.getMessage()), 0);
+		}
+	}
+
+	private void down(Replica replica) {
+		tell(this.watch.down(Clock.millis(), replica.id()));
+	}
+
+	private void tell(boolean news) {
+		if (!news || this.due) {
+			return;
+		}
+		this.due = true;
+		this.vertx.setTimer(GATHER_MILLIS, (timer) -> {
+			this.due = false;
+			if (this.note.busy()) {
+				tell(true);
+				return;
+			}
+			CrashNote told = this.watch.note(Clock.millis());
+			for (CrashNote.Crash crash : told.crashes()) {
+				this.log.suspected(new Fingerprint(crash.content()), crash.replica(), crash.ageMillis());
+			}
+			if (!told.crashes().isEmpty()) {
+				this.note.write(Json.write(told), () -> tell(true));
+			}
+		});
+	}
+
+}
--- a/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
@@ -4,6 +4,7 @@
 import org.slf4j.LoggerFactory;
 import org.slf4j.spi.LoggingEventBuilder;
 
+import org.gullsaddle.base.Fingerprint;
 import org.gullsaddle.fleet.FleetChange;
 import org.gullsaddle.serve.Choice;
 
@@ -131,6 +132,16 @@
 		}
 	}
 
+	void suspected(Fingerprint content, String replica, long age) {
+		if (allowed(true)) {
+			LOG.atInfo()
+				.addKeyValue("content", content.value())
+				.addKeyValue("replica", replica)
+				.addKeyValue("ageMillis", age)
+				.log("content suspected of a crash");
+		}
+	}
+
 	void request(RequestLine request) {
 		if (allowed(!request.outcome().equals("served"))) {
 			LOG.atInfo()
--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -17,6 +17,7 @@
 
 import org.gullsaddle.fleet.FleetChange;
 import org.gullsaddle.fleet.FleetConfig;
+import org.gullsaddle.fleet.ReplicaId;
 import org.gullsaddle.fleet.Route;
 import org.gullsaddle.fleet.Team;
 import org.gullsaddle.serve.AttemptEnd;
@@ -78,6 +79,8 @@
 
 	private final RolloutController rollouts;
 
+	private final CrashController crashes;
+
 	private final HeldRequests held = new HeldRequests();
 
 	private final Set<Serving> open = new LinkedHashSet<>();
@@ -98,6 +101,7 @@
 		this.pool = new ChannelPool(vertx);
 		this.rollouts = new RolloutController(vertx, builder.board, builder.store, this.settings.node(), this.fleet,
 				this.log);
+		this.crashes = new CrashController(vertx, builder.store, this.settings.node(), this.log);
 		this.feed = new FleetFeed(vertx, builder.source, this.fleet, this.log, this::learned);
 	}
 
@@ -189,6 +193,15 @@
 		return !stopping() && this.fleet.config().isPresent() && this.fleet.directory().told();
 	}
 
+	/**
+	 * Says whether a replica is listed.
+	 * @param replica its id
+	 * @return true if it is
+	 */
+	public boolean knows(String replica) {
+		return this.fleet.directory().find(new ReplicaId(replica)).isPresent();
+	}
+
 	/**
 	 * Returns how many requests wait for the configuration of a node that has just
 	 * started.
@@ -249,6 +262,7 @@
 	void attemptEnded(Serving serving, Attempt attempt, AttemptEnd end, long now) {
 		long millis = now - attempt.startedAt();
 		this.decisions.picker().ended(now, attempt.choice(), end);
+		this.crashes.ended(serving, attempt.choice().replica(), end);
 		this.log.attempt(serving.id(), attempt.choice(), serving.model(), attempt.confidence(), end.toString(), millis,
 				!(end instanceof AttemptEnd.Answered answered) || answered.failure());
 		this.rollouts.ended(serving.service(), serving.route().name() + '/' + serving.model(), attempt, end);
@@ -268,6 +282,7 @@
 			this.vertx.runOnContext((nothing) -> this.held.release());
 		}
 		this.rollouts.learned(change);
+		this.crashes.learned(change);
 	}
 
 	private void tick() {
@@ -294,6 +309,10 @@
 		return this.decisions;
 	}
 
+	CrashController crashes() {
+		return this.crashes;
+	}
+
 	DecisionLog log() {
 		return this.log;
 	}
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/gateway/NodeNote.java
@@ -0,0 +1,70 @@
+package org.gullsaddle.gateway;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.gullsaddle.store.Store;
+
+/**
+ * What a node writes in the store for the other nodes, under a key of its own. Confined
+ * to the event loop.
+ * <p>
+ * Each write names the revision that it replaces. After a lost answer, or an earlier life
+ * of this node under the same key, that revision is not known; it is read anew, and the
+ * note is due again.
+ */
+final class NodeNote {
+
+	private final Store store;
+
+	private final String key;
+
+	private long revision;
+
+	private boolean busy;
+
+	NodeNote(Store store, String key) {
+		this.store = store;
+		this.key = key;
+	}
+
+	/**
+	 * Says whether the store has yet to answer.
+	 */
+	boolean busy() {
+		return this.busy;
+	}
+
+	/**
+	 * Writes the note.
+	 * @param value the new value
+	 * @param dueAgain is told if the value may not stand there
+	 */
+	void write(String value, Runnable dueAgain) {
+		this.busy = true;
+		this.store.write(this.key, this.revision, List.of(new Store.Put(this.key, value)))
+			.subscribe((written) -> wrote(written, dueAgain), (failure) -> refresh(dueAgain));
+	}
+
+	private void wrote(Optional<Long> written, Runnable dueAgain) {
+		if (written.isPresent()) {
+			this.revision = written.get();
+			this.busy = false;
+		}
+		else {
+			refresh(dueAgain);
+		}
+	}
+
+	private void refresh(Runnable dueAgain) {
+		this.store.get(this.key).subscribe((value) -> {
+			this.revision = value.map(Store.StoredValue::revision).orElse(0L);
+			this.busy = false;
+			dueAgain.run();
+		}, (failure) -> {
+			this.busy = false;
+			dueAgain.run();
+		});
+	}
+
+}
--- a/daemon/src/main/java/org/gullsaddle/gateway/RolloutController.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/RolloutController.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -144,43 +143,17 @@
 	}
 
 	private void tell(Rollout rollout, long now) {
-		Told last = this.told.computeIfAbsent(key(rollout), (key) -> new Told());
+		Told last = this.told.computeIfAbsent(key(rollout), (key) -> new Told(this.store, key));
 		RolloutNote note = rollout.note(now, this.node);
 		boolean urgent = note.evidence() - last.evidence >= URGENT_EVIDENCE && now - last.at >= URGENT_NOTE_MILLIS;
 		boolean due = note.answers() != last.answers && now - last.at >= NOTE_MILLIS;
-		if (last.writing || !(urgent || due)) {
+		if (last.note.busy() || !(urgent || due)) {
 			return;
 		}
 		last.at = now;
 		last.evidence = note.evidence();
 		last.answers = note.answers();
-		last.writing = true;
-		String key = key(rollout);
-		this.store.write(key, last.revision, List.of(new Store.Put(key, Json.write(note))))
-			.subscribe((revision) -> wrote(key, last, revision), (failure) -> refresh(key, last));
-	}
-
-	private void wrote(String key, Told last, Optional<Long> revision) {
-		last.writing = false;
-		if (revision.isPresent()) {
-			last.revision = revision.get();
-		}
-		else {
-			refresh(key, last);
-		}
-	}
-
-	/**
-	 * Reads the note's revision anew: an answer was lost, or an earlier life of this node
-	 * wrote it.
-	 */
-	private void refresh(String key, Told last) {
-		last.writing = true;
-		this.store.get(key).subscribe((value) -> {
-			last.writing = false;
-			last.answers = -1;
-			last.revision = value.map(Store.StoredValue::revision).orElse(0L);
-		}, (failure) -> last.writing = false);
+		last.note.write(Json.write(note), () -> last.answers = -1);
 	}
 
 	private String prefix(Rollout rollout) {
@@ -193,15 +166,17 @@
 
 	private static final class Told {
 
+		private final NodeNote note;
+
 		private long at;
 
 		private double evidence;
 
 		private int answers;
 
-		private long revision;
-
-		private boolean writing;
+		Told(Store store, String key) {
+			this.note = new NodeNote(store, key);
+		}
 
 	}
 
--- a/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
@@ -6,6 +6,7 @@
 import java.util.OptionalInt;
 import java.util.Set;
 
+import com.dynatrace.hash4j.hashing.Hashing;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpHeaders;
@@ -13,6 +14,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 
+import org.gullsaddle.base.Fingerprint;
 import org.gullsaddle.base.TeamId;
 import org.gullsaddle.base.Verdict;
 import org.gullsaddle.fleet.EngineSpec;
@@ -93,6 +95,8 @@
 
 	private boolean done;
 
+	private Fingerprint content;
+
 	private Serving(Builder builder) {
 		this.gateway = builder.gateway;
 		this.request = builder.request;
@@ -118,6 +122,11 @@
 		response.closeHandler((nothing) -> left());
 		response.exceptionHandler((failure) -> left());
 		this.gateway.opened(this);
+		long refusedFor = this.gateway.crashes().refusedFor(this);
+		if (refusedFor > 0) {
+			refuse("crashes its replicas", refusedFor);
+			return;
+		}
 		this.gateway.decisions().earnRetry();
 		this.model = this.caller.model();
 		if (!this.route.models().isEmpty()) {
@@ -284,7 +293,7 @@
 	 */
 	private boolean tryAgain(long now) {
 		boolean held = !this.writer.begun() || (this.route.resumable() && this.events.lastId().isPresent());
-		if (!held || !this.rule.mayTryAgain(this.endsAt - now)) {
+		if (!held || !this.rule.mayTryAgain(this.endsAt - now) || this.gateway.crashes().refusedFor(this) > 0) {
 			return false;
 		}
 		boolean another = this.gateway.fleet()
@@ -338,6 +347,10 @@
 	 * Ends the request without a replica's answer.
 	 */
 	private void refuse(String reason) {
+		refuse(reason, this.gateway.decisions().comeBackMillis());
+	}
+
+	private void refuse(String reason, long comeBackMillis) {
 		if (this.done) {
 			return;
 		}
@@ -348,7 +361,7 @@
 		}
 		boolean notRun = this.rule.verdict() == Verdict.NOT_RUN;
 		int status = notRun ? Statuses.UNAVAILABLE : Statuses.BAD_GATEWAY;
-		Optional<Long> after = notRun ? Optional.of(this.gateway.decisions().comeBackMillis()) : Optional.empty();
+		Optional<Long> after = notRun ? Optional.of(comeBackMillis) : Optional.empty();
 		this.writer.error(status, after, reason);
 		close(notRun ? "refused" : "failed", status, reason);
 	}
@@ -480,6 +493,24 @@
 		return this.caller.attemptId().orElse("");
 	}
 
+	/**
+	 * Returns a hash of its team and content, the same when it is sent again.
+	 */
+	Fingerprint content() {
+		if (this.content == null) {
+			this.content = new Fingerprint(Hashing.murmur3_128()
+				.hashStream()
+				.putString(teamName())
+				.putString(this.request.method().name())
+				.putString(this.caller.host())
+				.putString(this.request.uri())
+				.putByteArray(this.body.getBytes())
+				.get()
+				.toString());
+		}
+		return this.content;
+	}
+
 	Route route() {
 		return this.route;
 	}
