--- a/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
@@ -132,6 +132,10 @@
 		}
 	}
 
+	void stalled(long millis, int open) {
+		LOG.atWarn().addKeyValue("millis", millis).addKeyValue("open", open).log("stood still");
+	}
+
 	void suspected(Fingerprint content, String replica, long age) {
 		if (allowed(true)) {
 			LOG.atInfo()
--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -81,6 +81,8 @@
 
 	private final CrashController crashes;
 
+	private final StallWatch stalls = new StallWatch();
+
 	private final HeldRequests held = new HeldRequests();
 
 	private final Set<Serving> open = new LinkedHashSet<>();
@@ -287,6 +289,10 @@
 
 	private void tick() {
 		long now = Clock.millis();
+		long stalled = this.stalls.look(now);
+		if (stalled > 0) {
+			this.log.stalled(stalled, this.open.size());
+		}
 		if (!this.open.isEmpty()) {
 			List.copyOf(this.open).forEach((serving) -> serving.tick(now));
 		}
@@ -309,6 +315,10 @@
 		return this.decisions;
 	}
 
+	StallWatch stalls() {
+		return this.stalls;
+	}
+
 	CrashController crashes() {
 		return this.crashes;
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
@@ -393,12 +393,13 @@
 			return false;
 		}
 		long patience = this.gateway.decisions().silenceMillis(this.route, this.writer.begun());
+		long since = this.gateway.stalls().silentSince(this.attempt.lastByteAt());
 		if (this.route.kind() == RouteKind.IDEMPOTENT) {
-			return now - this.attempt.lastByteAt() > patience;
+			return now - since > patience;
 		}
 		return this.gateway.decisions()
 			.picker()
-			.dark(now, this.attempt.choice(), this.attempt.lastByteAt(), this.attempt.answer() == null, patience);
+			.dark(now, this.attempt.choice(), since, this.attempt.answer() == null, patience);
 	}
 
 	private void expire() {
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/gateway/StallWatch.java
@@ -0,0 +1,45 @@
+package org.gullsaddle.gateway;
+
+/**
+ * Notices that the process stood still, frozen or starved of its processor.
+ * <p>
+ * When it goes on, all its replicas seem to have been silent, though their bytes lie in
+ * its sockets; each open stream would be moved, and run anew, for nothing. Silence is
+ * counted from when the process went on; what is really silent is found one patience
+ * later.
+ */
+final class StallWatch {
+
+	/**
+	 * How late a periodic look must be to count as a standstill, in milliseconds: several
+	 * times what a busy node is late by, and less than any patience.
+	 */
+	private static final long STALL_MILLIS = 500;
+
+	private long lastLook = Long.MAX_VALUE;
+
+	private long awakeSince = Long.MIN_VALUE;
+
+	/**
+	 * Notes a periodic look.
+	 * @return how long the process stood still before it, in milliseconds, 0 if it did
+	 * not
+	 */
+	long look(long now) {
+		long late = (this.lastLook == Long.MAX_VALUE) ? 0 : now - this.lastLook;
+		this.lastLook = now;
+		if (late < STALL_MILLIS) {
+			return 0;
+		}
+		this.awakeSince = now;
+		return late;
+	}
+
+	/**
+	 * Returns since when bytes have been waited for that last came at a time.
+	 */
+	long silentSince(long lastByteAt) {
+		return Math.max(lastByteAt, this.awakeSince);
+	}
+
+}
