The models that a request goes through, and the hash of its content, leave Serving; crash notes back off

Cascade holds a request's models, ContentHash the hash; a note is written again after a second, and a content is logged when it is newly suspected. Behaviour is the same otherwise.

--- a/core/src/main/java/org/gullsaddle/serve/CrashWatch.java
+++ b/core/src/main/java/org/gullsaddle/serve/CrashWatch.java
@@ -65,30 +65,30 @@
 	 * process has its id.
 	 * @param now the time in milliseconds
 	 * @param replica the replica
-	 * @return whether a content is newly suspected, which others are to be told
+	 * @return the contents that are newly suspected, which others are to be told
 	 */
-	public boolean down(long now, ReplicaId replica) {
+	public List<Fingerprint> down(long now, ReplicaId replica) {
 		List<Broken> list = this.broken.remove(replica);
-		boolean any = false;
-		if (list != null) {
-			for (Broken each : list) {
-				if (now - each.at <= SAME_CRASH_MILLIS) {
-					any |= suspect(each.content, replica, each.at);
-				}
-			}
+		if (list == null) {
+			return List.of();
 		}
-		return any;
+		return list.stream()
+			.filter((each) -> now - each.at <= SAME_CRASH_MILLIS)
+			.filter((each) -> suspect(each.content, replica, each.at))
+			.map(Broken::content)
+			.toList();
 	}
 
 	/**
 	 * Notes a replica's entry, which may tell that another process has its id.
 	 * @param now the time in milliseconds
 	 * @param replica the entry
-	 * @return whether a content is newly suspected, which others are to be told
+	 * @return the contents that are newly suspected, which others are to be told
 	 */
-	public boolean listed(long now, Replica replica) {
+	public List<Fingerprint> listed(long now, Replica replica) {
 		List<Broken> list = this.broken.get(replica.id());
-		return list != null && !list.get(0).replica.sameProcess(replica) && down(now, replica.id());
+		boolean another = list != null && !list.get(0).replica.sameProcess(replica);
+		return another ? down(now, replica.id()) : List.of();
 	}
 
 	/**
--- a/core/src/test/java/org/gullsaddle/serve/CrashWatchTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/CrashWatchTests.java
@@ -55,7 +55,7 @@
 		for (String id : new String[] { "r2", "r3" }) {
 			CrashWatch other = new CrashWatch();
 			other.broke(100, replica(id), POISON);
-			assertThat(other.down(200, new ReplicaId(id))).isTrue();
+			assertThat(other.down(200, new ReplicaId(id))).containsExactly(POISON);
 			this.watch.learn(6000, other.note(1000));
 		}
 		assertThat(this.watch.refusedFor(6000, POISON)).isPositive();
@@ -77,10 +77,10 @@
 	@Test
 	void anotherProcessUnderTheSameIdTellsOfACrash() {
 		this.watch.broke(0, replica("r1"), POISON);
-		assertThat(this.watch.listed(100, replica("r1"))).isFalse();
+		assertThat(this.watch.listed(100, replica("r1"))).isEmpty();
 		Replica again = new Replica(new ReplicaId("r1"), new ServiceName("engines"), new Address("10.0.0.1", 80), "a",
 				"v1", 8, false, 2);
-		assertThat(this.watch.listed(2000, again)).isTrue();
+		assertThat(this.watch.listed(2000, again)).containsExactly(POISON);
 	}
 
 	@Nested
@@ -111,7 +111,7 @@
 		@Test
 		void whoseReplicaDiedMuchLater() {
 			CrashWatchTests.this.watch.broke(0, replica("r1"), BYSTANDER);
-			assertThat(CrashWatchTests.this.watch.down(7000, new ReplicaId("r1"))).isFalse();
+			assertThat(CrashWatchTests.this.watch.down(7000, new ReplicaId("r1"))).isEmpty();
 		}
 
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/CrashController.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/CrashController.java
@@ -1,6 +1,7 @@
 package org.gullsaddle.gateway;
 
 import java.io.IOException;
+import java.util.List;
 
 import io.vertx.core.Vertx;
 
@@ -8,6 +9,7 @@
 import org.gullsaddle.base.Json;
 import org.gullsaddle.fleet.FleetChange;
 import org.gullsaddle.fleet.Replica;
+import org.gullsaddle.fleet.ReplicaId;
 import org.gullsaddle.serve.AttemptEnd;
 import org.gullsaddle.serve.CrashNote;
 import org.gullsaddle.serve.CrashWatch;
@@ -26,6 +28,9 @@
 	 */
 	private static final long GATHER_MILLIS = 200;
 
+	/** When a note is written again that the store may not have, in milliseconds. */
+	private static final long AGAIN_MILLIS = 1000;
+
 	private final Vertx vertx;
 
 	private final DecisionLog log;
@@ -58,7 +63,7 @@
 			}
 			case AttemptEnd.NotRun notRun -> {
 				if (notRun.unreachable()) {
-					down(replica);
+					suspected(replica.id(), this.watch.down(Clock.millis(), replica.id()));
 				}
 			}
 			case AttemptEnd.Withdrawn withdrawn -> {
@@ -73,8 +78,12 @@
 	 */
 	void learned(FleetChange change) {
 		switch (change) {
-			case FleetChange.Unlisted unlisted -> tell(this.watch.down(Clock.millis(), unlisted.id()));
-			case FleetChange.Listed listed -> tell(this.watch.listed(Clock.millis(), listed.replica()));
+			case FleetChange.Unlisted unlisted ->
+				suspected(unlisted.id(), this.watch.down(Clock.millis(), unlisted.id()));
+			case FleetChange.Listed listed -> {
+				ReplicaId id = listed.replica().id();
+				suspected(id, this.watch.listed(Clock.millis(), listed.replica()));
+			}
 			case FleetChange.Noted noted -> {
 				if (noted.key().startsWith(NOTES) && !noted.key().equals(this.key)) {
 					learn(noted);
@@ -102,29 +111,30 @@
 		}
 	}
 
-	private void down(Replica replica) {
-		tell(this.watch.down(Clock.millis(), replica.id()));
+	private void suspected(ReplicaId replica, List<Fingerprint> contents) {
+		contents.forEach((content) -> this.log.suspected(content, replica));
+		if (!contents.isEmpty()) {
+			tellIn(GATHER_MILLIS);
+		}
+	}
+
+	private void tellIn(long millis) {
+		if (!this.due) {
+			this.due = true;
+			this.vertx.setTimer(millis, (timer) -> tell());
+		}
 	}
 
-	private void tell(boolean news) {
-		if (!news || this.due) {
+	private void tell() {
+		this.due = false;
+		if (this.note.busy()) {
+			tellIn(GATHER_MILLIS);
 			return;
 		}
-		this.due = true;
-		this.vertx.setTimer(GATHER_MILLIS, (timer) -> {
-			this.due = false;
-			if (this.note.busy()) {
-				tell(true);
-				return;
-			}
-			CrashNote told = this.watch.note(Clock.millis());
-			for (CrashNote.Crash crash : told.crashes()) {
-				this.log.suspected(new Fingerprint(crash.content()), crash.replica(), crash.ageMillis());
-			}
-			if (!told.crashes().isEmpty()) {
-				this.note.write(Json.write(told), () -> tell(true));
-			}
-		});
+		CrashNote told = this.watch.note(Clock.millis());
+		if (!told.crashes().isEmpty()) {
+			this.note.write(Json.write(told), () -> tellIn(AGAIN_MILLIS));
+		}
 	}
 
 }
--- a/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
@@ -6,6 +6,7 @@
 
 import org.gullsaddle.base.Fingerprint;
 import org.gullsaddle.fleet.FleetChange;
+import org.gullsaddle.fleet.ReplicaId;
 import org.gullsaddle.serve.Choice;
 
 /**
@@ -136,12 +137,11 @@
 		LOG.atWarn().addKeyValue("millis", millis).addKeyValue("open", open).log("stood still");
 	}
 
-	void suspected(Fingerprint content, String replica, long age) {
+	void suspected(Fingerprint content, ReplicaId replica) {
 		if (allowed(true)) {
 			LOG.atInfo()
 				.addKeyValue("content", content.value())
-				.addKeyValue("replica", replica)
-				.addKeyValue("ageMillis", age)
+				.addKeyValue("replica", replica.value())
 				.log("content suspected of a crash");
 		}
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
@@ -6,7 +6,6 @@
 import java.util.OptionalInt;
 import java.util.Set;
 
-import com.dynatrace.hash4j.hashing.Hashing;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpHeaders;
@@ -77,13 +76,7 @@
 
 	private MultiMap heldHeaders;
 
-	private String model = "";
-
-	private String largerModel = "";
-
-	private String doubtedModel = "";
-
-	private int doubtedConfidence = -1;
+	private final Cascade cascade;
 
 	private Task task = Task.PLAIN;
 
@@ -110,6 +103,7 @@
 		this.endsAt = this.startedAt + Math.min(patience, this.route.timeoutMillis());
 		this.service = this.gateway.decisions().service(this.route, id());
 		this.rule = new RetryRule(this.route);
+		this.cascade = new Cascade(this.gateway.decisions(), this.gateway.log(), this.route, this.rule, this.caller);
 		this.writer = new CallerAnswerWriter(this.request.response(), this.gateway::stopping);
 	}
 
@@ -128,10 +122,6 @@
 			return;
 		}
 		this.gateway.decisions().earnRetry();
-		this.model = this.caller.model();
-		if (!this.route.models().isEmpty()) {
-			this.model = this.gateway.decisions().models().first(this.route);
-		}
 		tryNext();
 	}
 
@@ -143,7 +133,7 @@
 			return;
 		}
 		List<Replica> usable = this.gateway.fleet().replicas(now, this.service, session());
-		Optional<Choice> choice = this.gateway.decisions().picker().pick(now, usable, this.tried, task(this.model));
+		Optional<Choice> choice = this.gateway.decisions().picker().pick(now, usable, this.tried, task(model()));
 		if (choice.isEmpty()) {
 			refuse(usable.isEmpty() ? "no replica" : "no replica left");
 			return;
@@ -156,12 +146,12 @@
 		this.tried.add(choice.replica().id());
 		this.promptRead = false;
 		this.clock.begin(Clock.millis());
-		this.task = task(this.model);
+		this.task = task(model());
 		this.gateway.decisions().picker().sent(choice, this.task);
 		Optional<String> lastEvent = this.events.lastId().or(this.caller::lastEvent);
 		OptionalInt urgency = generation() ? OptionalInt.of(Math.clamp(rank(), 0, MAX_URGENCY)) : OptionalInt.empty();
 		Handover handover = new Handover(choice.replica().id(), left, this.team.map(Team::id),
-				this.route.models().isEmpty() ? "" : this.model, urgency, lastEvent);
+				this.route.models().isEmpty() ? "" : model(), urgency, lastEvent);
 		MultiMap headers = this.gateway.codec().toReplica(this.request.headers(), handover);
 		this.attempt = new Attempt(choice, id(), this.gateway.pool(), this.gateway.codec(), this);
 		this.attempt.send(this.request.method(), this.request.uri(), headers, this.body,
@@ -189,49 +179,16 @@
 	 * asks a larger model.
 	 */
 	private void doubt(Attempt from, ReplicaAnswer answer) {
-		if (this.doubtedConfidence >= 0) {
-			this.gateway.decisions()
-				.models()
-				.compared(this.doubtedModel, this.doubtedConfidence, this.model, from.confidence());
-		}
-		Optional<String> larger = this.gateway.decisions()
-			.models()
-			.larger(this.route, this.model, answer.confidence(), this.rule.nextIsLast());
-		if (larger.isEmpty()) {
-			return;
-		}
-		int confidence = answer.confidence().orElse(0);
-		String kept = whyKept(larger.get());
-		this.gateway.log()
-			.doubted(id(), this.model, confidence, this.gateway.decisions().models().enough(), larger.get(), kept);
-		if (kept.isEmpty()) {
-			this.doubtedModel = this.model;
-			this.doubtedConfidence = confidence;
-			this.largerModel = larger.get();
+		if (this.cascade.drops(answer.confidence(), this::replicaFor, this.endsAt - Clock.millis())) {
 			this.tried.remove(from.choice().replica().id());
-			from.withdraw(new AttemptEnd.Dropped(confidence));
+			from.withdraw(new AttemptEnd.Dropped(answer.confidence().orElse(0)));
 		}
 	}
 
-	/**
-	 * Says why an answer that its model doubts is kept all the same, empty if it is not.
-	 */
-	private String whyKept(String larger) {
+	private Optional<Choice> replicaFor(String larger) {
 		long now = Clock.millis();
-		long left = this.endsAt - now;
-		if (!this.rule.mayDrop(left)) {
-			return "no attempt or time left";
-		}
-		Optional<Choice> choice = this.gateway.decisions()
-			.picker()
-			.pick(now, this.gateway.fleet().replicas(now, this.service, session()), Set.of(), task(larger));
-		if (choice.isEmpty()) {
-			return "no replica";
-		}
-		if (!this.gateway.decisions().models().inTime(this.route, choice.get().costMillis(), left)) {
-			return "in " + choice.get().costMillis() + " of " + left + " ms";
-		}
-		return this.gateway.decisions().spendRetry() ? "" : "no retry left";
+		List<Replica> usable = this.gateway.fleet().replicas(now, this.service, session());
+		return this.gateway.decisions().picker().pick(now, usable, Set.of(), task(larger));
 	}
 
 	@Override
@@ -267,7 +224,7 @@
 		readPrompt(from);
 		if (this.route.kind() == RouteKind.STREAM && !(counted instanceof AttemptEnd.Dropped)
 				&& !(counted instanceof AttemptEnd.NotRun)) {
-			this.gateway.decisions().streamed(this.route, this.model, this.clock);
+			this.gateway.decisions().streamed(this.route, model(), this.clock);
 		}
 		this.rule.ended(counted);
 		this.gateway.attemptEnded(this, from, counted, now);
@@ -275,7 +232,7 @@
 			return;
 		}
 		if (counted instanceof AttemptEnd.Dropped) {
-			this.model = this.largerModel;
+			this.cascade.goOn();
 			tryNext();
 			return;
 		}
@@ -499,15 +456,8 @@
 	 */
 	Fingerprint content() {
 		if (this.content == null) {
-			this.content = new Fingerprint(Hashing.murmur3_128()
-				.hashStream()
-				.putString(teamName())
-				.putString(this.request.method().name())
-				.putString(this.caller.host())
-				.putString(this.request.uri())
-				.putByteArray(this.body.getBytes())
-				.get()
-				.toString());
+			this.content = ContentHash.of(teamName(), this.request.method(), this.caller.host(), this.request.uri(),
+					this.body);
 		}
 		return this.content;
 	}
@@ -521,7 +471,7 @@
 	}
 
 	String model() {
-		return this.model;
+		return this.cascade.model();
 	}
 
 	DecisionLog.RequestLine line(String outcome, int status, String reason, long now, long age) {
