One flush of the ledger at a time, and a stop that tries again

A stop's flush and the periodic one both took the segment under way; the later answer found nothing under way ('no segment is under way'), or counted for the next segment, whose records would then be lost and never billed. A slow store, as beside load, makes both overlap. Besides, one answer of the store slower than 500 ms ended a stop with its records unwritten. LedgerController keeps one flush under way, which others wait for; a stop tries again until its own time is over. Ruled out: the stop's bound of 20 s (the test took 18 s in all, most of it before); the gateway, which has no part in that test. The log of the failed stop was gone with the test's folder, so that it is the only cause found, not one that was seen in that run.

--- a/daemon/src/main/java/org/gullsaddle/backend/AgentNode.java
+++ b/daemon/src/main/java/org/gullsaddle/backend/AgentNode.java
@@ -157,7 +157,7 @@
 			.andThen(this.drained)
 			.andThen(awaitRecorded())
 			.andThen(Completable.fromAction(this::writeAllHeld))
-			.andThen(Completable.defer(this.ledger::flush));
+			.andThen(Completable.defer(this.ledger::flushUntilWritten));
 	}
 
 	/**
--- a/daemon/src/main/java/org/gullsaddle/controller/LedgerController.java
+++ b/daemon/src/main/java/org/gullsaddle/controller/LedgerController.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import io.reactivex.rxjava3.core.Completable;
@@ -28,6 +29,9 @@
 
 	private static final int MAX_PENDING = 50_000;
 
+	/** The pause before a write that follows a failed one, in milliseconds. */
+	private static final long AGAIN_MILLIS = 200;
+
 	private final Store store;
 
 	private final LedgerKeys keys;
@@ -40,6 +44,8 @@
 
 	private String key;
 
+	private Completable flushing;
+
 	/**
 	 * Makes a controller.
 	 * @param store the store
@@ -83,15 +89,47 @@
 
 	/**
 	 * Writes what waits, until nothing does or the store fails.
+	 * <p>
+	 * One flush is under way at a time. Two would write the same segment, and the later
+	 * answer would count for the segment after it, whose records would be lost; a stop
+	 * beside a periodic flush is the usual case. One that finds another under way waits
+	 * for its end and then writes what is left.
 	 * @return done when nothing waits; an error if the store failed
 	 */
 	public Completable flush() {
+		return Completable.defer(() -> {
+			Completable before;
+			synchronized (this) {
+				before = this.flushing;
+				if (before == null) {
+					this.flushing = writeAll().doOnTerminate(this::flushed).doOnDispose(this::flushed).cache();
+					return this.flushing;
+				}
+			}
+			return before.onErrorComplete().andThen(Completable.defer(this::flush));
+		});
+	}
+
+	/**
+	 * Writes what waits, trying again while the store fails. A stop that gave up at one
+	 * slow answer would lose the records that it still holds.
+	 * @return done when nothing waits; whoever stops must bound the time
+	 */
+	public Completable flushUntilWritten() {
+		return flush().retryWhen((failures) -> failures.delay(AGAIN_MILLIS, TimeUnit.MILLISECONDS));
+	}
+
+	private synchronized void flushed() {
+		this.flushing = null;
+	}
+
+	private Completable writeAll() {
 		return Completable.defer(() -> {
 			Optional<Segment> segment = next();
 			if (segment.isEmpty()) {
 				return Completable.complete();
 			}
-			return write(segment.get()).andThen(Completable.defer(this::flush));
+			return write(segment.get()).andThen(Completable.defer(this::writeAll));
 		});
 	}
 
--- a/daemon/src/main/java/org/gullsaddle/entry/EntryNode.java
+++ b/daemon/src/main/java/org/gullsaddle/entry/EntryNode.java
@@ -201,7 +201,7 @@
 				.takeUntil((tick) -> openRequests() == 0)
 				.ignoreElements())
 			.andThen(Completable.fromAction(this.copies::writeAll))
-			.andThen(Completable.defer(this.ledger::flush))
+			.andThen(Completable.defer(this.ledger::flushUntilWritten))
 			.andThen(Completable.defer(() -> this.grants.giveUpAll().onErrorComplete()));
 	}
 
