The wait in vain was the test's own; requests are answered at once again

Cause, now seen: Town.send asked for an answer's body from the test's thread, after the head had been given to it. Under load the whole answer had come and gone by then, and the wait never ended; it hit whichever request was sent then. Conclusion: the gateway had no part in it.

--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -249,13 +249,6 @@
 			.start();
 	}
 
-	/**
-	 * Does something later, on the event loop.
-	 */
-	void after(long millis, Runnable action) {
-		this.vertx.setTimer(millis, (timer) -> action.run());
-	}
-
 	void refused(CallerAnswerWriter writer, CallerRequest caller, int status, Optional<Long> after, String reason) {
 		writer.error(status, after, reason);
 		long version = this.fleet.config().map(FleetConfig::version).orElse(0L);
--- a/daemon/src/main/java/org/gullsaddle/gateway/Intake.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Intake.java
@@ -13,12 +13,6 @@
 	/** What a body may have while no configuration is known, in bytes. */
 	private static final long DEFAULT_BODY_BYTES = 4_194_304;
 
-	/**
-	 * How long the rest of a request that is not passed on may take, in milliseconds:
-	 * some megabytes on a caller's link.
-	 */
-	private static final long REST_MILLIS = 500;
-
 	private final Gateway gateway;
 
 	private final HttpServerRequest request;
@@ -29,8 +23,6 @@
 
 	private boolean over;
 
-	private Runnable rejection;
-
 	Intake(Gateway gateway, HttpServerRequest request) {
 		this.gateway = gateway;
 		this.request = request;
@@ -42,9 +34,6 @@
 			caller = this.gateway.codec().read(this.request);
 		}
 		catch (BadRequestException ex) {
-			this.request.handler((bytes) -> {
-			});
-			this.request.endHandler((nothing) -> rejected());
 			reject(Statuses.BAD_REQUEST, ex.getMessage());
 			return;
 		}
@@ -59,7 +48,6 @@
 				this.over = true;
 				this.gateway.serve(this.request, caller, this.body, this.startedAt);
 			}
-			rejected();
 		});
 	}
 
@@ -75,27 +63,13 @@
 	}
 
 	/**
-	 * Answers a request that is not passed on, and ends its connection.
-	 * <p>
-	 * What still comes of it is read first, for a moment: a connection that is closed
-	 * with bytes unread is reset, and the reset can overtake the answer, so that the
-	 * caller sees a broken connection and sends the same again.
+	 * Answers a request that is not read on, and ends its connection: what follows on it
+	 * cannot be told apart from the rest of this one.
 	 */
 	private void reject(int status, String reason) {
 		this.over = true;
-		this.rejection = () -> {
-			CallerAnswerWriter writer = new CallerAnswerWriter(this.request.response(), () -> true);
-			this.gateway.refused(writer, CallerRequest.unread(), status, Optional.empty(), reason);
-		};
-		this.gateway.after(REST_MILLIS, this::rejected);
-	}
-
-	private void rejected() {
-		Runnable answer = this.rejection;
-		this.rejection = null;
-		if (answer != null) {
-			answer.run();
-		}
+		CallerAnswerWriter writer = new CallerAnswerWriter(this.request.response(), () -> true);
+		this.gateway.refused(writer, CallerRequest.unread(), status, Optional.empty(), reason);
 	}
 
 }
