An attempt's line says when its first event came, and the longest pause

Cause: whether a stream was late could not be told from the logs, though the choice of models learns from it.

--- a/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
@@ -102,7 +102,8 @@
 			.log("roll-out state written");
 	}
 
-	void attempt(String id, Choice choice, String model, int confidence, String end, long millis, boolean failure) {
+	void attempt(String id, Choice choice, String model, int confidence, String end, long millis, StreamClock stream,
+			boolean failure) {
 		if (allowed(failure)) {
 			LOG.atInfo()
 				.addKeyValue("id", id)
@@ -115,6 +116,8 @@
 				.addKeyValue("load", choice.load())
 				.addKeyValue("end", end)
 				.addKeyValue("millis", millis)
+				.addKeyValue("firstEventMillis", stream.begun() ? stream.firstMillis(0) : -1)
+				.addKeyValue("longestGapMillis", stream.longestGap())
 				.log("attempt");
 		}
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -261,7 +261,7 @@
 		this.decisions.picker().ended(now, attempt.choice(), end);
 		this.crashes.ended(serving, attempt.choice().replica(), end);
 		this.log.attempt(serving.id(), attempt.choice(), serving.model(), attempt.confidence(), end.toString(), millis,
-				!(end instanceof AttemptEnd.Answered answered) || answered.failure());
+				serving.clock(), !(end instanceof AttemptEnd.Answered answered) || answered.failure());
 		this.rollouts.ended(serving.service(), serving.route().name() + '/' + serving.model(), attempt, end);
 	}
 
--- a/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
@@ -467,6 +467,10 @@
 		return this.route;
 	}
 
+	StreamClock clock() {
+		return this.clock;
+	}
+
 	ServiceName service() {
 		return this.service;
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/StreamClock.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/StreamClock.java
@@ -39,6 +39,13 @@
 		return ((this.firstAt >= 0) ? this.firstAt : now) - this.begunAt;
 	}
 
+	/**
+	 * Says whether an event has come.
+	 */
+	boolean begun() {
+		return this.firstAt >= 0;
+	}
+
 	long longestGap() {
 		return this.longestGap;
 	}
