The store is asked for changes once a second

Cause: each watch was answered at once by the heartbeat of some replica and asked again at once, three calls a second and node with 35 replicas. Paid for, and at 340 nodes some 1,000 calls a second of the store's 2,000. The next call now begins a second after the last one began; a configuration may take three seconds to come into force.

--- a/daemon/src/main/java/org/gullsaddle/gateway/FleetFeed.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/FleetFeed.java
@@ -24,6 +24,14 @@
 	 */
 	private static final long WAIT_MILLIS = 2500;
 
+	/**
+	 * How soon after a call for changes the next one begins, in milliseconds. Every
+	 * replica's heartbeat is a change: without a pause a node asks as often as all of
+	 * them beat together, three times a second with 35 of them, and each call is paid
+	 * for. A second is a third of what a configuration may take to come into force.
+	 */
+	private static final long EVERY_MILLIS = 1000;
+
 	/** The pause before a call that follows a failure, in milliseconds. */
 	private static final long PAUSE_MILLIS = 150;
 
@@ -44,6 +52,8 @@
 
 	private long revision = -1;
 
+	private long askedAt;
+
 	private int failures;
 
 	private boolean stopped;
@@ -69,6 +79,7 @@
 			return;
 		}
 		boolean whole = this.revision < 0;
+		this.askedAt = Clock.millis();
 		Single<FleetSource.News> call = whole ? this.source.readAll() : this.source.changes(this.revision, WAIT_MILLIS);
 		call.subscribe((news) -> took(news, whole), this::failed);
 	}
@@ -91,7 +102,19 @@
 			this.listener.accept(change);
 		}
 		this.revision = news.revision();
-		next();
+		long pause = whole ? 0 : pause(this.askedAt, now);
+		if (pause == 0) {
+			next();
+			return;
+		}
+		this.vertx.setTimer(pause, (timer) -> next());
+	}
+
+	/**
+	 * Returns how long to wait before the next call, in milliseconds.
+	 */
+	static long pause(long askedAt, long now) {
+		return Math.max(0, askedAt + EVERY_MILLIS - now);
 	}
 
 	private static Set<ReplicaId> listed(List<FleetChange> changes) {
