A model of the engines, and an experiment on where prompts go

`./run-measure placement` plays the real picker on a model of engines (batches at the pace of the slowest model, prompts read in chunks, kept parts, reports a tenth of a second old) against random, fewest requests and an oracle that knows every queue, prints a table and writes target/placement.png (JFreeChart). Timeline is taken out of Fleet for both.

--- /dev/null
+++ b/measure/src/main/java/org/gullsaddle/measure/EngineFleet.java
@@ -0,0 +1,209 @@
+package org.gullsaddle.measure;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.IntToDoubleFunction;
+import java.util.stream.IntStream;
+
+import org.HdrHistogram.Histogram;
+
+import org.gullsaddle.base.Address;
+import org.gullsaddle.base.LoadReport;
+import org.gullsaddle.fleet.Replica;
+import org.gullsaddle.fleet.ReplicaId;
+import org.gullsaddle.fleet.ServiceName;
+import org.gullsaddle.serve.AttemptEnd;
+import org.gullsaddle.serve.Choice;
+import org.gullsaddle.serve.Place;
+import org.gullsaddle.serve.Prompt;
+import org.gullsaddle.serve.ReplicaPicker;
+import org.gullsaddle.serve.Task;
+
+/**
+ * Nodes that spread requests over engines in one data center, each node knowing its own
+ * requests and what answers told of load, a tenth of a second old.
+ */
+final class EngineFleet {
+
+	private static final String DATA_CENTER = "a";
+
+	private static final int NODES = 4;
+
+	/** How old a load report is, in milliseconds, as on the operators' sheets. */
+	private static final double REPORT_MILLIS = 100;
+
+	private static final int OK = 200;
+
+	private final Timeline time;
+
+	private final Policy policy;
+
+	private final Random random;
+
+	private final List<EngineModel> engines = new ArrayList<>();
+
+	private final List<Replica> replicas = new ArrayList<>();
+
+	private final Map<ReplicaId, Integer> numbers = new HashMap<>();
+
+	private final Map<ReplicaId, LoadReport> reports = new HashMap<>();
+
+	private final List<ReplicaPicker> nodes = new ArrayList<>();
+
+	private final List<int[]> outstanding = new ArrayList<>();
+
+	private final Histogram first = new Histogram(3_600_000, 3);
+
+	private int inTime;
+
+	private int arrived;
+
+	EngineFleet(Timeline time, Policy policy, int count, EngineShape shape, long seed) {
+		this.time = time;
+		this.policy = policy;
+		this.random = new Random(seed);
+		for (int i = 0; i < count; i++) {
+			Replica replica = new Replica(new ReplicaId("engine-" + i), new ServiceName("engines"),
+					new Address("10.0.0." + (i + 1), 80), DATA_CENTER, "v1", shape.slots(), false, 1);
+			this.engines.add(new EngineModel(shape, time));
+			this.replicas.add(replica);
+			this.numbers.put(replica.id(), i);
+			this.reports.put(replica.id(), new LoadReport(0, 0, shape.slots()));
+		}
+		for (int i = 0; i < NODES; i++) {
+			this.nodes.add(new ReplicaPicker(new Place(DATA_CENTER, Map.of(DATA_CENTER, "r"))));
+			this.outstanding.add(new int[count]);
+		}
+	}
+
+	/**
+	 * Lets a request arrive now at any node.
+	 * @param prompt its prompt
+	 * @param model the model that runs it
+	 * @param output how many tokens it generates
+	 * @param objective how soon its first token is wanted, in milliseconds
+	 */
+	void arrive(Prompt prompt, ModelKind model, int output, double objective) {
+		this.arrived++;
+		int node = this.random.nextInt(NODES);
+		Task task = new Task(model.name(), prompt, model.relativePace(), 2 * EngineShape.SHEET.memoryTokens());
+		Choice choice = this.nodes.get(node)
+			.pick(Math.round(this.time.now()), this.replicas, Set.of(), task)
+			.orElseThrow();
+		Sent sent = new Sent(node, choice, task, this.time.now(), objective);
+		EngineJob job = new EngineJob(model.name(), model.pace(), prompt.parts(), output, sent);
+		sent.engine = engine(sent, job);
+		if (this.policy == Policy.GULLSADDLE) {
+			this.nodes.get(node).sent(choice, task);
+		}
+		this.outstanding.get(node)[sent.engine]++;
+		this.engines.get(sent.engine).take(job);
+	}
+
+	private int engine(Sent sent, EngineJob job) {
+		int[] own = this.outstanding.get(sent.node);
+		return switch (this.policy) {
+			case GULLSADDLE -> this.numbers.get(sent.choice.replica().id());
+			case RANDOM -> this.random.nextInt(this.engines.size());
+			case LEAST_REQUESTS -> least((i) -> own[i]);
+			case ORACLE -> least((i) -> this.engines.get(i).expectedFirstMillis(job));
+		};
+	}
+
+	private int least(IntToDoubleFunction cost) {
+		return IntStream.range(0, this.engines.size())
+			.boxed()
+			.min(Comparator.comparingDouble(cost::applyAsDouble))
+			.orElseThrow();
+	}
+
+	/**
+	 * Returns the part of all requests whose first token came within the objective.
+	 */
+	double inTime() {
+		return (double) this.inTime / this.arrived;
+	}
+
+	Histogram first() {
+		return this.first;
+	}
+
+	long readTokens() {
+		return this.engines.stream().mapToLong(EngineModel::readTokens).sum();
+	}
+
+	/**
+	 * How an engine is picked.
+	 */
+	enum Policy {
+
+		/** By the router's own picker. */
+		GULLSADDLE,
+
+		/** Any one. */
+		RANDOM,
+
+		/** That with the fewest requests of the same node. */
+		LEAST_REQUESTS,
+
+		/** That which will give the first token soonest, by what it knows itself. */
+		ORACLE
+
+	}
+
+	/**
+	 * One request under way.
+	 */
+	private final class Sent implements EngineJob.Listener {
+
+		private final int node;
+
+		private final Choice choice;
+
+		private final Task task;
+
+		private final double arrivedAt;
+
+		private final double objective;
+
+		private int engine;
+
+		Sent(int node, Choice choice, Task task, double arrivedAt, double objective) {
+			this.node = node;
+			this.choice = choice;
+			this.task = task;
+			this.arrivedAt = arrivedAt;
+			this.objective = objective;
+		}
+
+		@Override
+		public void first(double now) {
+			EngineFleet.this.first.recordValue(Math.round(now - this.arrivedAt));
+			EngineFleet.this.inTime += (now - this.arrivedAt <= this.objective) ? 1 : 0;
+			if (EngineFleet.this.policy == Policy.GULLSADDLE) {
+				ReplicaPicker picker = EngineFleet.this.nodes.get(this.node);
+				picker.promptRead(this.choice, this.task);
+				picker.report(this.choice.replica(), EngineFleet.this.reports.get(this.choice.replica().id()));
+				int requests = EngineFleet.this.engines.get(this.engine).requests();
+				EngineFleet.this.time.at(now + REPORT_MILLIS, () -> EngineFleet.this.reports
+					.put(this.choice.replica().id(), new LoadReport(requests, 0, EngineShape.SHEET.slots())));
+			}
+		}
+
+		@Override
+		public void ended() {
+			EngineFleet.this.outstanding.get(this.node)[this.engine]--;
+			if (EngineFleet.this.policy == Policy.GULLSADDLE) {
+				EngineFleet.this.nodes.get(this.node)
+					.ended(Math.round(EngineFleet.this.time.now()), this.choice, new AttemptEnd.Answered(OK));
+			}
+		}
+
+	}
+
+}
--- a/measure/src/main/java/org/gullsaddle/measure/Fleet.java
+++ b/measure/src/main/java/org/gullsaddle/measure/Fleet.java
@@ -6,7 +6,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 
@@ -44,8 +43,7 @@
 
 	private static final int SLOTS = 8;
 
-	private final PriorityQueue<Due> queue = new PriorityQueue<>(
-			Comparator.comparingLong(Due::time).thenComparingLong(Due::order));
+	private final Timeline time = new Timeline();
 
 	private final List<Router> entries = new ArrayList<>();
 
@@ -67,10 +65,6 @@
 
 	private final int broken;
 
-	private long now;
-
-	private long sequence;
-
 	private long arrivals;
 
 	private int turn;
@@ -136,11 +130,7 @@
 	}
 
 	void run() {
-		while (!this.queue.isEmpty()) {
-			Due due = this.queue.poll();
-			this.now = due.time();
-			due.action().run();
-		}
+		this.time.run();
 	}
 
 	double goodput(TeamId team) {
@@ -170,7 +160,7 @@
 						send.dispatch().deadline()));
 			}
 			case RouterAction.Complete complete -> this.served.get(call.team())[0]++;
-			case RouterAction.Refuse refuse -> this.refusalWait.recordValue(Math.max(0, this.now - call.arrival()));
+			case RouterAction.Refuse refuse -> this.refusalWait.recordValue(Math.max(0, now() - call.arrival()));
 			default -> {
 				// nothing else matters here
 			}
@@ -217,15 +207,15 @@
 
 	private void start(NodeId id, AttemptId attempt) {
 		Call call = this.calls.get(attempt.request());
-		boolean hit = this.caches.get(id).put(call.prefix(), this.now) != null;
+		boolean hit = this.caches.get(id).put(call.prefix(), now()) != null;
 		if (this.caches.get(id).size() > 20) {
 			this.caches.get(id).remove(this.caches.get(id).keySet().iterator().next());
 		}
 		this.cacheHits += hit ? 1 : 0;
 		long prefill = hit ? 20 : 120;
-		this.firstToken.recordValue(this.now - call.arrival() + prefill);
+		this.firstToken.recordValue(now() - call.arrival() + prefill);
 		boolean fails = this.order.indexOf(id) < this.broken;
-		at(this.now + (fails ? 50 : prefill + call.serviceMillis()), () -> {
+		at(now() + (fails ? 50 : prefill + call.serviceMillis()), () -> {
 			this.outstanding.merge(id, -1, Integer::sum);
 			agent(id, fails ? new AdmissionEvent.BackendFailed(attempt, Verdict.MAY_HAVE_RUN, false, Usage.NONE)
 					: new AdmissionEvent.BackendDone(attempt, new Completion(200, "", "stop", new Usage(1, 1))));
@@ -239,27 +229,30 @@
 		for (NodeId id : this.order) {
 			LoadReport load = this.agents.get(id).load();
 			int truth = this.outstanding.get(id);
-			at(this.now + 2000, () -> {
+			at(now() + 2000, () -> {
 				this.reported.put(id, truth);
 				this.entries.forEach((entry) -> entry.handle(moment(), new RouterEvent.AgentLoad(id, load)));
 			});
 		}
-		if (this.now < 600_000 && (this.now < 10_000 || !this.queue.isEmpty())) {
-			at(this.now + 1000, this::report);
+		if (now() < 600_000 && (now() < 10_000 || !this.time.isEmpty())) {
+			at(now() + 1000, this::report);
 		}
 	}
 
 	private void soon(Runnable action) {
-		at(this.now + 1, action);
+		at(now() + 1, action);
 	}
 
 	private void at(long time, Runnable action) {
-		this.sequence++;
-		this.queue.add(new Due(time, this.sequence, action));
+		this.time.at(time, action);
+	}
+
+	private long now() {
+		return (long) this.time.now();
 	}
 
 	private Moment moment() {
-		return Moment.at(this.now);
+		return Moment.at(now());
 	}
 
 	/**
@@ -271,9 +264,6 @@
 
 	}
 
-	private record Due(long time, long order, Runnable action) {
-	}
-
 	private record Call(TeamId team, long arrival, long serviceMillis, long prefix) {
 	}
 
--- a/measure/src/main/java/org/gullsaddle/measure/Measure.java
+++ b/measure/src/main/java/org/gullsaddle/measure/Measure.java
@@ -16,6 +16,7 @@
 	 * @param args names of experiments, and {@code --seed N}
 	 */
 	public static void main(String[] args) {
+		System.setProperty("java.awt.headless", "true");
 		long seed = 1;
 		Map<String, Experiment> all = all();
 		Map<String, Experiment> chosen = new LinkedHashMap<>();
@@ -46,6 +47,7 @@
 		all.put("exposure", new ExposureExperiment());
 		all.put("allowance", new AllowanceExperiment());
 		all.put("overload", new OverloadExperiment());
+		all.put("placement", new PlacementExperiment());
 		all.put("capacity", new CapacityExperiment());
 		return all;
 	}
--- /dev/null
+++ b/measure/src/test/java/org/gullsaddle/measure/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the models that policies are measured against.
+ */
+package org.gullsaddle.measure;
