--- a/core/src/main/java/org/gullsaddle/serve/AttemptEnd.java
+++ b/core/src/main/java/org/gullsaddle/serve/AttemptEnd.java
@@ -5,6 +5,21 @@
  */
 public sealed interface AttemptEnd {
 
+	/**
+	 * Names the end in a word, for counting.
+	 * @return {@code answered}, {@code failed}, {@code not-run}, {@code broken},
+	 * {@code withdrawn} or {@code dropped}
+	 */
+	default String word() {
+		return switch (this) {
+			case NotRun notRun -> "not-run";
+			case Answered answered -> answered.failure() ? "failed" : "answered";
+			case Broken broken -> "broken";
+			case Withdrawn withdrawn -> "withdrawn";
+			case Dropped dropped -> "dropped";
+		};
+	}
+
 	/**
 	 * The replica did not run it, and will not.
 	 *
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/gateway/AnswerRelay.java
@@ -0,0 +1,117 @@
+package org.gullsaddle.gateway;
+
+import java.util.Optional;
+
+import io.vertx.core.MultiMap;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpHeaders;
+import io.vertx.core.http.HttpServerRequest;
+
+/**
+ * Passes answers on to one caller: a stream's whole events as they come, anything else
+ * once it is whole, so that until then it can be dropped for another answer.
+ */
+final class AnswerRelay {
+
+	/** An answer up to this size is held back until it is whole, in bytes. */
+	private static final int MAX_HELD = 262_144;
+
+	private final EventScanner events = new EventScanner();
+
+	private final CallerAnswerWriter writer;
+
+	private Buffer held = Buffer.buffer();
+
+	private MultiMap headers;
+
+	AnswerRelay(HttpServerRequest request, Gateway gateway) {
+		this.writer = new CallerAnswerWriter(request.response(), gateway::stopping);
+	}
+
+	/**
+	 * Says whether the caller has got any of an answer.
+	 */
+	boolean begun() {
+		return this.writer.begun();
+	}
+
+	/**
+	 * Returns the last event that the caller has.
+	 */
+	Optional<String> lastEvent() {
+		return this.events.lastId();
+	}
+
+	/**
+	 * Says whether a stream has come to the end of an event.
+	 */
+	boolean atEventEnd() {
+		return this.events.atEventEnd();
+	}
+
+	/**
+	 * Begins with a replica's answer; what was held of an earlier one is dropped.
+	 */
+	void head(MultiMap newHeaders) {
+		this.held = Buffer.buffer();
+		this.events.dropRest();
+		this.headers = newHeaders;
+	}
+
+	/**
+	 * Passes a stream's bytes on, as far as they make whole events.
+	 * @return whether the caller got an event
+	 */
+	boolean stream(int status, Buffer bytes) {
+		Buffer whole = this.events.add(bytes);
+		if (whole.length() == 0) {
+			return false;
+		}
+		this.writer.begin(status, this.headers);
+		this.writer.write(whole);
+		return true;
+	}
+
+	/**
+	 * Holds bytes back, or passes them on if they are too many to hold.
+	 */
+	void hold(int status, Buffer bytes) {
+		this.held.appendBuffer(bytes);
+		if (this.held.length() > MAX_HELD) {
+			this.writer.begin(status, this.headers);
+			this.writer.write(this.held);
+			this.held = Buffer.buffer();
+		}
+	}
+
+	/**
+	 * Ends the answer, which is whole.
+	 * @param withoutBody whether the caller asked for the head only
+	 */
+	void end(int status, boolean withoutBody) {
+		if (this.writer.begun()) {
+			this.writer.end(this.held);
+			return;
+		}
+		if (!withoutBody) {
+			this.headers.remove(HttpHeaders.CONTENT_LENGTH);
+		}
+		this.writer.whole(status, this.headers, this.held);
+	}
+
+	/**
+	 * Sends an answer of the router's own instead.
+	 * @param afterMillis when to come back, in milliseconds, if the request was not run
+	 */
+	void error(int status, Optional<Long> afterMillis, String reason) {
+		this.writer.error(status, afterMillis, reason);
+	}
+
+	/**
+	 * Breaks the answer off, so that the caller sees it is not whole.
+	 */
+	void abort() {
+		this.writer.abort();
+	}
+
+}
--- a/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
@@ -167,6 +167,13 @@
 		}
 	}
 
+	/**
+	 * Returns how many lines were left out since the start.
+	 */
+	int leftOut() {
+		return this.leftOut;
+	}
+
 	private boolean allowed(boolean urgent) {
 		long now = Clock.millis();
 		if (now - this.windowStart >= SECOND_MILLIS) {
--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -19,6 +19,7 @@
 import org.gullsaddle.fleet.FleetConfig;
 import org.gullsaddle.fleet.ReplicaId;
 import org.gullsaddle.fleet.Route;
+import org.gullsaddle.fleet.RouteKind;
 import org.gullsaddle.fleet.Team;
 import org.gullsaddle.serve.AttemptEnd;
 import org.gullsaddle.store.Store;
@@ -106,6 +107,14 @@
 		return new Builder(settings);
 	}
 
+	private void showGauges() {
+		this.telemetry.gauge("open.requests", this.open::size);
+		this.telemetry.gauge("held.requests", this.held::count);
+		this.telemetry.gauge("replicas.known", () -> this.fleet.directory().known().size());
+		this.telemetry.gauge("fleet.age.milliseconds", () -> this.fleet.age(Clock.millis()));
+		this.telemetry.gauge("log.lines.left.out", this.log::leftOut);
+	}
+
 	/**
 	 * Starts listening and reading the platform's store.
 	 * @return completes when callers can connect
@@ -124,6 +133,7 @@
 		this.server = this.vertx.createHttpServer(options)
 			.connectionHandler(this::connected)
 			.requestHandler((request) -> new Intake(this, request).begin());
+		showGauges();
 		this.feed.start();
 		this.rollouts.start();
 		this.vertx.setTimer(HeldRequests.HOLD_MILLIS, (timer) -> this.held.release());
@@ -262,6 +272,10 @@
 		this.crashes.ended(serving, attempt.choice().replica(), end);
 		this.log.attempt(serving.id(), attempt.choice(), serving.model(), attempt.confidence(), end.toString(), millis,
 				serving.clock(), !(end instanceof AttemptEnd.Answered answered) || answered.failure());
+		this.telemetry.attempt(serving.service().value(), end.word());
+		if (serving.clock().begun() && serving.route().kind() == RouteKind.STREAM) {
+			this.telemetry.firstEvent(serving.route().name(), serving.model(), serving.clock().firstMillis(now));
+		}
 		this.rollouts.ended(serving.service(), serving.route().name() + '/' + serving.model(), attempt, end);
 	}
 
--- a/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
@@ -8,7 +8,6 @@
 
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
@@ -37,9 +36,6 @@
  */
 final class Serving implements Attempt.Listener {
 
-	/** An answer up to this size is held back until it is whole, in bytes. */
-	private static final int MAX_HELD = 262_144;
-
 	private static final int MAX_URGENCY = 9;
 
 	private final Gateway gateway;
@@ -66,16 +62,10 @@
 
 	private final Set<ReplicaId> tried = new HashSet<>();
 
-	private final EventScanner events = new EventScanner();
-
-	private final CallerAnswerWriter writer;
+	private final AnswerRelay relay;
 
 	private Attempt attempt;
 
-	private Buffer held = Buffer.buffer();
-
-	private MultiMap heldHeaders;
-
 	private final Cascade cascade;
 
 	private Task task = Task.PLAIN;
@@ -105,7 +95,7 @@
 		this.service = this.gateway.decisions().service(this.route, id());
 		this.rule = new RetryRule(this.route);
 		this.cascade = new Cascade(this.gateway.decisions(), this.gateway.log(), this.route, this.rule, this.caller);
-		this.writer = new CallerAnswerWriter(this.request.response(), this.gateway::stopping);
+		this.relay = new AnswerRelay(this.request, this.gateway);
 	}
 
 	static Builder of(Gateway gateway, HttpServerRequest request) {
@@ -149,7 +139,7 @@
 		this.clock.begin(Clock.millis());
 		this.task = task(model());
 		this.gateway.decisions().picker().sent(choice, this.task);
-		Optional<String> lastEvent = this.events.lastId().or(this.caller::lastEvent);
+		Optional<String> lastEvent = this.relay.lastEvent().or(this.caller::lastEvent);
 		OptionalInt urgency = generation() ? OptionalInt.of(Math.clamp(rank(), 0, MAX_URGENCY)) : OptionalInt.empty();
 		Handover handover = new Handover(choice.replica().id(), left, this.team.map(Team::id),
 				this.route.models().isEmpty() ? "" : model(), urgency, lastEvent);
@@ -162,15 +152,13 @@
 	@Override
 	public void head(Attempt from, ReplicaAnswer answer, MultiMap headers) {
 		readPrompt(from);
-		this.held = Buffer.buffer();
-		this.events.dropRest();
-		this.heldHeaders = this.gateway.codec().toCaller(headers);
+		this.relay.head(this.gateway.codec().toCaller(headers));
 		answer.load().ifPresent((load) -> this.gateway.decisions().picker().report(from.choice().replica(), load));
 		this.gateway.decisions().picker().heard(Clock.millis(), from.choice().replica());
-		if (this.writer.begun() && !answer.success()) {
+		if (this.relay.begun() && !answer.success()) {
 			from.withdraw(new AttemptEnd.Broken("no answer to go on with"));
 		}
-		else if (answer.success() && !this.writer.begun()) {
+		else if (answer.success() && !this.relay.begun()) {
 			doubt(from, answer);
 		}
 	}
@@ -198,20 +186,11 @@
 			return;
 		}
 		this.gateway.decisions().picker().heard(Clock.millis(), from.choice().replica());
-		if (streamed(from)) {
-			Buffer whole = this.events.add(bytes);
-			if (whole.length() > 0) {
-				this.clock.event(Clock.millis());
-				this.writer.begin(from.answer().status(), this.heldHeaders);
-				this.writer.write(whole);
-			}
-			return;
+		if (!streamed(from)) {
+			this.relay.hold(from.answer().status(), bytes);
 		}
-		this.held.appendBuffer(bytes);
-		if (this.held.length() > MAX_HELD) {
-			this.writer.begin(from.answer().status(), this.heldHeaders);
-			this.writer.write(this.held);
-			this.held = Buffer.buffer();
+		else if (this.relay.stream(from.answer().status(), bytes)) {
+			this.clock.event(Clock.millis());
 		}
 	}
 
@@ -219,7 +198,7 @@
 	public void ended(Attempt from, AttemptEnd end) {
 		long now = Clock.millis();
 		AttemptEnd counted = end;
-		if (end instanceof AttemptEnd.Answered && streamed(from) && !this.events.atEventEnd()) {
+		if (end instanceof AttemptEnd.Answered && streamed(from) && !this.relay.atEventEnd()) {
 			counted = new AttemptEnd.Broken("stream ended within an event");
 		}
 		readPrompt(from);
@@ -250,7 +229,7 @@
 	 * Tries another replica if that is allowed.
 	 */
 	private boolean tryAgain(long now) {
-		boolean held = !this.writer.begun() || (this.route.resumable() && this.events.lastId().isPresent());
+		boolean held = !this.relay.begun() || (this.route.resumable() && this.relay.lastEvent().isPresent());
 		if (!held || !this.rule.mayTryAgain(this.endsAt - now) || this.gateway.crashes().refusedFor(this) > 0) {
 			return false;
 		}
@@ -265,31 +244,22 @@
 		return true;
 	}
 
+	/**
+	 * Ends with a replica's whole answer. A refusal status of one that has not said that
+	 * it did not run the request must not reach the caller: there it is a promise that
+	 * nothing ran.
+	 */
 	private void finish(Attempt from, AttemptEnd.Answered answered) {
-		if (this.writer.begun()) {
-			this.writer.end(this.held);
+		boolean falsePromise = Statuses.promisesNotRun(answered.status()) && this.route.kind() != RouteKind.IDEMPOTENT;
+		if (falsePromise && !this.relay.begun()) {
+			this.relay.error(Statuses.BAD_GATEWAY, Optional.empty(), "the backend server gave no definite answer");
 		}
 		else {
-			sendWhole(from.answer(), answered.status());
+			this.relay.end(from.answer().status(), this.request.method() == HttpMethod.HEAD);
 		}
 		close(answered.failure() ? "failed" : "served", answered.status(), "answered");
 	}
 
-	/**
-	 * A refusal status of a replica that has not said that it did not run the request
-	 * must not reach the caller: there it is a promise that nothing ran.
-	 */
-	private void sendWhole(ReplicaAnswer answer, int status) {
-		if (Statuses.promisesNotRun(status) && this.route.kind() != RouteKind.IDEMPOTENT) {
-			this.writer.error(Statuses.BAD_GATEWAY, Optional.empty(), "the backend server gave no definite answer");
-			return;
-		}
-		if (this.request.method() != HttpMethod.HEAD) {
-			this.heldHeaders.remove(HttpHeaders.CONTENT_LENGTH);
-		}
-		this.writer.whole(answer.status(), this.heldHeaders, this.held);
-	}
-
 	private void giveUp(AttemptEnd end) {
 		String reason = switch (end) {
 			case AttemptEnd.NotRun notRun -> notRun.reason();
@@ -312,15 +282,15 @@
 		if (this.done) {
 			return;
 		}
-		if (this.writer.begun()) {
-			this.writer.abort();
+		if (this.relay.begun()) {
+			this.relay.abort();
 			close("failed", 0, reason);
 			return;
 		}
 		boolean notRun = this.rule.verdict() == Verdict.NOT_RUN;
 		int status = notRun ? Statuses.UNAVAILABLE : Statuses.BAD_GATEWAY;
 		Optional<Long> after = notRun ? Optional.of(comeBackMillis) : Optional.empty();
-		this.writer.error(status, after, reason);
+		this.relay.error(status, after, reason);
 		close(notRun ? "refused" : "failed", status, reason);
 	}
 
@@ -350,7 +320,7 @@
 		if (!this.rule.mayDrop(this.endsAt - now)) {
 			return false;
 		}
-		long patience = this.gateway.decisions().silenceMillis(this.route, this.writer.begun());
+		long patience = this.gateway.decisions().silenceMillis(this.route, this.relay.begun());
 		long since = this.gateway.stalls().silentSince(this.attempt.lastByteAt());
 		if (this.route.kind() == RouteKind.IDEMPOTENT) {
 			return now - since > patience;
@@ -366,8 +336,8 @@
 			return;
 		}
 		withdraw("deadline");
-		if (!this.writer.begun() && this.rule.verdict() != Verdict.NOT_RUN) {
-			this.writer.error(Statuses.TIMED_OUT, Optional.empty(), "deadline");
+		if (!this.relay.begun() && this.rule.verdict() != Verdict.NOT_RUN) {
+			this.relay.error(Statuses.TIMED_OUT, Optional.empty(), "deadline");
 			close("failed", Statuses.TIMED_OUT, "deadline");
 			return;
 		}
--- a/daemon/src/main/java/org/gullsaddle/telemetry/Telemetry.java
+++ b/daemon/src/main/java/org/gullsaddle/telemetry/Telemetry.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.StringWriter;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -33,15 +34,14 @@
 	 */
 	public Telemetry() {
 		List<MapperConfig> labels = List.of(
-				new MapperConfig("gullsaddle.whole.*.*", "gullsaddle_whole_seconds", teamLabels()),
-				new MapperConfig("gullsaddle.first.*.*", "gullsaddle_first_token_seconds", teamLabels()),
-				new MapperConfig("gullsaddle.between.*.*", "gullsaddle_between_tokens_seconds", teamLabels()),
-				new MapperConfig("gullsaddle.outcome.*.*.*", "gullsaddle_requests",
-						Map.of("template", "${0}", "team", "${1}", "outcome", "${2}")),
-				new MapperConfig("gullsaddle.request.*.*.*", "gullsaddle_request_seconds",
-						Map.of("route", "${0}", "team", "${1}", "outcome", "${2}")),
-				new MapperConfig("gullsaddle.served.*.*", "gullsaddle_served",
-						Map.of("template", "${0}", "version", "${1}")));
+				family("gullsaddle.whole.*.*", "gullsaddle_whole_seconds", "template", "team"),
+				family("gullsaddle.first.*.*", "gullsaddle_first_token_seconds", "template", "team"),
+				family("gullsaddle.between.*.*", "gullsaddle_between_tokens_seconds", "template", "team"),
+				family("gullsaddle.outcome.*.*.*", "gullsaddle_requests", "template", "team", "outcome"),
+				family("gullsaddle.request.*.*.*", "gullsaddle_request_seconds", "route", "team", "outcome"),
+				family("gullsaddle.attempt.*.*", "gullsaddle_attempts", "service", "end"),
+				family("gullsaddle.event.*.*", "gullsaddle_first_event_seconds", "route", "model"),
+				family("gullsaddle.served.*.*", "gullsaddle_served", "template", "version"));
 		new DropwizardExports(this.metrics, new CustomMappingSampleBuilder(labels)).register(this.collectors);
 	}
 
@@ -87,6 +87,26 @@
 				TimeUnit.MILLISECONDS);
 	}
 
+	/**
+	 * Counts an attempt at a replica by its end.
+	 * @param service the replica's service
+	 * @param end {@code answered}, {@code failed}, {@code not-run}, {@code broken},
+	 * {@code withdrawn} or {@code dropped}
+	 */
+	public void attempt(String service, String end) {
+		this.metrics.counter("gullsaddle.attempt." + part(service) + "." + part(end)).inc();
+	}
+
+	/**
+	 * Notes how long a replica took to a stream's first event.
+	 * @param route the request's route
+	 * @param model the model that answered
+	 * @param millis milliseconds
+	 */
+	public void firstEvent(String route, String model, long millis) {
+		timer("gullsaddle.event." + part(route) + "." + part(model)).update(millis, TimeUnit.MILLISECONDS);
+	}
+
 	/**
 	 * Counts a request by its outcome.
 	 * @param template its template
@@ -138,8 +158,15 @@
 		return this.metrics.timer(name, () -> new Timer(new HdrHistogramResetOnSnapshotReservoir()));
 	}
 
-	private static Map<String, String> teamLabels() {
-		return Map.of("template", "${0}", "team", "${1}");
+	/**
+	 * Maps the parts of a metric's name to labels, in their order.
+	 */
+	private static MapperConfig family(String pattern, String name, String... labels) {
+		Map<String, String> values = new LinkedHashMap<>();
+		for (int i = 0; i < labels.length; i++) {
+			values.put(labels[i], "${" + i + "}");
+		}
+		return new MapperConfig(pattern, name, values);
 	}
 
 	private static String part(Object name) {
