Each size of model has as many homes as its part of the work

Cause: small models were at home on a quarter of the engines whatever was asked. Under load few answers are replaced by larger models', the work moves to the small ones, and they queue on their quarter. Homes follow the work that each node has sent in the last seconds, with half as much again for the small ones, as all requests begin there.

HomesTests shows the pattern.

--- a/core/src/main/java/org/gullsaddle/serve/ReplicaPicker.java
+++ b/core/src/main/java/org/gullsaddle/serve/ReplicaPicker.java
@@ -1,14 +1,10 @@
 package org.gullsaddle.serve;
 
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.stream.Collectors;
 
 import org.gullsaddle.base.LoadReport;
 import org.gullsaddle.base.Spread;
@@ -74,15 +70,6 @@
 	 */
 	private static final double NOT_AT_HOME_MILLIS_PER_REQUEST = 175;
 
-	/**
-	 * The part of a data center's replicas on which small models are at home. The largest
-	 * gets two in five requests, and each takes ten times as long.
-	 */
-	private static final double SMALL_HOMES = 0.25;
-
-	/** From this pace on a model counts as large. */
-	private static final double LARGE_PACE = 3;
-
 	/** What a replica that fails all its requests costs, in milliseconds. */
 	private static final double FAILING_MILLIS = 3000;
 
@@ -91,6 +78,8 @@
 
 	private final Map<ReplicaId, ReplicaState> states = new HashMap<>();
 
+	private final Homes homes = new Homes();
+
 	private final Place here;
 
 	/**
@@ -117,7 +106,7 @@
 		List<ReplicaState> sound = able.stream().filter((state) -> !state.ejected(now)).toList();
 		ReplicaState best = null;
 		double least = Double.MAX_VALUE;
-		Set<ReplicaId> away = away(usable, task);
+		Set<ReplicaId> away = this.homes.away(usable, task);
 		double notAtHome = notAtHome(able);
 		for (ReplicaState state : sound.isEmpty() ? able : sound) {
 			double cost = cost(state, task) + (away.contains(state.replica().id()) ? notAtHome : 0);
@@ -136,10 +125,12 @@
 
 	/**
 	 * Notes that a request was sent.
+	 * @param now the time in milliseconds
 	 * @param choice where to
 	 * @param task what the replica is to do
 	 */
-	public void sent(Choice choice, Task task) {
+	public void sent(long now, Choice choice, Task task) {
+		this.homes.sent(now, task, choice.unreadTokens());
 		long kept = Math.round(task.cacheTokens() * KEPT_SHARE);
 		state(choice.replica()).sent(task, choice.unreadTokens() * task.pace(), kept);
 	}
@@ -225,29 +216,6 @@
 		this.states.keySet().retainAll(known);
 	}
 
-	/**
-	 * Returns the replicas that models of another size are at home on. All nodes that see
-	 * the same replicas come to the same.
-	 */
-	private static Set<ReplicaId> away(List<Replica> usable, Task task) {
-		if (task.plain()) {
-			return Set.of();
-		}
-		Map<String, List<Replica>> byDataCenter = usable.stream().collect(Collectors.groupingBy(Replica::dataCenter));
-		Set<ReplicaId> away = new HashSet<>();
-		for (List<Replica> near : byDataCenter.values()) {
-			List<Replica> ordered = new ArrayList<>(near);
-			ordered.sort(Comparator.comparingDouble((replica) -> Spread.unit(replica.id().value())));
-			long small = (near.size() > 1) ? Math.max(1, Math.round(SMALL_HOMES * near.size())) : 0;
-			for (int i = 0; i < ordered.size() && small > 0; i++) {
-				if ((i < small) == (task.pace() >= LARGE_PACE)) {
-					away.add(ordered.get(i).id());
-				}
-			}
-		}
-		return away;
-	}
-
 	private static double notAtHome(List<ReplicaState> able) {
 		double requests = able.stream().mapToDouble(ReplicaState::requests).average().orElse(0);
 		return Math.max(NOT_AT_HOME_MILLIS, NOT_AT_HOME_MILLIS_PER_REQUEST * requests);
--- /dev/null
+++ b/core/src/test/java/org/gullsaddle/serve/HomesTests.java
@@ -0,0 +1,94 @@
+package org.gullsaddle.serve;
+
+import java.util.List;
+import java.util.OptionalInt;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.gullsaddle.base.Address;
+import org.gullsaddle.fleet.Replica;
+import org.gullsaddle.fleet.ReplicaId;
+import org.gullsaddle.fleet.ServiceName;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class HomesTests {
+
+	private static final Task SMALL = task("small", 1);
+
+	private static final Task LARGE = task("large", 15);
+
+	private final Homes homes = new Homes();
+
+	private static Task task(String model, double pace) {
+		Prompt prompt = new Prompt(1000, 10, OptionalInt.empty(), List.of(new PromptPart("p", 1000)));
+		return new Task(model, prompt, pace, 100_000);
+	}
+
+	private static List<Replica> replicas(int count) {
+		return IntStream.range(0, count)
+			.mapToObj((i) -> new Replica(new ReplicaId("e" + i), new ServiceName("engines"),
+					new Address("10.0.0.1", 80 + i), "a", "v1", 8, false, 1))
+			.toList();
+	}
+
+	private int smallHomes(int replicas) {
+		return replicas - this.homes.away(replicas(replicas), SMALL).size();
+	}
+
+	@Nested
+	class BeforeAnyWork {
+
+		@Test
+		void smallModelsHaveAQuarter() {
+			assertThat(smallHomes(4)).isEqualTo(1);
+			assertThat(smallHomes(8)).isEqualTo(2);
+		}
+
+		@Test
+		void everyReplicaIsAtHomeForOneSizeOnly() {
+			assertThat(HomesTests.this.homes.away(replicas(8), SMALL))
+				.doesNotContainAnyElementsOf(HomesTests.this.homes.away(replicas(8), LARGE));
+			assertThat(HomesTests.this.homes.away(replicas(8), LARGE)).hasSize(2);
+		}
+
+		@Test
+		void singleReplicaIsAtHomeForAll() {
+			assertThat(HomesTests.this.homes.away(replicas(1), SMALL)).isEmpty();
+			assertThat(HomesTests.this.homes.away(replicas(1), LARGE)).isEmpty();
+		}
+
+	}
+
+	/**
+	 * So much comes that few answers are replaced by the largest model's. Small requests
+	 * queued on a quarter of the replicas for seconds, while those for the large model
+	 * had little to do.
+	 */
+	@Nested
+	class WhenNearlyAllWorkIsSmall {
+
+		@Test
+		void smallModelsGetMostReplicas() {
+			for (int i = 0; i < 2000; i++) {
+				HomesTests.this.homes.sent(i, SMALL, 8000);
+			}
+			assertThat(smallHomes(8)).isEqualTo(7);
+		}
+
+		@Test
+		void theyGiveThemBackAsLargeWorkReturns() {
+			for (int i = 0; i < 2000; i++) {
+				HomesTests.this.homes.sent(i, SMALL, 8000);
+			}
+			for (int i = 0; i < 2000; i++) {
+				HomesTests.this.homes.sent(30_000 + 10 * i, LARGE, 8000);
+			}
+			assertThat(smallHomes(8)).isEqualTo(1);
+		}
+
+	}
+
+}
--- a/core/src/test/java/org/gullsaddle/serve/ReplicaPickerTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/ReplicaPickerTests.java
@@ -45,7 +45,7 @@
 
 	private Choice send(Task task) {
 		Choice choice = pick(task);
-		this.picker.sent(choice, task);
+		this.picker.sent(0, choice, task);
 		return choice;
 	}
 
--- a/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
@@ -138,7 +138,7 @@
 		this.promptRead = false;
 		this.clock.begin(Clock.millis());
 		this.task = task(model());
-		this.gateway.decisions().picker().sent(choice, this.task);
+		this.gateway.decisions().picker().sent(Clock.millis(), choice, this.task);
 		Optional<String> lastEvent = this.relay.lastEvent().or(this.caller::lastEvent);
 		OptionalInt urgency = generation() ? OptionalInt.of(Math.clamp(rank(), 0, MAX_URGENCY)) : OptionalInt.empty();
 		Handover handover = new Handover(choice.replica().id(), left, this.team.map(Team::id),
--- a/measure/src/main/java/org/gullsaddle/measure/EngineFleet.java
+++ b/measure/src/main/java/org/gullsaddle/measure/EngineFleet.java
@@ -99,7 +99,7 @@
 		EngineJob job = new EngineJob(model.name(), model.pace(), prompt.parts(), output, sent);
 		sent.engine = engine(sent, job);
 		if (this.policy == Policy.GULLSADDLE) {
-			this.nodes.get(node).sent(choice, task);
+			this.nodes.get(node).sent(Math.round(this.time.now()), choice, task);
 		}
 		this.outstanding.get(node)[sent.engine]++;
 		this.engines.get(sent.engine).take(job);
