A team that sends many times its usual waits behind the others of its rank

Cause: in a team's burst the engines' queues grow for all; callers of other teams waited as long as those of the one that filled them. FairShare counts each team's recent and usual requests; beyond twice its share a team's generations get half a rank less urgency.

Open: before a team's usual is known, some ten seconds after a start, a burst is seen only against an equal share.

--- a/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
@@ -160,6 +160,7 @@
 				.addKeyValue("reason", request.reason())
 				.addKeyValue("verdict", request.verdict())
 				.addKeyValue("attempts", request.attempts())
+				.addKeyValue("overShare", request.overShare())
 				.addKeyValue("configVersion", request.configVersion())
 				.addKeyValue("fleetAgeMillis", request.fleetAgeMillis())
 				.addKeyValue("millis", request.millis())
@@ -199,12 +200,14 @@
 	 * @param reason why, in a word
 	 * @param verdict whether it may have run
 	 * @param attempts how many replicas it was sent to
+	 * @param overShare whether its team sent more than its share, so that it waited
+	 * behind others of its rank
 	 * @param configVersion the configuration that decided it
 	 * @param fleetAgeMillis how long ago the platform last told anything
 	 * @param millis how long it took
 	 */
 	record RequestLine(String id, String route, String team, String outcome, int status, String reason, String verdict,
-			int attempts, long configVersion, long fleetAgeMillis, long millis) {
+			int attempts, boolean overShare, long configVersion, long fleetAgeMillis, long millis) {
 	}
 
 }
--- a/daemon/src/main/java/org/gullsaddle/gateway/Decisions.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Decisions.java
@@ -7,6 +7,7 @@
 import org.gullsaddle.fleet.RouteKind;
 import org.gullsaddle.fleet.ServiceName;
 import org.gullsaddle.fleet.ServiceShare;
+import org.gullsaddle.serve.FairShare;
 import org.gullsaddle.serve.ModelChooser;
 import org.gullsaddle.serve.Place;
 import org.gullsaddle.serve.ReplicaPicker;
@@ -28,12 +29,18 @@
 	 */
 	private static final long MIN_SILENCE_MILLIS = 800;
 
+	private static final int MAX_URGENCY = 9;
+
+	private static final int URGENCIES_PER_RANK = 2;
+
 	private final ReplicaPicker picker;
 
 	private final RetryBudget budget;
 
 	private final ModelChooser models = new ModelChooser();
 
+	private final FairShare shares = new FairShare();
+
 	private final RandomGenerator random = RandomGenerator.getDefault();
 
 	Decisions(Place here, double retryShare) {
@@ -61,6 +68,18 @@
 		return COME_BACK_MILLIS + this.random.nextLong(COME_BACK_MILLIS);
 	}
 
+	FairShare shares() {
+		return this.shares;
+	}
+
+	/**
+	 * Returns a generation's urgency, 0 goes first: by its rank, and within a rank what
+	 * its team sends beyond its share goes last.
+	 */
+	static int urgency(int rank, boolean overShare) {
+		return Math.clamp(URGENCIES_PER_RANK * rank + (overShare ? 1 : 0), 0, MAX_URGENCY);
+	}
+
 	ModelChooser models() {
 		return this.models;
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -258,7 +258,7 @@
 		writer.error(status, after, reason);
 		long version = this.fleet.config().map(FleetConfig::version).orElse(0L);
 		this.log.request(new DecisionLog.RequestLine(caller.attemptId().orElse(""), "", "", "refused", status, reason,
-				"not-run", 0, version, this.fleet.age(Clock.millis()), 0));
+				"not-run", 0, false, version, this.fleet.age(Clock.millis()), 0));
 		this.telemetry.count("refused." + status);
 	}
 
--- a/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
@@ -36,8 +36,6 @@
  */
 final class Serving implements Attempt.Listener {
 
-	private static final int MAX_URGENCY = 9;
-
 	private final Gateway gateway;
 
 	private final HttpServerRequest request;
@@ -76,6 +74,8 @@
 
 	private boolean promptRead;
 
+	private boolean overShare;
+
 	private boolean done;
 
 	private Fingerprint content;
@@ -113,9 +113,19 @@
 			return;
 		}
 		this.gateway.decisions().earnRetry();
+		if (generation()) {
+			noteShare(Clock.millis());
+		}
 		tryNext();
 	}
 
+	private void noteShare(long now) {
+		this.team.map(Team::id).ifPresent((id) -> {
+			this.gateway.decisions().shares().sent(id, now);
+			this.overShare = this.gateway.decisions().shares().over(id, now);
+		});
+	}
+
 	private void tryNext() {
 		long now = Clock.millis();
 		long left = this.endsAt - now;
@@ -140,7 +150,8 @@
 		this.task = task(model());
 		this.gateway.decisions().picker().sent(Clock.millis(), choice, this.task);
 		Optional<String> lastEvent = this.relay.lastEvent().or(this.caller::lastEvent);
-		OptionalInt urgency = generation() ? OptionalInt.of(Math.clamp(rank(), 0, MAX_URGENCY)) : OptionalInt.empty();
+		OptionalInt urgency = generation() ? OptionalInt.of(Decisions.urgency(rank(), this.overShare))
+				: OptionalInt.empty();
 		Handover handover = new Handover(choice.replica().id(), left, this.team.map(Team::id),
 				this.route.models().isEmpty() ? "" : model(), urgency, lastEvent);
 		MultiMap headers = this.gateway.codec().toReplica(this.request.headers(), handover);
@@ -452,7 +463,8 @@
 	DecisionLog.RequestLine line(String outcome, int status, String reason, long now, long age) {
 		return new DecisionLog.RequestLine(id(), this.route.name(),
 				this.team.map(Team::id).map(TeamId::value).orElse(""), outcome, status, reason,
-				this.rule.verdict().toString(), this.attempts, this.config.version(), age, now - this.startedAt);
+				this.rule.verdict().toString(), this.attempts, this.overShare, this.config.version(), age,
+				now - this.startedAt);
 	}
 
 	String teamName() {
