Registers that could not reach the store are tried again; clusters of tests pick free ports

After a failed call to the store nothing woke a register's operations but the next one of the same shard: an order within 200 ms of a refused one waited ten seconds for its deadline (`deadline-exceeded` instead of `store-unavailable`), and a claim that could not be settled would have kept its key in use. The timer runs now. Found by reading; orderRightAfterARefusedOneIsRefusedForTheStoreToo failed before and passes now.

Ports come from below the system's own range and none is given twice.

--- a/daemon/src/main/java/org/gullsaddle/entry/EntryNode.java
+++ b/daemon/src/main/java/org/gullsaddle/entry/EntryNode.java
@@ -66,6 +66,11 @@
 
 	private static final long TICK_MILLIS = 50;
 
+	/**
+	 * How often registers are tried again that could not reach the store, in
+	 * milliseconds. Nothing else wakes an operation that failed: an order would wait for
+	 * its deadline, and a claim that is not settled would hold its key for a day.
+	 */
 	private static final long REGISTER_TICK_MILLIS = 200;
 
 	private static final long FLUSH_MILLIS = 200;
@@ -181,6 +186,9 @@
 		this.loops.add(this.ledger.run(Flowable.interval(FLUSH_MILLIS, TimeUnit.MILLISECONDS)).subscribe());
 		this.loops.add(
 				Flowable.interval(TICK_MILLIS, TimeUnit.MILLISECONDS).onBackpressureDrop().subscribe((tick) -> tick()));
+		this.loops.add(Flowable.interval(REGISTER_TICK_MILLIS, TimeUnit.MILLISECONDS)
+			.onBackpressureDrop()
+			.subscribe((tick) -> tickRegisters()));
 		this.loops
 			.add(Flowable.interval(1, TimeUnit.SECONDS).onBackpressureDrop().subscribe((tick) -> checkFreshness()));
 		this.telemetry.gauge("requests.open", this::openRequests);
--- a/standin/src/test/java/org/gullsaddle/standin/Cluster.java
+++ b/standin/src/test/java/org/gullsaddle/standin/Cluster.java
@@ -16,7 +16,10 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
@@ -36,6 +39,15 @@
 
 	private static final long PATIENCE_MILLIS = 30_000;
 
+	private static final int FIRST_PORT = 15_000;
+
+	private static final int LAST_PORT = 32_000;
+
+	private static final int PORT_TRIES = 50;
+
+	/** The ports that were given out; none is given twice. */
+	private static final Set<Integer> GIVEN = ConcurrentHashMap.newKeySet();
+
 	private final Path folder;
 
 	private final Map<String, Process> processes = new LinkedHashMap<>();
@@ -337,14 +349,28 @@
 	}
 
 	private int port(String name) {
-		return this.ports.computeIfAbsent(name, (missing) -> {
-			try (ServerSocket socket = new ServerSocket(0)) {
+		return this.ports.computeIfAbsent(name, (missing) -> freePort());
+	}
+
+	/**
+	 * Finds a free port below those that systems give to outgoing connections: one of
+	 * these may be taken between now and the start of the process that is to listen
+	 * there, which then ends with its address in use.
+	 */
+	private static int freePort() {
+		for (int i = 0; i < PORT_TRIES; i++) {
+			int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+			if (!GIVEN.add(port)) {
+				continue;
+			}
+			try (ServerSocket socket = new ServerSocket(port)) {
 				return socket.getLocalPort();
 			}
 			catch (IOException ex) {
-				throw new IllegalStateException(ex);
+				// Taken; the next one may not be.
 			}
-		});
+		}
+		throw new IllegalStateException("no free port in " + PORT_TRIES + " tries");
 	}
 
 	private static String body(String prompt, boolean stream) {
--- a/standin/src/test/java/org/gullsaddle/standin/ProcessFaultTests.java
+++ b/standin/src/test/java/org/gullsaddle/standin/ProcessFaultTests.java
@@ -155,6 +155,20 @@
 		}
 	}
 
+	/**
+	 * The store is down. One order is refused at once; another comes before the store is
+	 * asked again. It waited for its whole deadline, as nothing but the next order asked
+	 * the store again, and was told that its time was over.
+	 */
+	@Test
+	void orderRightAfterARefusedOneIsRefusedForTheStoreToo() throws Exception {
+		try (Cluster cluster = Cluster.start("agent-1", "service-1")) {
+			cluster.fault("platform", "/fault/store", "down", 0);
+			assertThat(cluster.order("entry-1", "filter", "k1", Map.of()).body()).contains("store-unavailable");
+			assertThat(cluster.order("entry-1", "filter", "k1", Map.of()).body()).contains("store-unavailable");
+		}
+	}
+
 	/**
 	 * The store takes writes and loses the answers. An order and its repeats through both
 	 * entries are booked once.
