A node takes nothing on in the milliseconds before it ends

Since a stopping node takes calls that end in time, it took one in the 30 ms that a process gives its last answers after the stop is decided, and was gone before that call's answer. Ruled out: the end of the time to stop (1.4 s later), a slow replica (20 ms).

--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -171,6 +171,7 @@
 		if (stopped.future().isComplete() || (!this.open.isEmpty() && !this.stop.over(Clock.millis()))) {
 			return;
 		}
+		this.stop.end();
 		this.log.stopped(this.open.size());
 		List.copyOf(this.open).forEach(Serving::cutOff);
 		this.feed.stop();
--- a/daemon/src/main/java/org/gullsaddle/gateway/StopPlan.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/StopPlan.java
@@ -45,6 +45,8 @@
 
 	private long endsAt = Long.MAX_VALUE;
 
+	private boolean ended;
+
 	/**
 	 * Begins to stop.
 	 * @param now the time in milliseconds
@@ -55,6 +57,15 @@
 		this.endsAt = now + stopMillis - LAST_MILLIS;
 	}
 
+	/**
+	 * Takes nothing on from now, as the process ends as soon as the last answers have
+	 * left it. A call that was taken in those milliseconds was run and its connection
+	 * closed without an answer.
+	 */
+	void end() {
+		this.ended = true;
+	}
+
 	boolean begun() {
 		return this.begunAt != Long.MAX_VALUE;
 	}
@@ -70,14 +81,14 @@
 	 * Says whether a request may come at any time, as the balancer may not have noticed.
 	 */
 	boolean takesAll(long now) {
-		return !begun() || now - this.begunAt < TAKE_ON_MILLIS;
+		return !this.ended && (!begun() || now - this.begunAt < TAKE_ON_MILLIS);
 	}
 
 	/**
 	 * Says whether a request of a route is taken on.
 	 */
 	boolean takes(Route route, long now) {
-		return takesAll(now) || (route.kind() != RouteKind.STREAM
+		return takesAll(now) || (!this.ended && route.kind() != RouteKind.STREAM
 				&& now + OBJECTIVES * route.targetMillis() <= this.endsAt - ANSWER_MILLIS);
 	}
 
