--- a/core/src/main/java/org/gullsaddle/serve/KeptParts.java
+++ b/core/src/main/java/org/gullsaddle/serve/KeptParts.java
@@ -9,7 +9,7 @@
  * Which prompt parts a replica likely keeps in its memory, judged by what this node sent
  * there. The least recently used ones yield, as they do at the replica.
  */
-final class KeptParts {
+public final class KeptParts {
 
 	private final Map<String, Integer> tokensByPart = new LinkedHashMap<>(16, 0.75f, true);
 
@@ -21,7 +21,7 @@
 	 * @param parts the parts in order
 	 * @param capacity how many tokens of parts the replica keeps
 	 */
-	void read(String model, List<PromptPart> parts, long capacity) {
+	public void read(String model, List<PromptPart> parts, long capacity) {
 		for (PromptPart part : parts) {
 			Integer before = this.tokensByPart.put(key(model, part), part.tokens());
 			this.tokens += part.tokens() - ((before != null) ? before : 0);
@@ -36,8 +36,11 @@
 	/**
 	 * Returns how many tokens of a prompt need not be read again. A part counts only if
 	 * all before it are kept too.
+	 * @param model the model that is to read it
+	 * @param parts the parts in order
+	 * @return the number of tokens
 	 */
-	int kept(String model, List<PromptPart> parts) {
+	public int kept(String model, List<PromptPart> parts) {
 		int kept = 0;
 		for (PromptPart part : parts) {
 			if (!this.tokensByPart.containsKey(key(model, part))) {
--- a/measure/src/main/java/org/gullsaddle/measure/EngineFleet.java
+++ b/measure/src/main/java/org/gullsaddle/measure/EngineFleet.java
@@ -43,6 +43,8 @@
 
 	private final Policy policy;
 
+	private final EngineShape shape;
+
 	private final Random random;
 
 	private final List<EngineModel> engines = new ArrayList<>();
@@ -66,6 +68,7 @@
 	EngineFleet(Timeline time, Policy policy, int count, EngineShape shape, long seed) {
 		this.time = time;
 		this.policy = policy;
+		this.shape = shape;
 		this.random = new Random(seed);
 		for (int i = 0; i < count; i++) {
 			Replica replica = new Replica(new ReplicaId("engine-" + i), new ServiceName("engines"),
@@ -91,7 +94,7 @@
 	void arrive(Prompt prompt, ModelKind model, int output, double objective) {
 		this.arrived++;
 		int node = this.random.nextInt(NODES);
-		Task task = new Task(model.name(), prompt, model.relativePace(), 2 * EngineShape.SHEET.memoryTokens());
+		Task task = new Task(model.name(), prompt, model.relativePace(), 2 * this.shape.memoryTokens());
 		Choice choice = this.nodes.get(node)
 			.pick(Math.round(this.time.now()), this.replicas, Set.of(), task)
 			.orElseThrow();
@@ -191,7 +194,7 @@
 				picker.report(this.choice.replica(), EngineFleet.this.reports.get(this.choice.replica().id()));
 				int requests = EngineFleet.this.engines.get(this.engine).requests();
 				EngineFleet.this.time.at(now + REPORT_MILLIS, () -> EngineFleet.this.reports
-					.put(this.choice.replica().id(), new LoadReport(requests, 0, EngineShape.SHEET.slots())));
+					.put(this.choice.replica().id(), new LoadReport(requests, 0, EngineFleet.this.shape.slots())));
 			}
 		}
 
--- a/measure/src/main/java/org/gullsaddle/measure/EngineModel.java
+++ b/measure/src/main/java/org/gullsaddle/measure/EngineModel.java
@@ -1,12 +1,9 @@
 package org.gullsaddle.measure;
 
 import java.util.ArrayList;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 
-import org.gullsaddle.serve.PromptPart;
+import org.gullsaddle.serve.KeptParts;
 
 /**
  * A model engine on a timeline: it batches requests, steps at the pace of the slowest
@@ -21,9 +18,7 @@
 
 	private final List<EngineJob> jobs = new ArrayList<>();
 
-	private final Map<String, Integer> kept = new LinkedHashMap<>(16, 0.75f, true);
-
-	private long keptTokens;
+	private final KeptParts kept = new KeptParts();
 
 	private long readTokens;
 
@@ -119,26 +114,11 @@
 			return;
 		}
 		job.begin(unread(job));
-		for (PromptPart part : job.parts()) {
-			Integer before = this.kept.put(key(job, part), part.tokens());
-			this.keptTokens += part.tokens() - ((before != null) ? before : 0);
-		}
-		Iterator<Integer> oldest = this.kept.values().iterator();
-		while (this.keptTokens > this.shape.memoryTokens() && oldest.hasNext()) {
-			this.keptTokens -= oldest.next();
-			oldest.remove();
-		}
+		this.kept.read(job.model(), job.parts(), this.shape.memoryTokens());
 	}
 
 	private int unread(EngineJob job) {
-		int unread = job.promptTokens();
-		for (PromptPart part : job.parts()) {
-			if (!this.kept.containsKey(key(job, part))) {
-				break;
-			}
-			unread -= part.tokens();
-		}
-		return Math.max(1, unread);
+		return Math.max(1, job.promptTokens() - this.kept.kept(job.model(), job.parts()));
 	}
 
 	private double stepMillis(int running) {
@@ -149,8 +129,4 @@
 		return (int) this.jobs.stream().filter((job) -> job.begun() && job.unread() == 0).count();
 	}
 
-	private static String key(EngineJob job, PromptPart part) {
-		return job.model() + '/' + part.id();
-	}
-
 }
--- a/measure/src/main/java/org/gullsaddle/measure/LatencyExperiment.java
+++ b/measure/src/main/java/org/gullsaddle/measure/LatencyExperiment.java
@@ -55,7 +55,7 @@
 		double perMilli = LOAD * AGENTS * 8 / (meanService + 100);
 		double time = 0;
 		for (int i = 0; i < REQUESTS; i++) {
-			time += -Math.log(1 - random.nextDouble()) / perMilli;
+			time += Timeline.gap(random, perMilli);
 			long service = Math.round(meanService / 1.65 * Math.exp(random.nextGaussian()));
 			long prefix = (long) (Math.pow(random.nextDouble(), 2) * 400);
 			fleet.arrive((long) time, new TeamId("a"), service, 30_000, prefix);
--- a/measure/src/main/java/org/gullsaddle/measure/OverloadExperiment.java
+++ b/measure/src/main/java/org/gullsaddle/measure/OverloadExperiment.java
@@ -51,7 +51,7 @@
 		double perMilli = load * AGENTS * 8 / (SERVICE_MILLIS + 100.0);
 		double time = 0;
 		while (time < SECONDS * 1000) {
-			time += -Math.log(1 - random.nextDouble()) / perMilli;
+			time += Timeline.gap(random, perMilli);
 			TeamId team = (random.nextDouble() < Math.min(0.3, 0.6 / load)) ? HIGH : LOW;
 			fleet.arrive((long) time, team, 500 + random.nextInt(SERVICE_MILLIS), 5000, random.nextInt(400));
 		}
--- a/measure/src/main/java/org/gullsaddle/measure/PlacementExperiment.java
+++ b/measure/src/main/java/org/gullsaddle/measure/PlacementExperiment.java
@@ -4,8 +4,10 @@
 import java.io.UncheckedIOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.OptionalInt;
 import java.util.Random;
 
@@ -45,14 +47,14 @@
 
 	private static final double PERCENT = 100;
 
+	private static final double MILLIS = 1000;
+
 	private static final Path PLOT = Path.of("target", "placement.png");
 
 	@Override
 	public void run(Report report, long seed) {
 		Plot plot = new Plot("First token within the objective", "requests a second", "% of requests");
-		double ours = 0;
-		double random = 0;
-		double oracle = 0;
+		Map<EngineFleet.Policy, Double> judged = new EnumMap<>(EngineFleet.Policy.class);
 		for (EngineFleet.Policy policy : EngineFleet.Policy.values()) {
 			String name = policy.toString().toLowerCase(Locale.ROOT);
 			for (double rate : RATES) {
@@ -63,14 +65,15 @@
 				if (rate == JUDGED_RATE) {
 					report.figure("placement", name, "first token p95", fleet.first().getValueAtPercentile(95), "ms");
 					report.figure("placement", name, "prompt tokens read", fleet.readTokens() / 1e6, "M");
-					ours = (policy == EngineFleet.Policy.GULLSADDLE) ? inTime : ours;
-					random = (policy == EngineFleet.Policy.RANDOM) ? inTime : random;
-					oracle = (policy == EngineFleet.Policy.ORACLE) ? inTime : oracle;
+					judged.put(policy, inTime);
 				}
 			}
 		}
-		report.atLeast("placement", "in time against random", ours / random, "ratio", 1.2);
-		report.atLeast("placement", "in time against an oracle", ours / oracle, "ratio", 0.95);
+		double ours = judged.get(EngineFleet.Policy.GULLSADDLE);
+		report.atLeast("placement", "in time against random", ours / judged.get(EngineFleet.Policy.RANDOM), "ratio",
+				1.2);
+		report.atLeast("placement", "in time against an oracle", ours / judged.get(EngineFleet.Policy.ORACLE), "ratio",
+				0.95);
 		try {
 			plot.write(PLOT);
 		}
@@ -92,8 +95,8 @@
 			shared[i] = tokens(random, MEAN_SHARED_TOKENS);
 		}
 		double at = 0;
-		for (int i = 0; at < 1000 * SECONDS; i++) {
-			at += -Math.log(1 - random.nextDouble()) * 1000 / rate;
+		for (int i = 0; at < MILLIS * SECONDS; i++) {
+			at += Timeline.gap(random, rate / MILLIS);
 			int part = (int) (Math.pow(random.nextDouble(), 1.5) * SHARED_PARTS);
 			List<PromptPart> parts = new ArrayList<>();
 			parts.add(new PromptPart("shared-" + part, shared[part]));
--- a/measure/src/main/java/org/gullsaddle/measure/Timeline.java
+++ b/measure/src/main/java/org/gullsaddle/measure/Timeline.java
@@ -2,6 +2,7 @@
 
 import java.util.Comparator;
 import java.util.PriorityQueue;
+import java.util.Random;
 
 /**
  * Things that happen at set times, on a virtual clock in milliseconds.
@@ -42,6 +43,15 @@
 		}
 	}
 
+	/**
+	 * Draws how long it is until the next of arrivals that come independently, in
+	 * milliseconds.
+	 * @param perMilli how many come in a millisecond on average
+	 */
+	static double gap(Random random, double perMilli) {
+		return -Math.log(1 - random.nextDouble()) / perMilli;
+	}
+
 	private record Due(double time, long order, Runnable action) {
 	}
 
