Sessions change their release in the second half of a roll-out only; one node writes its state

Seen in a trial that logs sessions: of 42 sessions with a second request 41 had it at another node, so that no node knows which sessions are bound. Now requests without a session are tried from the start, sessions from 0.505 of the time on, with a quicker rise. A bad release reaches fewer callers; it is found out later, by some seconds.

The roll-out's first state was written 27 times by 11 nodes within 0.8 s. Nodes now take turns, and wait until they have read what stands there (test: twenty nodes, fewer than ten writes).

--- a/core/src/main/java/org/gullsaddle/serve/ReleaseTrial.java
+++ b/core/src/main/java/org/gullsaddle/serve/ReleaseTrial.java
@@ -74,7 +74,11 @@
 		return Math.max(USUAL_FAILURE_RATE, seen);
 	}
 
-	private boolean slow(double firstMillis) {
+	/**
+	 * Says whether an answer of the new release took several times as long as the old
+	 * one's.
+	 */
+	boolean slow(double firstMillis) {
 		return this.oldAnswers - this.oldFailures >= ENOUGH_FOR_PACE
 				&& firstMillis > SLOW * this.oldMillis + SLOW_MARGIN_MILLIS;
 	}
--- a/core/src/main/java/org/gullsaddle/serve/Rollout.java
+++ b/core/src/main/java/org/gullsaddle/serve/Rollout.java
@@ -7,6 +7,7 @@
 
 import org.gullsaddle.base.Spread;
 import org.gullsaddle.fleet.Replica;
+import org.gullsaddle.fleet.ReplicaId;
 import org.gullsaddle.fleet.RolloutOrder;
 import org.gullsaddle.fleet.RolloutState;
 
@@ -14,21 +15,27 @@
  * One roll-out as a node sees it: which part of the traffic the new release gets, and
  * whether it is bad. Confined to one thread.
  * <p>
- * A request goes to the new release if its session's number, the same on every node, is
- * below the share. The share only rises until the verdict, so that a session changes its
- * release at most once, and in the second half. Nodes pool their evidence by notes: one
- * node sees too few answers of a small share to know in time.
+ * A request goes to the new release if its key's number, the same on every node, is below
+ * the share. The share only rises until the verdict, so that a key changes its release at
+ * most once. A session goes to the new release in the second half only: one that was
+ * served by the old release just before must keep it, and a node does not know the
+ * sessions of the others. Requests without a session are tried from the start. Nodes pool
+ * their evidence by notes: one node sees too few answers of a small share to know in
+ * time.
  */
 public final class Rollout {
 
 	/**
-	 * The share of the new release in the first half: enough for some answers a second,
-	 * and half of what a bad one may get.
+	 * The share of the new release at first: enough for some answers a second, and half
+	 * of what a bad one may get.
 	 */
 	private static final double CANARY_SHARE = 0.08;
 
+	/** When sessions may go to the new release, as a part of the roll-out's time. */
+	private static final double SESSIONS_AT = 0.505;
+
 	/** When the share rises, as parts of the roll-out's time, and to what. */
-	private static final double[][] RAMP = { { 0.52, 0.3 }, { 0.6, 0.6 }, { 0.68, 1 } };
+	private static final double[][] RAMP = { { 0.505, 0.15 }, { 0.57, 0.35 }, { 0.63, 0.65 }, { 0.69, 1 } };
 
 	/**
 	 * When the roll-out ends well, as a part of its time: what runs on old replicas is
@@ -59,6 +66,9 @@
 
 	private final Map<String, RolloutNote> others = new HashMap<>();
 
+	/** When each replica of the new release was last found slow, until its answer. */
+	private final Map<ReplicaId, Long> slowUntil = new HashMap<>();
+
 	private RolloutState state;
 
 	private long stateRevision;
@@ -128,25 +138,42 @@
 
 	/**
 	 * Notes the end of an answer.
-	 * @param release the release that gave it
+	 * @param replica the replica that gave it
 	 * @param kind what kind of request it answers, of those that are alike in their pace
 	 * and failures
 	 * @param failed whether it was a failure
+	 * @param sentAt when the request was sent, in milliseconds
 	 * @param firstMillis how long its first part took, in milliseconds
 	 */
-	public void answered(String release, String kind, boolean failed, double firstMillis) {
+	public void answered(Replica replica, String kind, boolean failed, long sentAt, long firstMillis) {
 		boolean known = this.trials.containsKey(kind) || this.trials.size() < MAX_KINDS;
 		ReleaseTrial trial = this.trials.computeIfAbsent(known ? kind : OTHER_KINDS,
 				(missing) -> new ReleaseTrial(THRESHOLD));
-		if (!release.equals(this.order.target())) {
+		if (!replica.release().equals(this.order.target())) {
 			trial.oldAnswered(failed, firstMillis);
 			return;
 		}
 		this.answers++;
+		if (!failed && trial.slow(firstMillis) && !newlySlow(replica.id(), sentAt, firstMillis)) {
+			return;
+		}
 		trial.newAnswered(failed, firstMillis);
 		judge();
 	}
 
+	/**
+	 * Says whether a slow answer is news. All that wait at a replica while it reads one
+	 * very long prompt are answered late together; that is one event of one replica, and
+	 * says little of the release.
+	 */
+	private boolean newlySlow(ReplicaId replica, long sentAt, long firstMillis) {
+		if (sentAt < this.slowUntil.getOrDefault(replica, Long.MIN_VALUE)) {
+			return false;
+		}
+		this.slowUntil.put(replica, sentAt + firstMillis);
+		return true;
+	}
+
 	/**
 	 * Takes in another node's note.
 	 * @param now the time
@@ -196,7 +223,7 @@
 		if (this.state != RolloutState.RUNNING) {
 			return Optional.empty();
 		}
-		double part = (double) elapsed(now) / this.order.durationMillis();
+		double part = part(now);
 		if (this.condemned || part >= GIVE_UP_AT) {
 			return Optional.of(RolloutState.ROLLED_BACK);
 		}
@@ -205,7 +232,7 @@
 	}
 
 	/**
-	 * Returns the share of the new release.
+	 * Returns the share of the new release among the requests that it is open to.
 	 * @param now the time
 	 * @return 0 to 1
 	 */
@@ -213,11 +240,11 @@
 		if (this.state == RolloutState.COMPLETED) {
 			return 1;
 		}
-		if (this.condemned || this.state == RolloutState.ROLLED_BACK) {
+		if (takenBack()) {
 			return 0;
 		}
 		double share = CANARY_SHARE;
-		double part = (double) elapsed(now) / this.order.durationMillis();
+		double part = part(now);
 		for (double[] step : RAMP) {
 			share = (part >= step[0]) ? step[1] : share;
 		}
@@ -228,20 +255,28 @@
 	 * Keeps the replicas that a request may go to.
 	 * @param now the time
 	 * @param replicas the replicas of the service
-	 * @param key the session, or what else the request keeps its release by
+	 * @param key what the request keeps its release by
 	 * @return those of its release; of the other release if there are none and that is
 	 * not a bad one
 	 */
-	public List<Replica> allowed(long now, List<Replica> replicas, String key) {
-		double share = share(now);
-		boolean onTarget = Spread.unit(key + '@' + this.order.target()) < share;
+	public List<Replica> allowed(long now, List<Replica> replicas, ReleaseKey key) {
+		boolean onTarget = Spread.unit(key.value() + '@' + this.order.target()) < share(now, key);
 		List<Replica> chosen = release(replicas, onTarget);
-		if (chosen.isEmpty() && share > 0) {
+		if (chosen.isEmpty() && !takenBack()) {
 			return release(replicas, !onTarget);
 		}
 		return chosen;
 	}
 
+	private double share(long now, ReleaseKey key) {
+		boolean early = part(now) < SESSIONS_AT && this.state != RolloutState.COMPLETED;
+		return (early && key.session()) ? 0 : share(now);
+	}
+
+	private boolean takenBack() {
+		return this.condemned || this.state == RolloutState.ROLLED_BACK;
+	}
+
 	private List<Replica> release(List<Replica> replicas, boolean target) {
 		return replicas.stream().filter((replica) -> replica.release().equals(this.order.target()) == target).toList();
 	}
@@ -258,6 +293,10 @@
 		this.condemned = this.condemned || evidence() >= THRESHOLD;
 	}
 
+	private double part(long now) {
+		return (double) elapsed(now) / this.order.durationMillis();
+	}
+
 	private long elapsed(long now) {
 		return now - this.seenAt + this.headStart;
 	}
--- /dev/null
+++ b/core/src/test/java/org/gullsaddle/serve/RolloutTurnsTests.java
@@ -0,0 +1,70 @@
+package org.gullsaddle.serve;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import org.gullsaddle.fleet.RolloutOrder;
+import org.gullsaddle.fleet.RolloutState;
+import org.gullsaddle.fleet.ServiceName;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class RolloutTurnsTests {
+
+	private static final int NODES = 20;
+
+	private static final long READ_MILLIS = 1000;
+
+	private static final RolloutOrder ORDER = new RolloutOrder(new ServiceName("engines"), "v2", 24_000);
+
+	/**
+	 * Guards against twenty nodes that write one state against each other, each several
+	 * times, before they read that it stands.
+	 */
+	@Test
+	void fewOfManyNodesWriteAStateThatIsDueOnAllAtOnce() {
+		List<Rollout> rollouts = new ArrayList<>();
+		List<RolloutTurns> nodes = new ArrayList<>();
+		for (int i = 0; i < NODES; i++) {
+			rollouts.add(new Rollout(0, ORDER, 10));
+			nodes.add(new RolloutTurns("node-" + i));
+		}
+		int writes = 0;
+		long readAt = Long.MAX_VALUE;
+		for (long now = 0; now <= ORDER.durationMillis() / 4; now += 100) {
+			for (int i = 0; i < NODES; i++) {
+				if (now >= readAt) {
+					rollouts.get(i).progressed(RolloutState.RUNNING, "v2", 11);
+				}
+				boolean due = rollouts.get(i).due(now).isPresent();
+				if (due && nodes.get(i).mine(now, rollouts.get(i), RolloutState.RUNNING)) {
+					writes++;
+					readAt = Math.min(readAt, now + READ_MILLIS);
+					nodes.get(i).answered(now, rollouts.get(i), RolloutState.RUNNING);
+				}
+			}
+		}
+		assertThat(writes).isBetween(1, NODES / 2);
+		assertThat(readAt).isLessThan(ORDER.durationMillis() / 4);
+	}
+
+	@Test
+	void endOfABadReleaseIsWrittenAtOnce() {
+		Rollout rollout = new Rollout(0, ORDER, 10);
+		RolloutTurns turns = new RolloutTurns("node");
+		turns.mine(0, rollout, RolloutState.ROLLED_BACK);
+		assertThat(turns.mine(300, rollout, RolloutState.ROLLED_BACK)).isTrue();
+	}
+
+	@Test
+	void stateIsWrittenAgainIfItIsStillDueAfterAWhile() {
+		Rollout rollout = new Rollout(0, ORDER, 10);
+		RolloutTurns turns = new RolloutTurns("node");
+		turns.answered(0, rollout, RolloutState.RUNNING);
+		assertThat(turns.mine(1000, rollout, RolloutState.RUNNING)).isFalse();
+		assertThat(turns.mine(2000, rollout, RolloutState.RUNNING)).isTrue();
+	}
+
+}
--- a/daemon/src/main/java/org/gullsaddle/gateway/FleetState.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/FleetState.java
@@ -11,6 +11,7 @@
 import org.gullsaddle.fleet.Replica;
 import org.gullsaddle.fleet.ReplicaDirectory;
 import org.gullsaddle.fleet.ServiceName;
+import org.gullsaddle.serve.ReleaseKey;
 import org.gullsaddle.serve.Rollout;
 
 /**
@@ -120,11 +121,11 @@
 
 	/**
 	 * Returns the replicas that a request may go to.
-	 * @param session what the request keeps its release by
+	 * @param key what the request keeps its release by
 	 */
-	List<Replica> replicas(long now, ServiceName service, String session) {
+	List<Replica> replicas(long now, ServiceName service, ReleaseKey key) {
 		List<Replica> usable = this.directory.usable(now, service);
-		return rollout(service).map((rollout) -> rollout.allowed(now, usable, session)).orElse(usable);
+		return rollout(service).map((rollout) -> rollout.allowed(now, usable, key)).orElse(usable);
 	}
 
 }
--- a/daemon/src/main/java/org/gullsaddle/gateway/RolloutController.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/RolloutController.java
@@ -17,6 +17,7 @@
 import org.gullsaddle.serve.AttemptEnd;
 import org.gullsaddle.serve.Rollout;
 import org.gullsaddle.serve.RolloutNote;
+import org.gullsaddle.serve.RolloutTurns;
 import org.gullsaddle.store.Store;
 
 /**
@@ -59,6 +60,8 @@
 
 	private final Set<ServiceName> writing = new HashSet<>();
 
+	private final RolloutTurns turns;
+
 	private final Map<String, Told> told = new HashMap<>();
 
 	RolloutController(Vertx vertx, RolloutBoard board, Store store, String node, FleetState fleet, DecisionLog log) {
@@ -66,6 +69,7 @@
 		this.board = board;
 		this.store = store;
 		this.node = node;
+		this.turns = new RolloutTurns(node);
 		this.fleet = fleet;
 		this.log = log;
 	}
@@ -88,7 +92,7 @@
 			return;
 		}
 		rollout.get()
-			.answered(attempt.choice().replica().release(), kind, answered.failure(),
+			.answered(attempt.choice().replica(), kind, answered.failure(), attempt.startedAt(),
 					attempt.headAt() - attempt.startedAt());
 	}
 
@@ -117,7 +121,9 @@
 
 	private void look(Rollout rollout) {
 		long now = Clock.millis();
-		rollout.due(now).ifPresent((state) -> write(rollout, state));
+		rollout.due(now)
+			.filter((state) -> this.turns.mine(now, rollout, state))
+			.ifPresent((state) -> write(rollout, state));
 		if (rollout.state().equals(Optional.of(RolloutState.RUNNING))) {
 			tell(rollout, now);
 		}
@@ -130,6 +136,7 @@
 		}
 		this.board.write(rollout.order(), state, rollout.stateRevision()).subscribe((written) -> {
 			this.writing.remove(service);
+			this.turns.answered(Clock.millis(), rollout, state);
 			report(rollout, state, written ? "written" : "another node was first");
 		}, (failure) -> {
 			this.writing.remove(service);
--- a/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
@@ -27,7 +27,8 @@
 import org.gullsaddle.serve.AttemptEnd;
 import org.gullsaddle.serve.Choice;
 import org.gullsaddle.serve.ModelPace;
-import org.gullsaddle.serve.Prompt;
+import org.gullsaddle.serve.PromptPart;
+import org.gullsaddle.serve.ReleaseKey;
 import org.gullsaddle.serve.RetryRule;
 import org.gullsaddle.serve.Task;
 
@@ -133,7 +134,7 @@
 			refuse("no time left");
 			return;
 		}
-		List<Replica> usable = this.gateway.fleet().replicas(now, this.service, session());
+		List<Replica> usable = this.gateway.fleet().replicas(now, this.service, releaseKey());
 		Optional<Choice> choice = this.gateway.decisions().picker().pick(now, usable, this.tried, task(model()));
 		if (choice.isEmpty()) {
 			refuse(usable.isEmpty() ? "no replica" : "no replica left");
@@ -187,7 +188,7 @@
 
 	private Optional<Choice> replicaFor(String larger) {
 		long now = Clock.millis();
-		List<Replica> usable = this.gateway.fleet().replicas(now, this.service, session());
+		List<Replica> usable = this.gateway.fleet().replicas(now, this.service, releaseKey());
 		return this.gateway.decisions().picker().pick(now, usable, Set.of(), task(larger));
 	}
 
@@ -245,7 +246,7 @@
 			return false;
 		}
 		boolean another = this.gateway.fleet()
-			.replicas(now, this.service, session())
+			.replicas(now, this.service, releaseKey())
 			.stream()
 			.anyMatch((replica) -> !this.tried.contains(replica.id()));
 		if (!another || !this.gateway.decisions().spendRetry()) {
@@ -420,13 +421,16 @@
 		return this.route.rank(this.team.map(Team::rank).orElse(OptionalInt.empty()));
 	}
 
-	private String session() {
-		return this.caller.session().orElseGet(this::sharedPart);
-	}
-
-	private String sharedPart() {
-		Prompt prompt = this.caller.prompt();
-		return prompt.parts().isEmpty() ? id() : prompt.parts().get(prompt.parts().size() - 1).id();
+	/**
+	 * A prompt's last part is its own or its session's, so that one without a session may
+	 * still belong to one.
+	 */
+	private ReleaseKey releaseKey() {
+		List<PromptPart> parts = this.caller.prompt().parts();
+		if (this.caller.session().isEmpty() && parts.isEmpty()) {
+			return new ReleaseKey(id(), false);
+		}
+		return new ReleaseKey(this.caller.session().orElseGet(() -> parts.get(parts.size() - 1).id()), true);
 	}
 
 	String id() {
