Replicas are picked by the share of worth likely lost; waits are learned

Homes were dealt out by data center, so with two replicas in each the small models had half of all for a sixth of the work; some 30 requests of the largest ran beside each other, streams took longer than callers wait, and late answers lowered the confidence that is enough.

Now DelayEstimator learns when answers begin, per service, model and release, with its uncertainty; it decides whether a larger model is in time. Replicas are ranked by Loss: lateness (by the estimator's chance), reading, distance, failures, mixed sizes, preference, each a type of its own in shares of the request's worth. Homes are dealt out over a region.

--- /dev/null
+++ b/core/src/main/java/org/gullsaddle/serve/Candidate.java
@@ -0,0 +1,20 @@
+package org.gullsaddle.serve;
+
+import org.gullsaddle.fleet.Replica;
+
+/**
+ * A replica that a request may go to, and what is known of it.
+ *
+ * @param replica the replica
+ * @param task what it would do
+ * @param load what would delay the request there
+ * @param delay when its answer would begin
+ * @param readMillis how long it would read the prompt, in milliseconds
+ * @param reach how far away it is
+ * @param failureShare the share of its latest answers that failed
+ * @param atHome whether models of the task's size are at home there
+ * @param meanRequests how many requests all replicas have on average
+ */
+public record Candidate(Replica replica, Task task, EngineLoad load, Delay delay, double readMillis, Reach reach,
+		double failureShare, boolean atHome, double meanRequests) {
+}
--- a/core/src/main/java/org/gullsaddle/serve/Choice.java
+++ b/core/src/main/java/org/gullsaddle/serve/Choice.java
@@ -6,10 +6,19 @@
  * A picked replica and what decided it.
  *
  * @param replica the replica
- * @param unreadTokens how many tokens of the prompt it must read
- * @param costMillis the delay that was expected, with distance counted in
- * @param readMillis how long the replica needs to read it, in milliseconds
- * @param load how many requests were believed to be there
+ * @param load what delays the request there
+ * @param delay when its first event is expected
+ * @param readMillis how long the replica needs to read its prompt, in milliseconds
+ * @param loss the share of the request's worth that is likely lost, see {@link Loss}
  */
-public record Choice(Replica replica, int unreadTokens, long costMillis, long readMillis, double load) {
+public record Choice(Replica replica, EngineLoad load, Delay delay, double readMillis, double loss) {
+
+	/**
+	 * Returns how much of the prompt the replica must read.
+	 * @return the number of tokens
+	 */
+	public int unreadTokens() {
+		return this.load.unreadTokens();
+	}
+
 }
--- a/core/src/main/java/org/gullsaddle/serve/Homes.java
+++ b/core/src/main/java/org/gullsaddle/serve/Homes.java
@@ -43,12 +43,18 @@
 	/** The time until half of the work done is forgotten, in milliseconds. */
 	private static final double HALF_MILLIS = 5000;
 
+	private final Place place;
+
 	private double small = FIRST_SMALL * FIRST_WORK;
 
 	private double large = (1 - FIRST_SMALL) * FIRST_WORK;
 
 	private long at;
 
+	Homes(Place place) {
+		this.place = place;
+	}
+
 	/**
 	 * Notes work that a replica was given.
 	 * @param now the time in milliseconds
@@ -76,9 +82,10 @@
 		if (task.plain()) {
 			return Set.of();
 		}
-		Map<String, List<Replica>> byDataCenter = usable.stream().collect(Collectors.groupingBy(Replica::dataCenter));
+		Map<String, List<Replica>> byRegion = usable.stream()
+			.collect(Collectors.groupingBy((replica) -> this.place.region(replica.dataCenter())));
 		Set<ReplicaId> away = new HashSet<>();
-		for (List<Replica> near : byDataCenter.values()) {
+		for (List<Replica> near : byRegion.values()) {
 			List<Replica> ordered = new ArrayList<>(near);
 			ordered.sort(Comparator.comparingDouble((replica) -> Spread.unit(replica.id().value())));
 			long homes = smallHomes(near.size());
--- a/core/src/main/java/org/gullsaddle/serve/ModelChooser.java
+++ b/core/src/main/java/org/gullsaddle/serve/ModelChooser.java
@@ -35,11 +35,10 @@
 	private static final double LATE_PART = 0.6;
 
 	/**
-	 * The part of the objective, or of the time left, that a larger model may be expected
-	 * to wait and read before its first event. Beyond it the large answers queue behind
-	 * each other, and the caller is better served by what is there.
+	 * The chance to begin in time that a larger model must have. Below it the large
+	 * answers queue behind each other, and the caller is better served by what is there.
 	 */
-	private static final double WAIT_PART = 0.8;
+	private static final double LIKELY_IN_TIME = 0.8;
 
 	/**
 	 * Where a node begins that knows nothing of the load, as after a restart, when many
@@ -104,12 +103,12 @@
 	/**
 	 * Says whether a larger model would answer soon enough.
 	 * @param route the route
-	 * @param expectedMillis how long it is expected to wait and read, in milliseconds
+	 * @param delay when its first event is expected
 	 * @param leftMillis the time left, in milliseconds
 	 * @return true if it is worth asking
 	 */
-	public boolean inTime(Route route, long expectedMillis, long leftMillis) {
-		return expectedMillis <= WAIT_PART * Math.min(route.targetMillis(), leftMillis);
+	public boolean inTime(Route route, Delay delay, long leftMillis) {
+		return delay.chanceWithin(Math.min(route.targetMillis(), leftMillis)) >= LIKELY_IN_TIME;
 	}
 
 	/**
--- a/core/src/main/java/org/gullsaddle/serve/ReplicaPicker.java
+++ b/core/src/main/java/org/gullsaddle/serve/ReplicaPicker.java
@@ -1,5 +1,6 @@
 package org.gullsaddle.serve;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -7,87 +8,50 @@
 import java.util.Set;
 
 import org.gullsaddle.base.LoadReport;
-import org.gullsaddle.base.Spread;
 import org.gullsaddle.fleet.Replica;
 import org.gullsaddle.fleet.ReplicaId;
 
 /**
- * Picks the replica that a request goes to: the one with the least expected delay, where
- * distance and what must be read of the prompt count as delay too. Confined to one
- * thread.
+ * Picks the replica that a request goes to: the one where least of its worth is likely
+ * lost, see {@link Loss}. Confined to one thread.
  */
 public final class ReplicaPicker {
 
-	/**
-	 * How many prompt tokens an engine reads in a millisecond with the smallest model:
-	 * the operators' sheet gives 37.9 for one that takes three times as long.
-	 */
-	private static final double PREFILL_TOKENS_PER_MILLI = 120;
-
 	/**
 	 * How much longer than expected a replica may take to read before it counts as dark.
 	 */
 	private static final double READ_MARGIN = 2;
 
-	/**
-	 * How much one more running request delays an engine's first token, in milliseconds:
-	 * its share of some twenty steps of a batch.
-	 */
-	private static final double ENGINE_REQUEST_MILLIS = 3;
-
-	/** How long a plain service works on a request, in milliseconds. */
-	private static final double SERVICE_REQUEST_MILLIS = 60;
-
-	/** What a replica in another data center of the region costs, in milliseconds. */
-	private static final double OTHER_DATA_CENTER_MILLIS = 60;
-
-	/**
-	 * What a replica in another region costs, in milliseconds: the round trips, and the
-	 * price of bytes on the link, which is some thirty times that of the time.
-	 */
-	private static final double OTHER_REGION_MILLIS = 400;
-
-	/**
-	 * What spoils the choice of a replica that nobody else would take for the same parts,
-	 * in milliseconds: nodes that do not tell each other what is kept where meet at the
-	 * same replica.
-	 */
-	private static final double NOT_PREFERRED_MILLIS = 60;
-
-	/**
-	 * What a replica costs that another size of model is at home on, in milliseconds. A
-	 * batch steps at the pace of its slowest model: one request of the largest beside
-	 * many of the smallest makes all of them ten times slower. Kept apart, each runs at
-	 * its own.
-	 */
-	private static final double NOT_AT_HOME_MILLIS = 350;
-
-	/**
-	 * The same for each request that the replicas have on average, where that is more.
-	 * Near the engines' limit every queue looks long enough to leave home for; sizes mix,
-	 * all slow down, and the queues grow for good. On a model of eight engines, at the
-	 * load where that begins, 91 of 100 first tokens are in time instead of 12.
-	 */
-	private static final double NOT_AT_HOME_MILLIS_PER_REQUEST = 175;
-
-	/** What a replica that fails all its requests costs, in milliseconds. */
-	private static final double FAILING_MILLIS = 3000;
-
 	/** The part of an engine's memory that is left for kept parts. */
 	private static final double KEPT_SHARE = 0.5;
 
 	private final Map<ReplicaId, ReplicaState> states = new HashMap<>();
 
-	private final Homes homes = new Homes();
+	private final Homes homes;
+
+	private final DelayEstimator delays = new DelayEstimator();
 
 	private final Place here;
 
+	private final List<Loss> losses;
+
 	/**
 	 * Makes a picker.
 	 * @param here where this node is
 	 */
 	public ReplicaPicker(Place here) {
+		this(here, Loss.ALL);
+	}
+
+	/**
+	 * Makes a picker that weighs some losses only.
+	 * @param here where this node is
+	 * @param losses the losses
+	 */
+	public ReplicaPicker(Place here, List<Loss> losses) {
 		this.here = here;
+		this.homes = new Homes(here);
+		this.losses = List.copyOf(losses);
 	}
 
 	/**
@@ -104,23 +68,35 @@
 			.map(this::state)
 			.toList();
 		List<ReplicaState> sound = able.stream().filter((state) -> !state.ejected(now)).toList();
-		ReplicaState best = null;
-		double least = Double.MAX_VALUE;
 		Set<ReplicaId> away = this.homes.away(usable, task);
-		double notAtHome = notAtHome(able);
-		for (ReplicaState state : sound.isEmpty() ? able : sound) {
-			double cost = cost(state, task) + (away.contains(state.replica().id()) ? notAtHome : 0);
-			if (cost < least) {
-				least = cost;
-				best = state;
-			}
-		}
-		if (best == null) {
-			return Optional.empty();
-		}
-		int unread = unread(best, task);
-		return Optional.of(new Choice(best.replica(), unread, Math.round(least),
-				Math.round(unread * task.pace() / PREFILL_TOKENS_PER_MILLI), best.requests()));
+		double meanRequests = able.stream().mapToDouble(ReplicaState::requests).average().orElse(0);
+		return (sound.isEmpty() ? able : sound).stream()
+			.map((state) -> candidate(state, task, !away.contains(state.replica().id()), meanRequests))
+			.map(this::choice)
+			.min(Comparator.comparingDouble(Choice::loss));
+	}
+
+	private Candidate candidate(ReplicaState state, Task task, boolean atHome, double meanRequests) {
+		Replica replica = state.replica();
+		Reach reach = this.here.reach(replica.dataCenter());
+		EngineLoad load = new EngineLoad(unread(state, task), task.plain() ? queued(state) : state.backlog(),
+				state.requests(), reach == Reach.FAR);
+		return new Candidate(replica, task, load, this.delays.first(replica, task, load),
+				this.delays.readMillis(replica, task, load.unreadTokens()), reach, state.failureShare(), atHome,
+				meanRequests);
+	}
+
+	/**
+	 * Returns how many times all slots must become free before one is for a new request.
+	 */
+	private static double queued(ReplicaState state) {
+		int slots = Math.max(1, state.replica().slots());
+		return Math.max(0, state.requests() - slots + 1) / slots;
+	}
+
+	private Choice choice(Candidate candidate) {
+		double loss = this.losses.stream().mapToDouble((each) -> each.of(candidate)).sum();
+		return new Choice(candidate.replica(), candidate.load(), candidate.delay(), candidate.readMillis(), loss);
 	}
 
 	/**
@@ -144,6 +120,23 @@
 		state(choice.replica()).read(choice.unreadTokens() * task.pace());
 	}
 
+	/**
+	 * Learns how long a request took to begin its answer.
+	 * @param choice where it was sent
+	 * @param task what the replica is to do
+	 * @param millis the time from sending to the first event, or to the end without one,
+	 * in milliseconds
+	 * @param begun whether it began
+	 */
+	public void began(Choice choice, Task task, long millis, boolean begun) {
+		if (begun) {
+			this.delays.seen(choice.replica(), task, choice.load(), millis);
+		}
+		else {
+			this.delays.notSeen(choice.replica(), task, choice.load(), millis);
+		}
+	}
+
 	/**
 	 * Notes that bytes came from a replica.
 	 * @param now the time in milliseconds
@@ -216,37 +209,6 @@
 		this.states.keySet().retainAll(known);
 	}
 
-	private static double notAtHome(List<ReplicaState> able) {
-		double requests = able.stream().mapToDouble(ReplicaState::requests).average().orElse(0);
-		return Math.max(NOT_AT_HOME_MILLIS, NOT_AT_HOME_MILLIS_PER_REQUEST * requests);
-	}
-
-	private double cost(ReplicaState state, Task task) {
-		double cost = distance(state.replica()) + FAILING_MILLIS * state.failureShare();
-		if (task.plain()) {
-			double queued = Math.max(0, state.requests() - state.replica().slots() + 1);
-			return cost + state.requests() + queued * SERVICE_REQUEST_MILLIS / state.replica().slots();
-		}
-		cost += (state.backlog() + unread(state, task) * task.pace()) / PREFILL_TOKENS_PER_MILLI;
-		cost += state.requests() * ENGINE_REQUEST_MILLIS;
-		return cost + NOT_PREFERRED_MILLIS * preference(state.replica(), task.prompt());
-	}
-
-	private double distance(Replica replica) {
-		if (replica.dataCenter().equals(this.here.dataCenter())) {
-			return 0;
-		}
-		return this.here.sameRegion(replica.dataCenter()) ? OTHER_DATA_CENTER_MILLIS : OTHER_REGION_MILLIS;
-	}
-
-	/**
-	 * Returns a number from 0 to 1 that depends on the shared parts and the replica only.
-	 */
-	private static double preference(Replica replica, Prompt prompt) {
-		String shared = prompt.parts().isEmpty() ? "" : prompt.parts().get(0).id();
-		return Spread.unit(shared + '/' + replica.id());
-	}
-
 	private static int unread(ReplicaState state, Task task) {
 		return Math.max(0, task.prompt().inputTokens() - state.kept(task));
 	}
--- a/core/src/main/java/org/gullsaddle/serve/Task.java
+++ b/core/src/main/java/org/gullsaddle/serve/Task.java
@@ -7,11 +7,18 @@
  * @param prompt the prompt, {@link Prompt#NONE} for a plain service
  * @param pace how many times longer the model takes over a token than the smallest
  * @param cacheTokens how many tokens the engine's memory holds
+ * @param objectiveMillis how soon its answer is to begin, in milliseconds
  */
-public record Task(String model, Prompt prompt, double pace, long cacheTokens) {
+public record Task(String model, Prompt prompt, double pace, long cacheTokens, long objectiveMillis) {
 
-	/** A call to a plain service. */
-	public static final Task PLAIN = new Task("", Prompt.NONE, 1, 0);
+	/**
+	 * Makes a call to a plain service.
+	 * @param objectiveMillis how soon it is to be answered, in milliseconds
+	 * @return the task
+	 */
+	public static Task call(long objectiveMillis) {
+		return new Task("", Prompt.NONE, 1, 0, objectiveMillis);
+	}
 
 	boolean plain() {
 		return this.model.isEmpty();
--- a/core/src/test/java/org/gullsaddle/serve/HomesTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/HomesTests.java
@@ -1,6 +1,7 @@
 package org.gullsaddle.serve;
 
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalInt;
 import java.util.stream.IntStream;
 
@@ -20,11 +21,11 @@
 
 	private static final Task LARGE = task("large", 15);
 
-	private final Homes homes = new Homes();
+	private final Homes homes = new Homes(new Place("a", Map.of("a", "north", "b", "north")));
 
 	private static Task task(String model, double pace) {
 		Prompt prompt = new Prompt(1000, 10, OptionalInt.empty(), List.of(new PromptPart("p", 1000)));
-		return new Task(model, prompt, pace, 100_000);
+		return new Task(model, prompt, pace, 100_000, 4000);
 	}
 
 	private static List<Replica> replicas(int count) {
--- /dev/null
+++ b/core/src/test/java/org/gullsaddle/serve/LossTests.java
@@ -0,0 +1,134 @@
+package org.gullsaddle.serve;
+
+import java.util.List;
+import java.util.OptionalInt;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.gullsaddle.base.Address;
+import org.gullsaddle.fleet.Replica;
+import org.gullsaddle.fleet.ReplicaId;
+import org.gullsaddle.fleet.ServiceName;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class LossTests {
+
+	private static final long OBJECTIVE = 3000;
+
+	private Delay delay = new Delay(100, 10);
+
+	private EngineLoad load = new EngineLoad(0, 0, 0, false);
+
+	private double readMillis;
+
+	private Reach reach = Reach.DATA_CENTER;
+
+	private double failureShare;
+
+	private boolean atHome = true;
+
+	private double meanRequests;
+
+	private Candidate candidate(String replica) {
+		Prompt prompt = new Prompt(1000, 10, OptionalInt.empty(), List.of(new PromptPart("p", 1000)));
+		return new Candidate(
+				new Replica(new ReplicaId(replica), new ServiceName("engines"), new Address("10.0.0.1", 80), "a", "v1",
+						8, false, 1),
+				new Task("large", prompt, 15, 100_000, OBJECTIVE), this.load, this.delay, this.readMillis, this.reach,
+				this.failureShare, this.atHome, this.meanRequests);
+	}
+
+	private double loss(Loss loss) {
+		return loss.of(candidate("e"));
+	}
+
+	@Test
+	void readingCostsByTokensAndModel() {
+		assertThat(loss(new Loss.Reading())).isZero();
+		this.load = new EngineLoad(10_000, 0, 0, false);
+		assertThat(loss(new Loss.Reading())).isPositive();
+	}
+
+	@Test
+	void farRegionCostsMoreThanTheNextDataCenter() {
+		assertThat(loss(new Loss.Distance())).isZero();
+		this.reach = Reach.REGION;
+		double next = loss(new Loss.Distance());
+		this.reach = Reach.FAR;
+		assertThat(loss(new Loss.Distance())).isGreaterThan(next);
+	}
+
+	@Test
+	void replicaThatFailsCostsByItsShareOfFailures() {
+		this.failureShare = 0.5;
+		assertThat(loss(new Loss.Failures())).isEqualTo(0.25);
+	}
+
+	@Test
+	void nodesPreferTheSameReplicaForTheSameParts() {
+		Loss preference = new Loss.Preference();
+		assertThat(preference.of(candidate("e"))).isEqualTo(preference.of(candidate("e")))
+			.isNotEqualTo(preference.of(candidate("f")));
+	}
+
+	@Nested
+	class OfLateness {
+
+		@Test
+		void answerThatComesTooLateLosesMostOfItsWorth() {
+			LossTests.this.delay = new Delay(2 * OBJECTIVE, 10);
+			assertThat(loss(new Loss.Lateness())).isGreaterThan(0.5);
+		}
+
+		@Test
+		void soonerAnswerLosesLess() {
+			double soon = loss(new Loss.Lateness());
+			LossTests.this.delay = new Delay(1000, 10);
+			assertThat(loss(new Loss.Lateness())).isGreaterThan(soon);
+		}
+
+		@Test
+		void unsureEstimateCountsByItsChance() {
+			LossTests.this.delay = new Delay(2500, 10);
+			double sure = loss(new Loss.Lateness());
+			LossTests.this.delay = new Delay(2500, 1000);
+			assertThat(loss(new Loss.Lateness())).isGreaterThan(sure);
+		}
+
+	}
+
+	@Nested
+	class OfMixedSizes {
+
+		@Test
+		void homeCostsNothing() {
+			LossTests.this.meanRequests = 10;
+			assertThat(loss(new Loss.MixedSizes())).isZero();
+		}
+
+		/**
+		 * Guards against a prompt of the largest model that is read for seconds at the
+		 * only home of the small one, where dozens of short requests wait behind it.
+		 */
+		@Test
+		void longPromptAwayFromHomeCostsMoreThanWaitingAtHome() {
+			LossTests.this.atHome = false;
+			LossTests.this.meanRequests = 5;
+			LossTests.this.readMillis = 2000;
+			LossTests.this.delay = new Delay(OBJECTIVE, 300);
+			assertThat(loss(new Loss.MixedSizes())).isGreaterThan(loss(new Loss.Lateness()));
+		}
+
+		@Test
+		void costsMoreTheMoreRequestsThereAre() {
+			LossTests.this.atHome = false;
+			double idle = loss(new Loss.MixedSizes());
+			LossTests.this.meanRequests = 10;
+			assertThat(loss(new Loss.MixedSizes())).isGreaterThan(idle);
+		}
+
+	}
+
+}
--- a/core/src/test/java/org/gullsaddle/serve/ModelChooserTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/ModelChooserTests.java
@@ -65,9 +65,9 @@
 
 	@Test
 	void largestIsNotAskedWhereItWouldBeginTooLate() {
-		assertThat(this.chooser.inTime(ROUTE, 3000, 15_000)).isTrue();
-		assertThat(this.chooser.inTime(ROUTE, 3500, 15_000)).isFalse();
-		assertThat(this.chooser.inTime(ROUTE, 3000, 3000)).isFalse();
+		assertThat(this.chooser.inTime(ROUTE, new Delay(3000, 300), 15_000)).isTrue();
+		assertThat(this.chooser.inTime(ROUTE, new Delay(3900, 300), 15_000)).isFalse();
+		assertThat(this.chooser.inTime(ROUTE, new Delay(3000, 300), 3000)).isFalse();
 	}
 
 	@Nested
--- a/core/src/test/java/org/gullsaddle/serve/ReplicaPickerTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/ReplicaPickerTests.java
@@ -40,7 +40,7 @@
 
 	private static Task task(String model, double pace, String part) {
 		List<PromptPart> parts = List.of(new PromptPart(part, 12_000), new PromptPart(part + "-own", 500));
-		return new Task(model, new Prompt(12_500, 100, OptionalInt.empty(), parts), pace, CACHE);
+		return new Task(model, new Prompt(12_500, 100, OptionalInt.empty(), parts), pace, CACHE, 4000);
 	}
 
 	private Choice send(Task task) {
@@ -142,7 +142,7 @@
 		@Test
 		void itIsDarkOnlyIfItHadTimeToReadThePrompt() {
 			Choice choice = send(task("large", 15, "x"));
-			long reading = 2 * choice.readMillis();
+			long reading = Math.round(2 * choice.readMillis());
 			assertThat(ReplicaPickerTests.this.picker.dark(reading + 800, choice, 0, true, 800)).isFalse();
 			assertThat(ReplicaPickerTests.this.picker.dark(reading + 801, choice, 0, true, 800)).isTrue();
 		}
--- a/daemon/src/main/java/org/gullsaddle/gateway/Cascade.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Cascade.java
@@ -6,6 +6,7 @@
 
 import org.gullsaddle.fleet.Route;
 import org.gullsaddle.serve.Choice;
+import org.gullsaddle.serve.Delay;
 import org.gullsaddle.serve.ModelChooser;
 import org.gullsaddle.serve.RetryRule;
 
@@ -95,8 +96,9 @@
 		if (choice.isEmpty()) {
 			return "no replica";
 		}
-		if (!this.decisions.models().inTime(this.route, choice.get().costMillis(), left)) {
-			return "in " + choice.get().costMillis() + " of " + left + " ms";
+		Delay delay = choice.get().delay();
+		if (!this.decisions.models().inTime(this.route, delay, left)) {
+			return "in " + Math.round(delay.expectedMillis()) + " of " + left + " ms";
 		}
 		return this.decisions.spendRetry() ? "" : "no retry left";
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
@@ -26,6 +26,8 @@
 
 	private static final long SECOND_MILLIS = 1000;
 
+	private static final double PERCENT = 100;
+
 	private long windowStart;
 
 	private int lines;
@@ -112,8 +114,10 @@
 				.addKeyValue("release", choice.replica().release())
 				.addKeyValue("model", model)
 				.addKeyValue("unreadTokens", choice.unreadTokens())
-				.addKeyValue("expectedMillis", choice.costMillis())
-				.addKeyValue("load", choice.load())
+				.addKeyValue("expectedMillis", Math.round(choice.delay().expectedMillis()))
+				.addKeyValue("deviationMillis", Math.round(choice.delay().deviationMillis()))
+				.addKeyValue("expectedLoss", Math.round(PERCENT * choice.loss()))
+				.addKeyValue("load", choice.load().requests())
 				.addKeyValue("end", end)
 				.addKeyValue("millis", millis)
 				.addKeyValue("firstEventMillis", stream.begun() ? stream.firstMillis(0) : -1)
--- a/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
@@ -67,7 +67,7 @@
 
 	private final Cascade cascade;
 
-	private Task task = Task.PLAIN;
+	private Task task;
 
 	private final StreamClock clock = new StreamClock();
 
@@ -164,6 +164,9 @@
 	@Override
 	public void head(Attempt from, ReplicaAnswer answer, MultiMap headers) {
 		readPrompt(from);
+		if (answer.success()) {
+			this.gateway.decisions().picker().began(from.choice(), this.task, from.headAt() - from.startedAt(), true);
+		}
 		this.relay.head(this.gateway.codec().toCaller(headers));
 		answer.load().ifPresent((load) -> this.gateway.decisions().picker().report(from.choice().replica(), load));
 		this.gateway.decisions().picker().heard(Clock.millis(), from.choice().replica());
@@ -214,6 +217,9 @@
 			counted = new AttemptEnd.Broken("stream ended within an event");
 		}
 		readPrompt(from);
+		if (from.answer() == null && !(counted instanceof AttemptEnd.NotRun)) {
+			this.gateway.decisions().picker().began(from.choice(), this.task, now - from.startedAt(), false);
+		}
 		if (this.route.kind() == RouteKind.STREAM && !(counted instanceof AttemptEnd.Dropped)
 				&& !(counted instanceof AttemptEnd.NotRun)) {
 			this.gateway.decisions().streamed(this.route, model(), this.clock);
@@ -413,8 +419,8 @@
 	private Task task(String chosen) {
 		return engine()
 			.map((engine) -> new Task(chosen, this.caller.prompt(), ModelPace.of(chosen, engine.models()),
-					engine.cacheTokens()))
-			.orElse(Task.PLAIN);
+					engine.cacheTokens(), this.route.targetMillis()))
+			.orElseGet(() -> Task.call(this.route.targetMillis()));
 	}
 
 	private int rank() {
--- a/measure/src/main/java/org/gullsaddle/measure/EngineFleet.java
+++ b/measure/src/main/java/org/gullsaddle/measure/EngineFleet.java
@@ -39,6 +39,9 @@
 
 	private static final int OK = 200;
 
+	/** The chance of being in time from which a node counts on it. */
+	static final double LIKELY = 0.8;
+
 	private final Timeline time;
 
 	private final Policy policy;
@@ -63,6 +66,10 @@
 
 	private int inTime;
 
+	private int promised;
+
+	private int promisedInTime;
+
 	private int arrived;
 
 	EngineFleet(Timeline time, Policy policy, int count, EngineShape shape, long seed) {
@@ -94,7 +101,8 @@
 	void arrive(Prompt prompt, ModelKind model, int output, double objective) {
 		this.arrived++;
 		int node = this.random.nextInt(NODES);
-		Task task = new Task(model.name(), prompt, model.relativePace(), 2 * this.shape.memoryTokens());
+		Task task = new Task(model.name(), prompt, model.relativePace(), 2 * this.shape.memoryTokens(),
+				Math.round(objective));
 		Choice choice = this.nodes.get(node)
 			.pick(Math.round(this.time.now()), this.replicas, Set.of(), task)
 			.orElseThrow();
@@ -132,6 +140,21 @@
 		return (double) this.inTime / this.arrived;
 	}
 
+	/**
+	 * Returns the part of the requests that were told to be in time with a chance of
+	 * {@link #LIKELY} or more for which that came true.
+	 */
+	double promisesKept() {
+		return (double) this.promisedInTime / this.promised;
+	}
+
+	/**
+	 * Returns the part of all requests that were told to be in time.
+	 */
+	double promised() {
+		return (double) this.promised / this.arrived;
+	}
+
 	Histogram first() {
 		return this.first;
 	}
@@ -187,10 +210,16 @@
 		@Override
 		public void first(double now) {
 			EngineFleet.this.first.recordValue(Math.round(now - this.arrivedAt));
-			EngineFleet.this.inTime += (now - this.arrivedAt <= this.objective) ? 1 : 0;
+			boolean kept = now - this.arrivedAt <= this.objective;
+			EngineFleet.this.inTime += kept ? 1 : 0;
+			if (this.choice.delay().chanceWithin(this.objective) >= LIKELY) {
+				EngineFleet.this.promised++;
+				EngineFleet.this.promisedInTime += kept ? 1 : 0;
+			}
 			if (EngineFleet.this.policy == Policy.GULLSADDLE) {
 				ReplicaPicker picker = EngineFleet.this.nodes.get(this.node);
 				picker.promptRead(this.choice, this.task);
+				picker.began(this.choice, this.task, Math.round(now - this.arrivedAt), true);
 				picker.report(this.choice.replica(), EngineFleet.this.reports.get(this.choice.replica().id()));
 				int requests = EngineFleet.this.engines.get(this.engine).requests();
 				EngineFleet.this.time.at(now + REPORT_MILLIS, () -> EngineFleet.this.reports
--- a/measure/src/main/java/org/gullsaddle/measure/EngineShape.java
+++ b/measure/src/main/java/org/gullsaddle/measure/EngineShape.java
@@ -17,4 +17,13 @@
 	/** The engines of the operators' sheets. */
 	static final EngineShape SHEET = new EngineShape(4.63, 0.153, 37.9, 1024, 64, 250_000);
 
+	/**
+	 * Returns an engine of the same kind that is faster.
+	 * @param speed how many times faster
+	 */
+	EngineShape faster(double speed) {
+		return new EngineShape(this.stepMillis / speed, this.stepMillisPerRequest / speed,
+				this.readTokensPerMilli * speed, this.chunkTokens, this.slots, this.memoryTokens);
+	}
+
 }
--- a/measure/src/main/java/org/gullsaddle/measure/PlacementExperiment.java
+++ b/measure/src/main/java/org/gullsaddle/measure/PlacementExperiment.java
@@ -87,8 +87,15 @@
 	 * Plays two minutes of requests.
 	 */
 	static EngineFleet play(EngineFleet.Policy policy, double rate, long seed) {
+		return play(policy, EngineShape.SHEET, rate, seed);
+	}
+
+	/**
+	 * Plays two minutes of requests on engines of any shape.
+	 */
+	static EngineFleet play(EngineFleet.Policy policy, EngineShape shape, double rate, long seed) {
 		Timeline time = new Timeline();
-		EngineFleet fleet = new EngineFleet(time, policy, ENGINES, EngineShape.SHEET, seed);
+		EngineFleet fleet = new EngineFleet(time, policy, ENGINES, shape, seed);
 		Random random = new Random(seed);
 		int[] shared = new int[SHARED_PARTS];
 		for (int i = 0; i < SHARED_PARTS; i++) {
--- a/measure/src/test/java/org/gullsaddle/measure/PlacementExperimentTests.java
+++ b/measure/src/test/java/org/gullsaddle/measure/PlacementExperimentTests.java
@@ -2,11 +2,18 @@
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
 class PlacementExperimentTests {
 
+	/** Requests a second, some four fifths of what engines can take. */
+	private static final double RATE = 16;
+
+	private static final long SEED = 7;
+
 	/**
 	 * Long prompts come at four fifths of what the engines can take, two in five for a
 	 * model that takes ten times as long. Spread at random, long answers of the large
@@ -16,10 +23,6 @@
 	@Nested
 	class NearTheEnginesLimit {
 
-		private static final double RATE = 16;
-
-		private static final long SEED = 7;
-
 		@Test
 		void nearlyAllAreInTimeAsIfTheRouterKnewEveryQueue() {
 			double ours = PlacementExperiment.play(EngineFleet.Policy.GULLSADDLE, RATE, SEED).inTime();
@@ -53,4 +56,22 @@
 
 	}
 
+	/**
+	 * Guards against waits that are taken from one engine's figures on another: the
+	 * larger model is then not asked where it would be in time, or asked where it is not.
+	 */
+	@Nested
+	class OnEnginesOfAnySpeed {
+
+		@ParameterizedTest
+		@ValueSource(doubles = { 0.2, 1, 5 })
+		void whatIsToldToBeInTimeIs(double speed) {
+			EngineFleet fleet = PlacementExperiment.play(EngineFleet.Policy.GULLSADDLE, EngineShape.SHEET.faster(speed),
+					RATE * speed, SEED);
+			assertThat(fleet.promisesKept()).isGreaterThanOrEqualTo(EngineFleet.LIKELY);
+			assertThat(fleet.promised()).isGreaterThanOrEqualTo(EngineFleet.LIKELY * fleet.inTime());
+		}
+
+	}
+
 }
