--- a/core/src/main/java/org/gullsaddle/serve/ModelChooser.java
+++ b/core/src/main/java/org/gullsaddle/serve/ModelChooser.java
@@ -18,11 +18,12 @@
 public final class ModelChooser {
 
 	/**
-	 * The confidence that is always enough. Models are sure within some fifteen points:
-	 * of answers told with 65, about one in six is still too hard for its model, which is
-	 * where a larger model's price outweighs what is gained.
+	 * The confidence that is always enough. Opinions err by some ten points, and an
+	 * answer told with 50 is as likely too hard for its model as not: of answers told
+	 * with 60 about one in six is, which is where the largest model's price outweighs
+	 * what is gained.
 	 */
-	private static final double MOST = 65;
+	private static final double MOST = 60;
 
 	/** The answers that are surely wrong lie below it. */
 	private static final double LEAST = 4;
@@ -32,7 +33,7 @@
 	private static final double FALL = 0.85;
 
 	/** The part of the objective after which a first event counts as late. */
-	private static final double LATE_PART = 0.6;
+	private static final double LATE_PART = 0.75;
 
 	/**
 	 * The chance to begin in time that a larger model must have. Below it the large
@@ -44,7 +45,7 @@
 	 * Where a node begins that knows nothing of the load, as after a restart, when many
 	 * callers come back at once.
 	 */
-	private static final double FIRST = 50;
+	private static final double FIRST = 55;
 
 	/**
 	 * The confidence that is expected of a model between the smallest and the largest
