Losses are summed up from the logs; how far waits are off is a metric

gullsaddle losses FILE... counts by route what was not served and why, what began late and what its model likely found too hard, and names the seconds that lost most; it says what logs cannot show.

--- a/cli/src/main/java/org/gullsaddle/cli/Gullsaddle.java
+++ b/cli/src/main/java/org/gullsaddle/cli/Gullsaddle.java
@@ -14,7 +14,7 @@
 		description = "Changes gullsaddle's templates and reads its state, traces and bills",
 		defaultCommand = Help.class,
 		commands = { ReadCommands.Status.class, ReadCommands.Trace.class, ReadCommands.Bill.class, LogsCommand.class,
-				Help.class },
+				LossesCommand.class, Help.class },
 		groups = { @Group(name = "template", description = "Check, change and read templates",
 				commands = { TemplateCommands.CheckFile.class, TemplateCommands.Apply.class, TemplateCommands.Get.class,
 						TemplateCommands.ListAll.class, TemplateCommands.History.class, TemplateCommands.Withdraw.class,
--- a/cli/src/test/java/org/gullsaddle/cli/GullsaddleTests.java
+++ b/cli/src/test/java/org/gullsaddle/cli/GullsaddleTests.java
@@ -61,17 +61,51 @@
 						+ "{\"@timestamp\":\"T1\",\"message\":\"request\",\"id\":\"r70\"}\n{\"id\":\"r7\",\"mess");
 		Path two = Files.writeString(this.folder.resolve("two.log"),
 				"{\"@timestamp\":\"T1\",\"message\":\"attempt\",\"id\":\"r7\",\"replica\":\"i-1\"}\n");
+		assertThat(shown("logs", "r7", one.toString(), two.toString()))
+			.isEqualToNormalizingNewlines("T1 two.log attempt replica=i-1\nT2 one.log request status=503\n");
+	}
+
+	private static String shown(String... words) {
 		PrintStream out = System.out;
 		ByteArrayOutputStream shown = new ByteArrayOutputStream();
 		System.setOut(new PrintStream(shown, true, StandardCharsets.UTF_8));
 		try {
-			assertThat(Gullsaddle.run("logs", "r7", one.toString(), two.toString())).isZero();
+			assertThat(Gullsaddle.run(words)).isZero();
 		}
 		finally {
 			System.setOut(out);
 		}
-		assertThat(shown.toString(StandardCharsets.UTF_8))
-			.isEqualToNormalizingNewlines("T1 two.log attempt replica=i-1\nT2 one.log request status=503\n");
+		return shown.toString(StandardCharsets.UTF_8);
+	}
+
+	/**
+	 * A stream began after its objective at a larger model, a call was refused, and one
+	 * line was cut at the end of the file.
+	 */
+	@Test
+	void lossesAreSummedUpByRouteAndCause() throws IOException {
+		String log = file("""
+				{"@timestamp":"2026-01-01T00:00:04.500Z","message":"attempt","id":"a","model":"small","confidence":20,\
+				"millis":500,"firstEventMillis":-1}
+				{"@timestamp":"2026-01-01T00:00:09Z","message":"attempt","id":"a","model":"large","confidence":90,\
+				"millis":4500,"firstEventMillis":3000}
+				{"@timestamp":"2026-01-01T00:00:09Z","message":"request","id":"a","route":"ask","outcome":"served",\
+				"millis":5000,"objectiveMillis":3000}
+				{"@timestamp":"2026-01-01T00:00:05Z","message":"request","id":"b","route":"order","outcome":"refused",\
+				"reason":"stopping","millis":1,"objectiveMillis":300}
+				{"@timestamp":"2026-01-01T00:00:05Z","message":"requ""");
+		assertThat(shown("losses", log)).isEqualToNormalizingNewlines("""
+				route ask requests 1 late 1 likely too hard 0.1 % answered by {large=1}
+				route order requests 1 late 0 likely too hard 0.0 % answered by {}
+				route order refused (stopping) 1
+				second 2026-01-01T00:00:04Z lost or late 2
+				not seen here: callers that no node answered, pauses after the first event, prices
+				""");
+	}
+
+	@Test
+	void logsWithoutRequestsHaveNoLosses() throws IOException {
+		assertThat(Gullsaddle.run("losses", file("{}\n"))).isEqualTo(5);
 	}
 
 	@Test
--- a/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
@@ -165,6 +165,7 @@
 				.addKeyValue("verdict", request.verdict())
 				.addKeyValue("attempts", request.attempts())
 				.addKeyValue("overShare", request.overShare())
+				.addKeyValue("objectiveMillis", request.objectiveMillis())
 				.addKeyValue("configVersion", request.configVersion())
 				.addKeyValue("fleetAgeMillis", request.fleetAgeMillis())
 				.addKeyValue("millis", request.millis())
@@ -206,12 +207,14 @@
 	 * @param attempts how many replicas it was sent to
 	 * @param overShare whether its team sent more than its share, so that it waited
 	 * behind others of its rank
+	 * @param objectiveMillis how soon its answer was wanted, 0 if no route took it
 	 * @param configVersion the configuration that decided it
 	 * @param fleetAgeMillis how long ago the platform last told anything
 	 * @param millis how long it took
 	 */
 	record RequestLine(String id, String route, String team, String outcome, int status, String reason, String verdict,
-			int attempts, boolean overShare, long configVersion, long fleetAgeMillis, long millis) {
+			int attempts, boolean overShare, long objectiveMillis, long configVersion, long fleetAgeMillis,
+			long millis) {
 	}
 
 }
--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -259,7 +259,7 @@
 		writer.error(status, after, reason);
 		long version = this.fleet.config().map(FleetConfig::version).orElse(0L);
 		this.log.request(new DecisionLog.RequestLine(caller.attemptId().orElse(""), "", "", "refused", status, reason,
-				"not-run", 0, false, version, this.fleet.age(Clock.millis()), 0));
+				"not-run", 0, false, 0, version, this.fleet.age(Clock.millis()), 0));
 		this.telemetry.count("refused." + status);
 	}
 
@@ -275,7 +275,10 @@
 				serving.clock(), !(end instanceof AttemptEnd.Answered answered) || answered.failure());
 		this.telemetry.attempt(serving.service().value(), end.word());
 		if (serving.clock().begun() && serving.route().kind() == RouteKind.STREAM) {
-			this.telemetry.firstEvent(serving.route().name(), serving.model(), serving.clock().firstMillis(now));
+			long first = serving.clock().firstMillis(now);
+			this.telemetry.firstEvent(serving.route().name(), serving.model(), first);
+			this.telemetry.delayError(serving.service().value(), serving.model(),
+					first - Math.round(attempt.choice().delay().expectedMillis()));
 		}
 		this.rollouts.ended(serving.service(), serving.route().name() + '/' + serving.model(), attempt, end);
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
@@ -473,8 +473,8 @@
 	DecisionLog.RequestLine line(String outcome, int status, String reason, long now, long age) {
 		return new DecisionLog.RequestLine(id(), this.route.name(),
 				this.team.map(Team::id).map(TeamId::value).orElse(""), outcome, status, reason,
-				this.rule.verdict().toString(), this.attempts, this.overShare, this.config.version(), age,
-				now - this.startedAt);
+				this.rule.verdict().toString(), this.attempts, this.overShare, this.route.targetMillis(),
+				this.config.version(), age, now - this.startedAt);
 	}
 
 	String teamName() {
--- a/daemon/src/main/java/org/gullsaddle/telemetry/Telemetry.java
+++ b/daemon/src/main/java/org/gullsaddle/telemetry/Telemetry.java
@@ -41,6 +41,7 @@
 				family("gullsaddle.request.*.*.*", "gullsaddle_request_seconds", "route", "team", "outcome"),
 				family("gullsaddle.attempt.*.*", "gullsaddle_attempts", "service", "end"),
 				family("gullsaddle.event.*.*", "gullsaddle_first_event_seconds", "route", "model"),
+				family("gullsaddle.delay.*.*", "gullsaddle_delay_error_seconds", "service", "model"),
 				family("gullsaddle.served.*.*", "gullsaddle_served", "template", "version"));
 		new DropwizardExports(this.metrics, new CustomMappingSampleBuilder(labels)).register(this.collectors);
 	}
@@ -107,6 +108,16 @@
 		timer("gullsaddle.event." + part(route) + "." + part(model)).update(millis, TimeUnit.MILLISECONDS);
 	}
 
+	/**
+	 * Notes how far a first event was from the time at which it was expected.
+	 * @param service the replica's service
+	 * @param model the model that answered
+	 * @param millis milliseconds, sooner or later
+	 */
+	public void delayError(String service, String model, long millis) {
+		timer("gullsaddle.delay." + part(service) + "." + part(model)).update(Math.abs(millis), TimeUnit.MILLISECONDS);
+	}
+
 	/**
 	 * Counts a request by its outcome.
 	 * @param template its template
