--- a/core/src/main/java/org/gullsaddle/serve/ReplicaPicker.java
+++ b/core/src/main/java/org/gullsaddle/serve/ReplicaPicker.java
@@ -81,9 +81,9 @@
 		Reach reach = this.here.reach(replica.dataCenter());
 		EngineLoad load = new EngineLoad(unread(state, task), task.plain() ? queued(state) : state.backlog(),
 				state.requests(), reach == Reach.FAR);
-		return new Candidate(replica, task, load, this.delays.first(replica, task, load),
-				this.delays.readMillis(replica, task, load.unreadTokens()), reach, state.failureShare(), atHome,
-				meanRequests);
+		DelayModel delays = this.delays.of(replica, task);
+		return new Candidate(replica, task, load, delays.first(load), delays.readMillis(load.unreadTokens()), reach,
+				state.failureShare(), atHome, meanRequests);
 	}
 
 	/**
@@ -95,7 +95,10 @@
 	}
 
 	private Choice choice(Candidate candidate) {
-		double loss = this.losses.stream().mapToDouble((each) -> each.of(candidate)).sum();
+		double loss = 0;
+		for (Loss each : this.losses) {
+			loss += each.of(candidate);
+		}
 		return new Choice(candidate.replica(), candidate.load(), candidate.delay(), candidate.readMillis(), loss);
 	}
 
@@ -130,10 +133,10 @@
 	 */
 	public void began(Choice choice, Task task, long millis, boolean begun) {
 		if (begun) {
-			this.delays.seen(choice.replica(), task, choice.load(), millis);
+			this.delays.of(choice.replica(), task).seen(choice.load(), millis);
 		}
 		else {
-			this.delays.notSeen(choice.replica(), task, choice.load(), millis);
+			this.delays.of(choice.replica(), task).notSeen(choice.load(), millis);
 		}
 	}
 
--- a/core/src/test/java/org/gullsaddle/serve/DelayEstimatorTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/DelayEstimatorTests.java
@@ -45,12 +45,12 @@
 		for (int i = 0; i < count; i++) {
 			int tokens = 100 + this.random.nextInt(20_000);
 			double noise = 1 + 0.1 * this.random.nextGaussian();
-			this.delays.seen(replica("v1"), LARGE, unread(tokens), noise * (5 + millisPerToken * tokens));
+			this.delays.of(replica("v1"), LARGE).seen(unread(tokens), noise * (5 + millisPerToken * tokens));
 		}
 	}
 
 	private double chanceInTime(Task task, int tokens) {
-		return this.delays.first(replica("v1"), task, unread(tokens)).chanceWithin(OBJECTIVE);
+		return this.delays.of(replica("v1"), task).first(unread(tokens)).chanceWithin(OBJECTIVE);
 	}
 
 	/**
@@ -70,21 +70,21 @@
 	@Test
 	void modelsAreLearnedApart() {
 		answers(60, 0.5);
-		assertThat(this.delays.first(replica("v1"), SMALL, unread(10_000)).expectedMillis()).isLessThan(500);
+		assertThat(this.delays.of(replica("v1"), SMALL).first(unread(10_000)).expectedMillis()).isLessThan(500);
 	}
 
 	@Test
 	void newReleaseIsExpectedToRunAsTheOneBefore() {
 		answers(60, 0.02);
-		double old = this.delays.first(replica("v1"), LARGE, unread(10_000)).expectedMillis();
-		assertThat(this.delays.first(replica("v2"), LARGE, unread(10_000)).expectedMillis()).isEqualTo(old);
+		double old = this.delays.of(replica("v1"), LARGE).first(unread(10_000)).expectedMillis();
+		assertThat(this.delays.of(replica("v2"), LARGE).first(unread(10_000)).expectedMillis()).isEqualTo(old);
 	}
 
 	@Test
 	void estimateBecomesSurerWithAnswers() {
-		double before = this.delays.first(replica("v1"), LARGE, unread(10_000)).deviationMillis();
+		double before = this.delays.of(replica("v1"), LARGE).first(unread(10_000)).deviationMillis();
 		answers(60, 0.1);
-		assertThat(this.delays.first(replica("v1"), LARGE, unread(10_000)).deviationMillis()).isLessThan(before);
+		assertThat(this.delays.of(replica("v1"), LARGE).first(unread(10_000)).deviationMillis()).isLessThan(before);
 	}
 
 	/**
@@ -96,8 +96,8 @@
 			double exponent = this.random.nextInt(9);
 			EngineLoad load = new EngineLoad(this.random.nextInt(Integer.MAX_VALUE), Math.pow(10, exponent),
 					this.random.nextInt(100_000), this.random.nextBoolean());
-			this.delays.seen(replica("v1"), LARGE, load, this.random.nextDouble() * Math.pow(10, exponent));
-			Delay delay = this.delays.first(replica("v1"), LARGE, unread(this.random.nextInt(100_000)));
+			this.delays.of(replica("v1"), LARGE).seen(load, this.random.nextDouble() * Math.pow(10, exponent));
+			Delay delay = this.delays.of(replica("v1"), LARGE).first(unread(this.random.nextInt(100_000)));
 			assertThat(delay.expectedMillis()).isFinite().isNotNegative();
 			assertThat(delay.deviationMillis()).isFinite().isPositive();
 		}
@@ -112,7 +112,7 @@
 		void teachesThatItTakesLongerThanExpected() {
 			double before = chanceInTime(LARGE, 1000);
 			for (int i = 0; i < 20; i++) {
-				DelayEstimatorTests.this.delays.notSeen(replica("v1"), LARGE, unread(1000), 10_000);
+				DelayEstimatorTests.this.delays.of(replica("v1"), LARGE).notSeen(unread(1000), 10_000);
 			}
 			assertThat(chanceInTime(LARGE, 1000)).isLessThan(before);
 		}
@@ -120,7 +120,7 @@
 		@Test
 		void teachesNothingIfItWasGivenUpEarly() {
 			double before = chanceInTime(LARGE, 10_000);
-			DelayEstimatorTests.this.delays.notSeen(replica("v1"), LARGE, unread(10_000), 1);
+			DelayEstimatorTests.this.delays.of(replica("v1"), LARGE).notSeen(unread(10_000), 1);
 			assertThat(chanceInTime(LARGE, 10_000)).isEqualTo(before);
 		}
 
