--- a/core/src/main/java/org/gullsaddle/serve/ReplicaPicker.java
+++ b/core/src/main/java/org/gullsaddle/serve/ReplicaPicker.java
@@ -18,7 +18,8 @@
 public final class ReplicaPicker {
 
 	/**
-	 * How much longer than expected a replica may take to read before it counts as dark.
+	 * How much longer than expected a replica may take to read before it counts as
+	 * unresponsive.
 	 */
 	private static final double READ_MARGIN = 2;
 
@@ -150,8 +151,8 @@
 	}
 
 	/**
-	 * Says whether a replica has gone dark: nothing came from it, on any connection, for
-	 * longer than it may take over the prompt that it was given.
+	 * Says whether a replica is unresponsive: nothing came from it, on any connection,
+	 * for longer than it may take over the prompt that it was given.
 	 * @param now the time in milliseconds
 	 * @param choice where a request was sent
 	 * @param since since when that request waits for bytes, in milliseconds
@@ -160,7 +161,7 @@
 	 * @param patienceMillis how long a replica that has nothing to read may be silent
 	 * @return true if the request is better tried elsewhere
 	 */
-	public boolean dark(long now, Choice choice, long since, boolean reading, long patienceMillis) {
+	public boolean unresponsive(long now, Choice choice, long since, boolean reading, long patienceMillis) {
 		long heard = Math.max(since, state(choice.replica()).heardAt());
 		return now - heard > patienceMillis + (reading ? READ_MARGIN * choice.readMillis() : 0);
 	}
--- a/core/src/test/java/org/gullsaddle/serve/HomesTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/HomesTests.java
@@ -21,7 +21,7 @@
 
 	private static final Task LARGE = task("large", 15);
 
-	private final Homes homes = new Homes(new Place("a", Map.of("a", "north", "b", "north")));
+	private final Homes homes = new Homes(new Place("a", Map.of("a", "north", "b", "north", "c", "south")));
 
 	private static Task task(String model, double pace) {
 		Prompt prompt = new Prompt(1000, 10, OptionalInt.empty(), List.of(new PromptPart("p", 1000)));
@@ -29,9 +29,16 @@
 	}
 
 	private static List<Replica> replicas(int count) {
+		return replicas(count, "a");
+	}
+
+	/**
+	 * Returns replicas that are dealt out over data centers.
+	 */
+	private static List<Replica> replicas(int count, String... dataCenters) {
 		return IntStream.range(0, count)
 			.mapToObj((i) -> new Replica(new ReplicaId("e" + i), new ServiceName("engines"),
-					new Address("10.0.0.1", 80 + i), "a", "v1", 8, false, 1))
+					new Address("10.0.0.1", 80 + i), dataCenters[i % dataCenters.length], "v1", 8, false, 1))
 			.toList();
 	}
 
@@ -55,6 +62,22 @@
 			assertThat(HomesTests.this.homes.away(replicas(8), LARGE)).hasSize(2);
 		}
 
+		/**
+		 * Guards against half of the engines for the small models where each data center
+		 * has two: the largest model's streams then run thirty at a time on the other
+		 * half, and take longer than callers wait.
+		 */
+		@Test
+		void replicasOfARegionAreSharedOutTogether() {
+			assertThat(HomesTests.this.homes.away(replicas(4, "a", "b"), SMALL)).hasSize(3);
+			assertThat(HomesTests.this.homes.away(replicas(4, "a", "b"), LARGE)).hasSize(1);
+		}
+
+		@Test
+		void everyRegionHasHomesForBothSizes() {
+			assertThat(HomesTests.this.homes.away(replicas(4, "a", "c"), SMALL)).hasSize(2);
+		}
+
 		@Test
 		void singleReplicaIsAtHomeForAll() {
 			assertThat(HomesTests.this.homes.away(replicas(1), SMALL)).isEmpty();
--- a/core/src/test/java/org/gullsaddle/serve/ReplicaPickerTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/ReplicaPickerTests.java
@@ -140,11 +140,11 @@
 	class WhenAReplicaIsSilent {
 
 		@Test
-		void itIsDarkOnlyIfItHadTimeToReadThePrompt() {
+		void itIsUnresponsiveOnlyIfItHadTimeToReadThePrompt() {
 			Choice choice = send(task("large", 15, "x"));
 			long reading = Math.round(2 * choice.readMillis());
-			assertThat(ReplicaPickerTests.this.picker.dark(reading + 800, choice, 0, true, 800)).isFalse();
-			assertThat(ReplicaPickerTests.this.picker.dark(reading + 801, choice, 0, true, 800)).isTrue();
+			assertThat(ReplicaPickerTests.this.picker.unresponsive(reading + 800, choice, 0, true, 800)).isFalse();
+			assertThat(ReplicaPickerTests.this.picker.unresponsive(reading + 801, choice, 0, true, 800)).isTrue();
 		}
 
 		/**
@@ -155,7 +155,7 @@
 		@Test
 		void oneThatHasBegunItsAnswerHasNoPromptToReadAnyMore() {
 			Choice choice = send(task("large", 15, "x"));
-			assertThat(ReplicaPickerTests.this.picker.dark(801, choice, 0, false, 800)).isTrue();
+			assertThat(ReplicaPickerTests.this.picker.unresponsive(801, choice, 0, false, 800)).isTrue();
 		}
 
 		/**
@@ -166,7 +166,7 @@
 		void oneThatAnswersOthersIsOnlyBusy() {
 			Choice choice = send(task("small", 1, "x"));
 			ReplicaPickerTests.this.picker.heard(9_500, choice.replica());
-			assertThat(ReplicaPickerTests.this.picker.dark(10_000, choice, 0, true, 800)).isFalse();
+			assertThat(ReplicaPickerTests.this.picker.unresponsive(10_000, choice, 0, true, 800)).isFalse();
 		}
 
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/CrashController.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/CrashController.java
@@ -55,10 +55,10 @@
 	 */
 	void ended(Serving serving, Replica replica, AttemptEnd end) {
 		switch (end) {
-			case AttemptEnd.Broken broken -> this.watch.broke(Clock.millis(), replica, serving.content());
+			case AttemptEnd.Broken broken -> this.watch.broke(Clock.millis(), replica, serving.request().content());
 			case AttemptEnd.Answered answered -> {
 				if (this.watch.any()) {
-					this.watch.answered(serving.content());
+					this.watch.answered(serving.request().content());
 				}
 			}
 			case AttemptEnd.NotRun notRun -> {
@@ -99,7 +99,7 @@
 	 * @return milliseconds, 0 if it may run
 	 */
 	long refusedFor(Serving serving) {
-		return this.watch.any() ? this.watch.refusedFor(Clock.millis(), serving.content()) : 0;
+		return this.watch.any() ? this.watch.refusedFor(Clock.millis(), serving.request().content()) : 0;
 	}
 
 	private void learn(FleetChange.Noted noted) {
--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -247,12 +247,13 @@
 					"stopping");
 			return;
 		}
-		Serving.of(this, request)
+		ServedRequest served = ServedRequest.of(request)
 			.caller(caller, team)
-			.under(config.get(), route.get())
-			.body(body, startedAt)
-			.build()
-			.start();
+			.under(config.get(), route.get(), this.decisions.service(route.get(), caller.attemptId().orElse("")))
+			.body(body)
+			.time(startedAt, this.stop.latest(route.get()))
+			.build();
+		new Serving(this, served).start();
 	}
 
 	void refused(CallerAnswerWriter writer, CallerRequest caller, int status, Optional<Long> after, String reason) {
@@ -288,7 +289,7 @@
 		long now = Clock.millis();
 		DecisionLog.RequestLine line = serving.line(outcome, status, reason, now, this.fleet.age(now));
 		this.log.request(line);
-		this.telemetry.request(serving.route().name(), serving.teamName(), outcome, line.millis());
+		this.telemetry.request(serving.route().name(), serving.request().teamName(), outcome, line.millis());
 	}
 
 	private void learned(FleetChange change) {
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/gateway/ServedRequest.java
@@ -0,0 +1,226 @@
+package org.gullsaddle.gateway;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+
+import org.gullsaddle.base.Fingerprint;
+import org.gullsaddle.base.TeamId;
+import org.gullsaddle.fleet.EngineSpec;
+import org.gullsaddle.fleet.FleetConfig;
+import org.gullsaddle.fleet.Route;
+import org.gullsaddle.fleet.RouteKind;
+import org.gullsaddle.fleet.ServiceName;
+import org.gullsaddle.fleet.ServiceSpec;
+import org.gullsaddle.fleet.Team;
+import org.gullsaddle.serve.ModelPace;
+import org.gullsaddle.serve.PromptPart;
+import org.gullsaddle.serve.ReleaseKey;
+import org.gullsaddle.serve.Task;
+
+/**
+ * A request that is served, as it was read: what it asks for, under which configuration,
+ * and until when.
+ */
+final class ServedRequest {
+
+	private final HttpServerRequest http;
+
+	private final CallerRequest caller;
+
+	private final FleetConfig config;
+
+	private final Route route;
+
+	private final Optional<Team> team;
+
+	private final Buffer body;
+
+	private final long startedAt;
+
+	private final long endsAt;
+
+	private final ServiceName service;
+
+	private Fingerprint content;
+
+	private ServedRequest(Builder builder) {
+		this.http = builder.http;
+		this.caller = builder.caller;
+		this.config = builder.config;
+		this.route = builder.route;
+		this.team = builder.team;
+		this.body = builder.body;
+		this.startedAt = builder.startedAt;
+		this.service = builder.service;
+		long patience = Math.min(this.caller.deadlineMillis().orElse(this.route.timeoutMillis()),
+				this.route.timeoutMillis());
+		this.endsAt = Math.min(this.startedAt + patience, builder.latest);
+	}
+
+	static Builder of(HttpServerRequest http) {
+		return new Builder(http);
+	}
+
+	HttpServerRequest http() {
+		return this.http;
+	}
+
+	CallerRequest caller() {
+		return this.caller;
+	}
+
+	FleetConfig config() {
+		return this.config;
+	}
+
+	Route route() {
+		return this.route;
+	}
+
+	Optional<TeamId> team() {
+		return this.team.map(Team::id);
+	}
+
+	String teamName() {
+		return this.team.map((each) -> each.id().value()).orElse("none");
+	}
+
+	Buffer body() {
+		return this.body;
+	}
+
+	ServiceName service() {
+		return this.service;
+	}
+
+	String id() {
+		return this.caller.attemptId().orElse("");
+	}
+
+	long startedAt() {
+		return this.startedAt;
+	}
+
+	/**
+	 * Returns how long the caller, the route and this node still wait, in milliseconds.
+	 */
+	long left(long now) {
+		return this.endsAt - now;
+	}
+
+	/**
+	 * Returns the engines that run it, empty for a plain service.
+	 */
+	Optional<EngineSpec> engine() {
+		return this.config.service(this.service).flatMap(ServiceSpec::engine);
+	}
+
+	boolean stream() {
+		return this.route.kind() == RouteKind.STREAM;
+	}
+
+	int rank() {
+		return this.route.rank(this.team.map(Team::rank).orElse(OptionalInt.empty()));
+	}
+
+	/**
+	 * Returns what a replica does for it.
+	 * @param model the model that is to run, empty for a plain service
+	 */
+	Task task(String model) {
+		return engine()
+			.map((engine) -> new Task(model, this.caller.prompt(), ModelPace.of(model, engine.models()),
+					engine.cacheTokens(), this.route.targetMillis()))
+			.orElseGet(() -> Task.call(this.route.targetMillis()));
+	}
+
+	/**
+	 * Returns what it keeps its release by. A prompt's last part is its own or its
+	 * session's, so that one without a session may still belong to one.
+	 */
+	ReleaseKey releaseKey() {
+		List<PromptPart> parts = this.caller.prompt().parts();
+		if (this.caller.session().isEmpty() && parts.isEmpty()) {
+			return new ReleaseKey(id(), false);
+		}
+		return new ReleaseKey(this.caller.session().orElseGet(() -> parts.get(parts.size() - 1).id()), true);
+	}
+
+	/**
+	 * Returns a hash of its team and content, the same when it is sent again.
+	 */
+	Fingerprint content() {
+		if (this.content == null) {
+			this.content = ContentHash.of(teamName(), this.http.method(), this.caller.host(), this.http.uri(),
+					this.body);
+		}
+		return this.content;
+	}
+
+	/**
+	 * Collects what a {@link ServedRequest} consists of.
+	 */
+	static final class Builder {
+
+		private final HttpServerRequest http;
+
+		private CallerRequest caller;
+
+		private FleetConfig config;
+
+		private Route route;
+
+		private ServiceName service;
+
+		private Optional<Team> team = Optional.empty();
+
+		private Buffer body;
+
+		private long startedAt;
+
+		private long latest;
+
+		private Builder(HttpServerRequest http) {
+			this.http = http;
+		}
+
+		Builder caller(CallerRequest newCaller, Optional<Team> newTeam) {
+			this.caller = newCaller;
+			this.team = newTeam;
+			return this;
+		}
+
+		Builder under(FleetConfig newConfig, Route newRoute, ServiceName newService) {
+			this.config = newConfig;
+			this.route = newRoute;
+			this.service = newService;
+			return this;
+		}
+
+		Builder body(Buffer newBody) {
+			this.body = newBody;
+			return this;
+		}
+
+		/**
+		 * Sets the time that it has.
+		 * @param newStartedAt when it came, in milliseconds
+		 * @param newLatest until when this node can serve it, in milliseconds
+		 */
+		Builder time(long newStartedAt, long newLatest) {
+			this.startedAt = newStartedAt;
+			this.latest = newLatest;
+			return this;
+		}
+
+		ServedRequest build() {
+			return new ServedRequest(this);
+		}
+
+	}
+
+}
--- a/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
@@ -9,26 +9,17 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
-import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 
-import org.gullsaddle.base.Fingerprint;
 import org.gullsaddle.base.TeamId;
 import org.gullsaddle.base.Verdict;
-import org.gullsaddle.fleet.EngineSpec;
-import org.gullsaddle.fleet.FleetConfig;
 import org.gullsaddle.fleet.Replica;
 import org.gullsaddle.fleet.ReplicaId;
 import org.gullsaddle.fleet.Route;
 import org.gullsaddle.fleet.RouteKind;
 import org.gullsaddle.fleet.ServiceName;
-import org.gullsaddle.fleet.ServiceSpec;
-import org.gullsaddle.fleet.Team;
 import org.gullsaddle.serve.AttemptEnd;
 import org.gullsaddle.serve.Choice;
-import org.gullsaddle.serve.ModelPace;
-import org.gullsaddle.serve.PromptPart;
-import org.gullsaddle.serve.ReleaseKey;
 import org.gullsaddle.serve.RetryRule;
 import org.gullsaddle.serve.Task;
 
@@ -39,23 +30,7 @@
 
 	private final Gateway gateway;
 
-	private final HttpServerRequest request;
-
-	private final CallerRequest caller;
-
-	private final FleetConfig config;
-
-	private final Route route;
-
-	private final Optional<Team> team;
-
-	private final Buffer body;
-
-	private final long startedAt;
-
-	private final long endsAt;
-
-	private final ServiceName service;
+	private final ServedRequest request;
 
 	private final RetryRule rule;
 
@@ -79,32 +54,16 @@
 
 	private boolean done;
 
-	private Fingerprint content;
-
-	private Serving(Builder builder) {
-		this.gateway = builder.gateway;
-		this.request = builder.request;
-		this.caller = builder.caller;
-		this.config = builder.config;
-		this.route = builder.route;
-		this.team = builder.team;
-		this.body = builder.body;
-		this.startedAt = builder.startedAt;
-		long patience = this.caller.deadlineMillis().orElse(this.route.timeoutMillis());
-		this.endsAt = Math.min(this.startedAt + Math.min(patience, this.route.timeoutMillis()),
-				this.gateway.stop().latest(this.route));
-		this.service = this.gateway.decisions().service(this.route, id());
-		this.rule = new RetryRule(this.route);
-		this.cascade = new Cascade(this.gateway.decisions(), this.gateway.log(), this.route, this.rule, this.caller);
-		this.relay = new AnswerRelay(this.request, this.gateway);
-	}
-
-	static Builder of(Gateway gateway, HttpServerRequest request) {
-		return new Builder(gateway, request);
+	Serving(Gateway gateway, ServedRequest request) {
+		this.gateway = gateway;
+		this.request = request;
+		this.rule = new RetryRule(request.route());
+		this.cascade = new Cascade(gateway.decisions(), gateway.log(), request.route(), this.rule, request.caller());
+		this.relay = new AnswerRelay(request.http(), gateway);
 	}
 
 	void start() {
-		HttpServerResponse response = this.request.response();
+		HttpServerResponse response = this.request.http().response();
 		response.closeHandler((nothing) -> left());
 		response.exceptionHandler((failure) -> left());
 		this.gateway.opened(this);
@@ -114,14 +73,14 @@
 			return;
 		}
 		this.gateway.decisions().earnRetry();
-		if (generation()) {
+		if (this.request.engine().isPresent()) {
 			noteShare(Clock.millis());
 		}
 		tryNext();
 	}
 
 	private void noteShare(long now) {
-		this.team.map(Team::id).ifPresent((id) -> {
+		this.request.team().ifPresent((id) -> {
 			this.gateway.decisions().shares().sent(id, now);
 			this.overShare = this.gateway.decisions().shares().over(id, now);
 		});
@@ -129,13 +88,15 @@
 
 	private void tryNext() {
 		long now = Clock.millis();
-		long left = this.endsAt - now;
+		long left = this.request.left(now);
 		if (left <= 0) {
 			refuse("no time left");
 			return;
 		}
-		List<Replica> usable = this.gateway.fleet().replicas(now, this.service, releaseKey());
-		Optional<Choice> choice = this.gateway.decisions().picker().pick(now, usable, this.tried, task(model()));
+		List<Replica> usable = this.gateway.fleet().replicas(now, this.request.service(), this.request.releaseKey());
+		Optional<Choice> choice = this.gateway.decisions()
+			.picker()
+			.pick(now, usable, this.tried, this.request.task(model()));
 		if (choice.isEmpty()) {
 			refuse(usable.isEmpty() ? "no replica" : "no replica left");
 			return;
@@ -148,17 +109,17 @@
 		this.tried.add(choice.replica().id());
 		this.promptRead = false;
 		this.clock.begin(Clock.millis());
-		this.task = task(model());
+		this.task = this.request.task(model());
 		this.gateway.decisions().picker().sent(Clock.millis(), choice, this.task);
-		Optional<String> lastEvent = this.relay.lastEvent().or(this.caller::lastEvent);
-		OptionalInt urgency = generation() ? OptionalInt.of(Decisions.urgency(rank(), this.overShare))
-				: OptionalInt.empty();
-		Handover handover = new Handover(choice.replica().id(), left, this.team.map(Team::id),
-				this.route.models().isEmpty() ? "" : model(), urgency, lastEvent);
-		MultiMap headers = this.gateway.codec().toReplica(this.request.headers(), handover);
+		Optional<String> lastEvent = this.relay.lastEvent().or(this.request.caller()::lastEvent);
+		OptionalInt urgency = this.request.engine().isPresent()
+				? OptionalInt.of(Decisions.urgency(this.request.rank(), this.overShare)) : OptionalInt.empty();
+		Handover handover = new Handover(choice.replica().id(), left, this.request.team(),
+				route().models().isEmpty() ? "" : model(), urgency, lastEvent);
+		MultiMap headers = this.gateway.codec().toReplica(this.request.http().headers(), handover);
 		this.attempt = new Attempt(choice, id(), this.gateway.pool(), this.gateway.codec(), this);
-		this.attempt.send(this.request.method(), this.request.uri(), headers, this.body,
-				this.route.kind() == RouteKind.ONCE);
+		this.attempt.send(this.request.http().method(), this.request.http().uri(), headers, this.request.body(),
+				route().kind() == RouteKind.ONCE);
 	}
 
 	@Override
@@ -183,7 +144,7 @@
 	 * asks a larger model.
 	 */
 	private void doubt(Attempt from, ReplicaAnswer answer) {
-		if (this.cascade.drops(answer.confidence(), this::replicaFor, this.endsAt - Clock.millis())) {
+		if (this.cascade.drops(answer.confidence(), this::replicaFor, this.request.left(Clock.millis()))) {
 			this.tried.remove(from.choice().replica().id());
 			from.withdraw(new AttemptEnd.Dropped(answer.confidence().orElse(0)));
 		}
@@ -191,8 +152,8 @@
 
 	private Optional<Choice> replicaFor(String larger) {
 		long now = Clock.millis();
-		List<Replica> usable = this.gateway.fleet().replicas(now, this.service, releaseKey());
-		return this.gateway.decisions().picker().pick(now, usable, Set.of(), task(larger));
+		List<Replica> usable = this.gateway.fleet().replicas(now, this.request.service(), this.request.releaseKey());
+		return this.gateway.decisions().picker().pick(now, usable, Set.of(), this.request.task(larger));
 	}
 
 	@Override
@@ -220,9 +181,9 @@
 		if (from.answer() == null && !(counted instanceof AttemptEnd.NotRun)) {
 			this.gateway.decisions().picker().began(from.choice(), this.task, now - from.startedAt(), false);
 		}
-		if (this.route.kind() == RouteKind.STREAM && !(counted instanceof AttemptEnd.Dropped)
+		if (this.request.stream() && !(counted instanceof AttemptEnd.Dropped)
 				&& !(counted instanceof AttemptEnd.NotRun)) {
-			this.gateway.decisions().streamed(this.route, model(), this.clock);
+			this.gateway.decisions().streamed(route(), model(), this.clock);
 		}
 		this.rule.ended(counted);
 		this.gateway.attemptEnded(this, from, counted, now);
@@ -247,12 +208,12 @@
 	 * Tries another replica if that is allowed.
 	 */
 	private boolean tryAgain(long now) {
-		boolean held = !this.relay.begun() || (this.route.resumable() && this.relay.lastEvent().isPresent());
-		if (!held || !this.rule.mayTryAgain(this.endsAt - now) || this.gateway.crashes().refusedFor(this) > 0) {
+		boolean held = !this.relay.begun() || (route().resumable() && this.relay.lastEvent().isPresent());
+		if (!held || !this.rule.mayTryAgain(this.request.left(now)) || this.gateway.crashes().refusedFor(this) > 0) {
 			return false;
 		}
 		boolean another = this.gateway.fleet()
-			.replicas(now, this.service, releaseKey())
+			.replicas(now, this.request.service(), this.request.releaseKey())
 			.stream()
 			.anyMatch((replica) -> !this.tried.contains(replica.id()));
 		if (!another || !this.gateway.decisions().spendRetry()) {
@@ -268,12 +229,12 @@
 	 * nothing ran.
 	 */
 	private void finish(Attempt from, AttemptEnd.Answered answered) {
-		boolean falsePromise = Statuses.promisesNotRun(answered.status()) && this.route.kind() != RouteKind.IDEMPOTENT;
+		boolean falsePromise = Statuses.promisesNotRun(answered.status()) && route().kind() != RouteKind.IDEMPOTENT;
 		if (falsePromise && !this.relay.begun()) {
 			this.relay.error(Statuses.BAD_GATEWAY, Optional.empty(), "the backend server gave no definite answer");
 		}
 		else {
-			this.relay.end(from.answer().status(), this.request.method() == HttpMethod.HEAD);
+			this.relay.end(from.answer().status(), this.request.http().method() == HttpMethod.HEAD);
 		}
 		close(answered.failure() ? "failed" : "served", answered.status(), "answered");
 	}
@@ -319,7 +280,7 @@
 		if (this.done) {
 			return;
 		}
-		if (now >= this.endsAt) {
+		if (this.request.left(now) <= 0) {
 			expire();
 			return;
 		}
@@ -329,23 +290,23 @@
 	}
 
 	/**
-	 * A replica that went dark sends nothing, not even a reset. Waiting for it until the
+	 * An unresponsive replica sends nothing, not even a reset. Waiting for it until the
 	 * deadline loses the request, though another replica could still answer in time. Only
 	 * what may run again is moved. One that answers others is alive, and only busy: moved
 	 * away, its queue would be built up anew elsewhere.
 	 */
 	private boolean silent(long now) {
-		if (!this.rule.mayDrop(this.endsAt - now)) {
+		if (!this.rule.mayDrop(this.request.left(now))) {
 			return false;
 		}
-		long patience = this.gateway.decisions().silenceMillis(this.route, this.relay.begun());
+		long patience = this.gateway.decisions().silenceMillis(route(), this.relay.begun());
 		long since = this.gateway.stalls().silentSince(this.attempt.lastByteAt());
-		if (this.route.kind() == RouteKind.IDEMPOTENT) {
+		if (route().kind() == RouteKind.IDEMPOTENT) {
 			return now - since > patience;
 		}
 		return this.gateway.decisions()
 			.picker()
-			.dark(now, this.attempt.choice(), since, this.attempt.answer() == null, patience);
+			.unresponsive(now, this.attempt.choice(), since, this.attempt.answer() == null, patience);
 	}
 
 	private void expire() {
@@ -389,7 +350,7 @@
 	 */
 	void cutOff() {
 		left();
-		this.request.connection().close();
+		this.request.http().connection().close();
 	}
 
 	private void close(String outcome, int status, String reason) {
@@ -405,57 +366,19 @@
 	}
 
 	private boolean streamed(Attempt from) {
-		return this.route.kind() == RouteKind.STREAM && from.answer() != null && from.answer().success();
-	}
-
-	private boolean generation() {
-		return engine().isPresent();
-	}
-
-	private Optional<EngineSpec> engine() {
-		return this.config.service(this.service).flatMap(ServiceSpec::engine);
-	}
-
-	private Task task(String chosen) {
-		return engine()
-			.map((engine) -> new Task(chosen, this.caller.prompt(), ModelPace.of(chosen, engine.models()),
-					engine.cacheTokens(), this.route.targetMillis()))
-			.orElseGet(() -> Task.call(this.route.targetMillis()));
-	}
-
-	private int rank() {
-		return this.route.rank(this.team.map(Team::rank).orElse(OptionalInt.empty()));
-	}
-
-	/**
-	 * A prompt's last part is its own or its session's, so that one without a session may
-	 * still belong to one.
-	 */
-	private ReleaseKey releaseKey() {
-		List<PromptPart> parts = this.caller.prompt().parts();
-		if (this.caller.session().isEmpty() && parts.isEmpty()) {
-			return new ReleaseKey(id(), false);
-		}
-		return new ReleaseKey(this.caller.session().orElseGet(() -> parts.get(parts.size() - 1).id()), true);
+		return this.request.stream() && from.answer() != null && from.answer().success();
 	}
 
 	String id() {
-		return this.caller.attemptId().orElse("");
+		return this.request.id();
 	}
 
-	/**
-	 * Returns a hash of its team and content, the same when it is sent again.
-	 */
-	Fingerprint content() {
-		if (this.content == null) {
-			this.content = ContentHash.of(teamName(), this.request.method(), this.caller.host(), this.request.uri(),
-					this.body);
-		}
-		return this.content;
+	ServedRequest request() {
+		return this.request;
 	}
 
 	Route route() {
-		return this.route;
+		return this.request.route();
 	}
 
 	StreamClock clock() {
@@ -463,7 +386,7 @@
 	}
 
 	ServiceName service() {
-		return this.service;
+		return this.request.service();
 	}
 
 	String model() {
@@ -471,64 +394,9 @@
 	}
 
 	DecisionLog.RequestLine line(String outcome, int status, String reason, long now, long age) {
-		return new DecisionLog.RequestLine(id(), this.route.name(),
-				this.team.map(Team::id).map(TeamId::value).orElse(""), outcome, status, reason,
-				this.rule.verdict().toString(), this.attempts, this.overShare, this.route.targetMillis(),
-				this.config.version(), age, now - this.startedAt);
-	}
-
-	String teamName() {
-		return this.team.map((each) -> each.id().value()).orElse("none");
-	}
-
-	/**
-	 * Collects what a {@link Serving} needs.
-	 */
-	static final class Builder {
-
-		private final Gateway gateway;
-
-		private final HttpServerRequest request;
-
-		private CallerRequest caller;
-
-		private FleetConfig config;
-
-		private Route route;
-
-		private Optional<Team> team = Optional.empty();
-
-		private Buffer body;
-
-		private long startedAt;
-
-		private Builder(Gateway gateway, HttpServerRequest request) {
-			this.gateway = gateway;
-			this.request = request;
-		}
-
-		Builder caller(CallerRequest newCaller, Optional<Team> newTeam) {
-			this.caller = newCaller;
-			this.team = newTeam;
-			return this;
-		}
-
-		Builder under(FleetConfig newConfig, Route newRoute) {
-			this.config = newConfig;
-			this.route = newRoute;
-			return this;
-		}
-
-		Builder body(Buffer newBody, long newStartedAt) {
-			this.body = newBody;
-			this.startedAt = newStartedAt;
-			return this;
-		}
-
-		Serving build() {
-			return new Serving(this);
-		}
-
+		return new DecisionLog.RequestLine(id(), route().name(), this.request.team().map(TeamId::value).orElse(""),
+				outcome, status, reason, this.rule.verdict().toString(), this.attempts, this.overShare,
+				route().targetMillis(), this.request.config().version(), age, now - this.request.startedAt());
 	}
 
 }
--- a/daemon/src/main/java/org/gullsaddle/gateway/StopPlan.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/StopPlan.java
@@ -22,7 +22,7 @@
 
 	/**
 	 * How long the platform and a node take from its end until it serves again, in
-	 * milliseconds, on played days.
+	 * milliseconds.
 	 */
 	private static final long START_MILLIS = 900;
 
@@ -36,8 +36,8 @@
 	private static final long ANSWER_MILLIS = 200;
 
 	/**
-	 * How many objectives of its route a call must have left to be taken on. On played
-	 * days 99 in 100 calls took under three.
+	 * How many objectives of its route a call must have left to be taken on, so that
+	 * nearly all end before the process does.
 	 */
 	private static final long OBJECTIVES = 4;
 
--- a/daemon/src/test/java/org/gullsaddle/gateway/StallWatchTests.java
+++ b/daemon/src/test/java/org/gullsaddle/gateway/StallWatchTests.java
@@ -10,8 +10,8 @@
 
 	/**
 	 * A node is frozen for three seconds in the middle of a stream, whose events have
-	 * come meanwhile and lie unread. On its first look it took the replica as dark and
-	 * had the stream run anew elsewhere.
+	 * come meanwhile and lie unread. On its first look it took the replica as
+	 * unresponsive and had the stream run anew elsewhere.
 	 */
 	@Test
 	void silenceWhileTheProcessStoodStillDoesNotCount() {
--- a/measure/src/main/java/org/gullsaddle/measure/EngineFleet.java
+++ b/measure/src/main/java/org/gullsaddle/measure/EngineFleet.java
@@ -34,7 +34,7 @@
 
 	private static final int NODES = 4;
 
-	/** How old a load report is, in milliseconds, as on the operators' sheets. */
+	/** How old a load report is, in milliseconds. */
 	private static final double REPORT_MILLIS = 100;
 
 	private static final int OK = 200;
--- a/measure/src/main/java/org/gullsaddle/measure/EngineShape.java
+++ b/measure/src/main/java/org/gullsaddle/measure/EngineShape.java
@@ -14,8 +14,8 @@
 record EngineShape(double stepMillis, double stepMillisPerRequest, double readTokensPerMilli, int chunkTokens,
 		int slots, long memoryTokens) {
 
-	/** The engines of the operators' sheets. */
-	static final EngineShape SHEET = new EngineShape(4.63, 0.153, 37.9, 1024, 64, 250_000);
+	/** Engines that run models of some ten billion parameters and more. */
+	static final EngineShape LARGE_MODELS = new EngineShape(4.63, 0.153, 37.9, 1024, 64, 250_000);
 
 	/**
 	 * Returns an engine of the same kind that is faster.
--- a/measure/src/main/java/org/gullsaddle/measure/ModelKind.java
+++ b/measure/src/main/java/org/gullsaddle/measure/ModelKind.java
@@ -1,7 +1,7 @@
 package org.gullsaddle.measure;
 
 /**
- * A size of model, with the paces and prices of the operators' sheets.
+ * A size of model, with its pace and price.
  *
  * @param name its name
  * @param pace how many times longer an engine takes over a token than at pace 1
--- a/measure/src/main/java/org/gullsaddle/measure/PlacementExperiment.java
+++ b/measure/src/main/java/org/gullsaddle/measure/PlacementExperiment.java
@@ -17,7 +17,8 @@
 /**
  * Which engine a prompt goes to, as load grows: prompts of some thousand tokens that
  * share parts, two requests in five for a model that takes ten times as long. The prompts
- * and answers are those of the operators' sheets; see {@link EngineShape#SHEET}.
+ * and answers are those of assistants that read documents; see
+ * {@link EngineShape#LARGE_MODELS}.
  */
 final class PlacementExperiment implements Measure.Experiment {
 
@@ -87,7 +88,7 @@
 	 * Plays two minutes of requests.
 	 */
 	static EngineFleet play(EngineFleet.Policy policy, double rate, long seed) {
-		return play(policy, EngineShape.SHEET, rate, seed);
+		return play(policy, EngineShape.LARGE_MODELS, rate, seed);
 	}
 
 	/**
--- a/measure/src/test/java/org/gullsaddle/measure/EngineModelTests.java
+++ b/measure/src/test/java/org/gullsaddle/measure/EngineModelTests.java
@@ -13,7 +13,7 @@
 
 	private final Timeline time = new Timeline();
 
-	private final EngineModel engine = new EngineModel(EngineShape.SHEET, this.time);
+	private final EngineModel engine = new EngineModel(EngineShape.LARGE_MODELS, this.time);
 
 	private Times send(ModelKind model, int output, PromptPart... parts) {
 		Times times = new Times();
--- a/measure/src/test/java/org/gullsaddle/measure/PlacementExperimentTests.java
+++ b/measure/src/test/java/org/gullsaddle/measure/PlacementExperimentTests.java
@@ -66,8 +66,8 @@
 		@ParameterizedTest
 		@ValueSource(doubles = { 0.2, 1, 5 })
 		void whatIsToldToBeInTimeIs(double speed) {
-			EngineFleet fleet = PlacementExperiment.play(EngineFleet.Policy.GULLSADDLE, EngineShape.SHEET.faster(speed),
-					RATE * speed, SEED);
+			EngineFleet fleet = PlacementExperiment.play(EngineFleet.Policy.GULLSADDLE,
+					EngineShape.LARGE_MODELS.faster(speed), RATE * speed, SEED);
 			assertThat(fleet.promisesKept()).isGreaterThanOrEqualTo(EngineFleet.LIKELY);
 			assertThat(fleet.promised()).isGreaterThanOrEqualTo(EngineFleet.LIKELY * fleet.inTime());
 		}
