--- a/measure/src/main/java/org/gullsaddle/measure/EngineFleet.java
+++ b/measure/src/main/java/org/gullsaddle/measure/EngineFleet.java
@@ -19,6 +19,7 @@
 import org.gullsaddle.fleet.ServiceName;
 import org.gullsaddle.serve.AttemptEnd;
 import org.gullsaddle.serve.Choice;
+import org.gullsaddle.serve.Loss;
 import org.gullsaddle.serve.Place;
 import org.gullsaddle.serve.Prompt;
 import org.gullsaddle.serve.ReplicaPicker;
@@ -73,6 +74,17 @@
 	private int arrived;
 
 	EngineFleet(Timeline time, Policy policy, int count, EngineShape shape, long seed) {
+		this(time, policy, Loss.ALL, count, shape, seed);
+	}
+
+	/**
+	 * Makes a fleet whose nodes pick engines by some losses only.
+	 */
+	EngineFleet(Timeline time, List<Loss> losses, int count, EngineShape shape, long seed) {
+		this(time, Policy.GULLSADDLE, losses, count, shape, seed);
+	}
+
+	private EngineFleet(Timeline time, Policy policy, List<Loss> losses, int count, EngineShape shape, long seed) {
 		this.time = time;
 		this.policy = policy;
 		this.shape = shape;
@@ -86,7 +98,7 @@
 			this.reports.put(replica.id(), new LoadReport(0, 0, shape.slots()));
 		}
 		for (int i = 0; i < NODES; i++) {
-			this.nodes.add(new ReplicaPicker(new Place(DATA_CENTER, Map.of(DATA_CENTER, "r"))));
+			this.nodes.add(new ReplicaPicker(new Place(DATA_CENTER, Map.of(DATA_CENTER, "r")), losses));
 			this.outstanding.add(new int[count]);
 		}
 	}
--- a/measure/src/main/java/org/gullsaddle/measure/PlacementExperiment.java
+++ b/measure/src/main/java/org/gullsaddle/measure/PlacementExperiment.java
@@ -11,6 +11,7 @@
 import java.util.OptionalInt;
 import java.util.Random;
 
+import org.gullsaddle.serve.Loss;
 import org.gullsaddle.serve.Prompt;
 import org.gullsaddle.serve.PromptPart;
 
@@ -96,7 +97,19 @@
 	 */
 	static EngineFleet play(EngineFleet.Policy policy, EngineShape shape, double rate, long seed) {
 		Timeline time = new Timeline();
-		EngineFleet fleet = new EngineFleet(time, policy, ENGINES, shape, seed);
+		return play(time, new EngineFleet(time, policy, ENGINES, shape, seed), rate, seed);
+	}
+
+	/**
+	 * Plays two minutes of requests by the router's own picker with some losses only.
+	 */
+	static EngineFleet play(List<Loss> losses, double rate, long seed) {
+		Timeline time = new Timeline();
+		EngineFleet fleet = new EngineFleet(time, losses, ENGINES, EngineShape.LARGE_MODELS, seed);
+		return play(time, fleet, rate, seed);
+	}
+
+	private static EngineFleet play(Timeline time, EngineFleet fleet, double rate, long seed) {
 		Random random = new Random(seed);
 		int[] shared = new int[SHARED_PARTS];
 		for (int i = 0; i < SHARED_PARTS; i++) {
