Logs of test clusters are kept; a stream that did not outlive its agent is listed as open

The agent that ran the stream was killed, and the caller got "overloaded, the answer broke off" after 20 words. Read in the code: the entry says so if no agent is left that the request has not tried, or if the other agent refused it and no further try was allowed; which of the two it was the run does not tell, as the cluster's logs were deleted with its folder. They stay under standin/target/clusters now. Twelve runs of the test alone beside the same load passed.

--- a/standin/src/test/java/org/gullsaddle/standin/Cluster.java
+++ b/standin/src/test/java/org/gullsaddle/standin/Cluster.java
@@ -37,6 +37,12 @@
 
 	static final String BASIC = "key-of-basic";
 
+	/**
+	 * Where the processes' settings and logs stay after a test: without them a failure
+	 * that shows once cannot be traced.
+	 */
+	private static final Path FOLDERS = Path.of("target", "clusters").toAbsolutePath();
+
 	private static final long PATIENCE_MILLIS = 30_000;
 
 	private static final int FIRST_PORT = 15_000;
@@ -57,7 +63,7 @@
 	private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
 	Cluster() throws Exception {
-		this.folder = Files.createTempDirectory("cluster");
+		this.folder = Files.createTempDirectory(Files.createDirectories(FOLDERS), "cluster");
 		standin("platform", "platform");
 		await("the platform", () -> status("platform", "/vms") == 200);
 	}
@@ -336,16 +342,10 @@
 	}
 
 	@Override
-	public void close() throws IOException {
+	public void close() {
 		for (Process process : this.processes.values()) {
 			process.destroyForcibly().onExit().join();
 		}
-		try (Stream<Path> files = Files.list(this.folder)) {
-			for (Path file : files.toList()) {
-				Files.delete(file);
-			}
-		}
-		Files.delete(this.folder);
 	}
 
 	private int port(String name) {
