One reader of log files for logs and losses

LossesCommand had written the reading of JSON log lines again that LogsCommand has; both call LogFile now.

--- a/cli/src/main/java/org/gullsaddle/cli/LogsCommand.java
+++ b/cli/src/main/java/org/gullsaddle/cli/LogsCommand.java
@@ -1,19 +1,14 @@
 package org.gullsaddle.cli;
 
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.Callable;
-import java.util.stream.Stream;
 
 import com.github.rvesse.airline.annotations.Arguments;
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.restrictions.Required;
-import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonObject;
 
 /**
@@ -49,31 +44,11 @@
 
 	private void read(Path file, List<Line> lines) throws CommandException {
 		String id = this.words.get(0);
-		try (Stream<String> all = Files.lines(file)) {
-			all.filter((text) -> text.contains(id)).forEach((text) -> parse(file, id, text, lines));
-		}
-		catch (IOException | UncheckedIOException ex) {
-			throw new CommandException(ExitCode.FAILED, "cannot read " + file + ": " + ex.getMessage());
-		}
-	}
-
-	/**
-	 * Takes in a line if it is one of the request. A line may be cut at the file's end.
-	 */
-	private static void parse(Path file, String id, String text, List<Line> lines) {
-		int start = text.indexOf('{');
-		if (start < 0) {
-			return;
-		}
-		try {
-			JsonObject line = new JsonObject(text.substring(start));
+		new LogFile(file).read(id, (line) -> {
 			if (id.equals(line.getString("id"))) {
 				lines.add(new Line(line.getString("@timestamp", ""), describe(file, line)));
 			}
-		}
-		catch (DecodeException ex) {
-			System.err.println("gullsaddle: skipped a line of " + file + " that is not JSON");
-		}
+		});
 	}
 
 	private static String describe(Path file, JsonObject line) {
