--- /dev/null
+++ b/core/src/main/java/org/gullsaddle/serve/EngineReport.java
@@ -0,0 +1,30 @@
+package org.gullsaddle.serve;
+
+import org.gullsaddle.base.Check;
+
+/**
+ * What an engine says of itself when it is asked.
+ *
+ * @param running how many requests it runs
+ * @param reading how many of these have generated nothing yet
+ * @param waiting how many wait to be run
+ */
+public record EngineReport(int running, int reading, int waiting) {
+
+	public EngineReport {
+		Check.that(running >= 0 && waiting >= 0, "running and waiting must not be negative");
+		Check.that(reading >= 0 && reading <= running, "reading must be from 0 to running");
+	}
+
+	int requests() {
+		return this.running + this.waiting;
+	}
+
+	/**
+	 * Returns how many requests have their prompt, or a part of it, still to be read.
+	 */
+	int unread() {
+		return this.reading + this.waiting;
+	}
+
+}
--- a/core/src/main/java/org/gullsaddle/serve/ModelChooser.java
+++ b/core/src/main/java/org/gullsaddle/serve/ModelChooser.java
@@ -10,19 +10,19 @@
  * Chooses among a route's models: the smallest first, and a larger one if the smallest
  * doubts its own answer. Confined to one thread.
  * <p>
- * The largest takes ten times as long. When many ask for it, its queues make all answers
+ * The largest takes many times as long. When many ask for it, its queues make all answers
  * late, also those of the small model that run beside it. So the confidence that is
  * enough falls by a part with each late answer of the largest, and rises a little with
  * each in time: under load only the answers that are most likely wrong are replaced.
+ * <p>
+ * A doubted answer is replaced if the larger model's is likely in time. How likely it
+ * must be is learned too: while its answers are in time, one that may be late is still
+ * worth more than one that is surely wrong; where they are late, asking for more of them
+ * makes others late.
  */
 public final class ModelChooser {
 
-	/**
-	 * The confidence that is always enough. Opinions err by some ten points, and an
-	 * answer told with 50 is as likely too hard for its model as not: of answers told
-	 * with 60 about one in six is, which is where the largest model's price outweighs
-	 * what is gained.
-	 */
+	/** The confidence that is always enough: most answers told with it are good. */
 	private static final double MOST = 60;
 
 	/** The answers that are surely wrong lie below it. */
@@ -36,10 +36,35 @@
 	private static final double LATE_PART = 0.75;
 
 	/**
-	 * The chance to begin in time that a larger model must have. Below it the large
-	 * answers queue behind each other, and the caller is better served by what is there.
+	 * The chance to begin in time that a larger model must have where its answers were
+	 * late: below it the large answers queue behind each other, and the caller is better
+	 * served by what is there.
 	 */
-	private static final double LIKELY_IN_TIME = 0.8;
+	private static final double MOST_LIKELY = 0.8;
+
+	/** The same where they were all in time. */
+	private static final double LEAST_LIKELY = 0.2;
+
+	/** By how much that chance falls with an answer in time. */
+	private static final double LIKELY_FALL = 0.02;
+
+	/** By how much it rises with a late one. */
+	private static final double LIKELY_RISE = 0.2;
+
+	/**
+	 * How much more likely in time the larger model's answer must be than the doubted one
+	 * is to be good.
+	 */
+	private static final double GAIN = 0.25;
+
+	/** An answer of this confidence is as likely good as too hard for its model. */
+	private static final double EVEN = 50;
+
+	/** How far a model's opinion of its answer is off, as a standard deviation. */
+	private static final double OPINION_NOISE = 10;
+
+	/** Makes a logistic curve follow the normal distribution within one percent. */
+	private static final double LOGISTIC_SLOPE = 1.702;
 
 	/**
 	 * Where a node begins that knows nothing of the load, as after a restart, when many
@@ -58,6 +83,8 @@
 
 	private double enough = FIRST;
 
+	private double likely = MOST_LIKELY;
+
 	/**
 	 * Returns the model to ask first.
 	 * @param route the route, with one model or more
@@ -102,14 +129,20 @@
 	}
 
 	/**
-	 * Says whether a larger model would answer soon enough.
+	 * Says whether a larger model's answer is worth more than a doubted one.
 	 * @param route the route
-	 * @param delay when its first event is expected
+	 * @param confidence the opinion that the doubted answer's model has of it
+	 * @param delay when the larger model's first event is expected
 	 * @param leftMillis the time left, in milliseconds
 	 * @return true if it is worth asking
 	 */
-	public boolean inTime(Route route, Delay delay, long leftMillis) {
-		return delay.chanceWithin(Math.min(route.targetMillis(), leftMillis)) >= LIKELY_IN_TIME;
+	public boolean worthAsking(Route route, int confidence, Delay delay, long leftMillis) {
+		double inTime = delay.chanceWithin(Math.min(route.targetMillis(), leftMillis));
+		return inTime >= Math.max(this.likely, Math.min(MOST_LIKELY, chanceGood(confidence) + GAIN));
+	}
+
+	private static double chanceGood(int confidence) {
+		return 1 / (1 + Math.exp(-LOGISTIC_SLOPE * (confidence - EVEN) / OPINION_NOISE));
 	}
 
 	/**
@@ -123,6 +156,8 @@
 		if (route.models().isEmpty() || !model.equals(largest(route))) {
 			return;
 		}
+		boolean missed = firstMillis > route.targetMillis();
+		this.likely = Math.clamp(this.likely + (missed ? LIKELY_RISE : -LIKELY_FALL), LEAST_LIKELY, MOST_LIKELY);
 		boolean late = firstMillis > LATE_PART * route.targetMillis()
 				|| (route.gapMillis() > 0 && gapMillis > route.gapMillis());
 		this.enough = late ? Math.max(LEAST, this.enough * FALL) : Math.min(MOST, this.enough + RISE);
--- a/core/src/main/java/org/gullsaddle/serve/ReplicaPicker.java
+++ b/core/src/main/java/org/gullsaddle/serve/ReplicaPicker.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import org.gullsaddle.base.LoadReport;
 import org.gullsaddle.fleet.Replica;
@@ -26,8 +28,16 @@
 	/** The part of an engine's memory that is left for kept parts. */
 	private static final double KEPT_SHARE = 0.5;
 
+	/** How fast the usual work of a request is learned. */
+	private static final double USUAL_SMOOTHING = 0.05;
+
 	private final Map<ReplicaId, ReplicaState> states = new HashMap<>();
 
+	/**
+	 * How much each model usually has to read of a prompt, in tokens of the smallest.
+	 */
+	private final Map<String, Double> usualWork = new HashMap<>();
+
 	private final Homes homes;
 
 	private final DelayEstimator delays = new DelayEstimator();
@@ -64,24 +74,49 @@
 	 * @return the replica, or empty if none is left
 	 */
 	public Optional<Choice> pick(long now, List<Replica> usable, Set<ReplicaId> tried, Task task) {
+		return choices(now, usable, tried, task).min(Comparator.comparingDouble(Choice::loss));
+	}
+
+	/**
+	 * Returns the replicas that may be worth asking for their load before one is picked:
+	 * those with the least loss by what is known here.
+	 * @param now the time in milliseconds
+	 * @param usable the replicas that take new work
+	 * @param tried those that refused or failed the request already
+	 * @param task what it is to do
+	 * @param most how many to return at most
+	 * @return the replicas, the best first
+	 */
+	public List<Choice> best(long now, List<Replica> usable, Set<ReplicaId> tried, Task task, int most) {
+		return choices(now, usable, tried, task).sorted(Comparator.comparingDouble(Choice::loss)).limit(most).toList();
+	}
+
+	private Stream<Choice> choices(long now, List<Replica> usable, Set<ReplicaId> tried, Task task) {
 		List<ReplicaState> able = usable.stream()
 			.filter((replica) -> !tried.contains(replica.id()))
 			.map(this::state)
 			.toList();
 		List<ReplicaState> sound = able.stream().filter((state) -> !state.ejected(now)).toList();
 		Set<ReplicaId> away = this.homes.away(usable, task);
-		double meanRequests = able.stream().mapToDouble(ReplicaState::requests).average().orElse(0);
-		return (sound.isEmpty() ? able : sound).stream()
-			.map((state) -> candidate(state, task, !away.contains(state.replica().id()), meanRequests))
-			.map(this::choice)
-			.min(Comparator.comparingDouble(Choice::loss));
+		Others others = Others.of(now, able, away);
+		double meanRequests = able.stream()
+			.mapToDouble((state) -> state.requests(now, others.at(state).requests()))
+			.average()
+			.orElse(0);
+		return (sound.isEmpty() ? able : sound).stream().map((state) -> {
+			boolean atHome = !away.contains(state.replica().id());
+			return candidate(now, state, task, others.at(state), atHome, meanRequests);
+		}).map(this::choice);
 	}
 
-	private Candidate candidate(ReplicaState state, Task task, boolean atHome, double meanRequests) {
+	private Candidate candidate(long now, ReplicaState state, Task task, Usual usual, boolean atHome,
+			double meanRequests) {
 		Replica replica = state.replica();
 		Reach reach = this.here.reach(replica.dataCenter());
-		EngineLoad load = new EngineLoad(unread(state, task), task.plain() ? queued(state) : state.backlog(),
-				state.requests(), reach == Reach.FAR);
+		double requests = state.requests(now, usual.requests());
+		double before = task.plain() ? queued(replica, requests)
+				: state.backlog(now, usual.unread(), this.usualWork.getOrDefault(task.model(), 0.0));
+		EngineLoad load = new EngineLoad(unread(state, task), before, requests, reach == Reach.FAR);
 		DelayModel delays = this.delays.of(replica, task);
 		return new Candidate(replica, task, load, delays.first(load), delays.readMillis(load.unreadTokens()), reach,
 				state.failureShare(), atHome, meanRequests);
@@ -90,9 +125,9 @@
 	/**
 	 * Returns how many times all slots must become free before one is for a new request.
 	 */
-	private static double queued(ReplicaState state) {
-		int slots = Math.max(1, state.replica().slots());
-		return Math.max(0, state.requests() - slots + 1) / slots;
+	private static double queued(Replica replica, double requests) {
+		int slots = Math.max(1, replica.slots());
+		return Math.max(0, requests - slots + 1) / slots;
 	}
 
 	private Choice choice(Candidate candidate) {
@@ -112,7 +147,9 @@
 	public void sent(long now, Choice choice, Task task) {
 		this.homes.sent(now, task, choice.unreadTokens());
 		long kept = Math.round(task.cacheTokens() * KEPT_SHARE);
-		state(choice.replica()).sent(task, choice.unreadTokens() * task.pace(), kept);
+		double work = choice.unreadTokens() * task.pace();
+		state(choice.replica()).sent(task, work, kept);
+		this.usualWork.merge(task.model(), work, (usual, next) -> usual + USUAL_SMOOTHING * (next - usual));
 	}
 
 	/**
@@ -198,11 +235,31 @@
 
 	/**
 	 * Takes in what a replica says of its load.
+	 * @param now the time in milliseconds
 	 * @param replica the replica
 	 * @param report the load
 	 */
-	public void report(Replica replica, LoadReport report) {
-		state(replica).report(report);
+	public void report(long now, Replica replica, LoadReport report) {
+		state(replica).report(now, report);
+	}
+
+	/**
+	 * Takes in what an engine says of itself.
+	 * @param now the time in milliseconds
+	 * @param replica the replica
+	 * @param report its load
+	 */
+	public void report(long now, Replica replica, EngineReport report) {
+		state(replica).report(now, report);
+	}
+
+	/**
+	 * Notes that a replica could not be reached, though no request was sent to it.
+	 * @param now the time in milliseconds
+	 * @param replica the replica
+	 */
+	public void unreachable(long now, Replica replica) {
+		state(replica).unreachable(now);
 	}
 
 	/**
@@ -227,4 +284,34 @@
 		return state;
 	}
 
+	/**
+	 * How many requests of other nodes a replica has on the mean, and how many of them
+	 * are still to be read.
+	 */
+	private record Usual(double requests, double unread) {
+
+		static Usual of(long now, List<ReplicaState> states) {
+			return new Usual(ReportedLoad.mean(now, states.stream().map(ReplicaState::others).toList()),
+					ReportedLoad.mean(now, states.stream().map(ReplicaState::othersUnread).toList()));
+		}
+
+	}
+
+	/**
+	 * The same for the replicas that a task is at home on, and for the others.
+	 */
+	private record Others(Set<ReplicaId> away, Usual atHome, Usual elsewhere) {
+
+		static Others of(long now, List<ReplicaState> states, Set<ReplicaId> away) {
+			Map<Boolean, List<ReplicaState>> parts = states.stream()
+				.collect(Collectors.partitioningBy((state) -> away.contains(state.replica().id())));
+			return new Others(away, Usual.of(now, parts.get(false)), Usual.of(now, parts.get(true)));
+		}
+
+		Usual at(ReplicaState state) {
+			return this.away.contains(state.replica().id()) ? this.elsewhere : this.atHome;
+		}
+
+	}
+
 }
--- a/core/src/main/java/org/gullsaddle/serve/ReplicaState.java
+++ b/core/src/main/java/org/gullsaddle/serve/ReplicaState.java
@@ -13,9 +13,15 @@
 	/** How long a first refused connection leaves a replica out, in milliseconds. */
 	private static final long UNREACHABLE_MILLIS = 700;
 
+	/** The weight from which what an engine said itself is not replaced by a guess. */
+	private static final double STILL_TELLS = 0.5;
+
 	private final KeptParts parts = new KeptParts();
 
-	private final OthersLoad others = new OthersLoad();
+	/** The requests of other nodes there, and how many of them are still to be read. */
+	private final ReportedLoad others = new ReportedLoad();
+
+	private final ReportedLoad othersUnread = new ReportedLoad();
 
 	private final Ejection ejection = new Ejection();
 
@@ -23,6 +29,10 @@
 
 	private int running;
 
+	/** How many of this node's requests are still to be read there. */
+	private int unreadRequests;
+
+	/** Their prompts, in tokens of the smallest model. */
 	private double unread;
 
 	private double failureShare;
@@ -43,6 +53,7 @@
 
 	void sent(Task task, double unread, long capacity) {
 		this.running++;
+		this.unreadRequests++;
 		this.unread += unread;
 		this.parts.read(task.model(), task.prompt().parts(), capacity);
 	}
@@ -51,6 +62,7 @@
 	 * Notes that the replica has read a prompt, or need not any more.
 	 */
 	void read(double unread) {
+		this.unreadRequests = Math.max(0, this.unreadRequests - 1);
 		this.unread = Math.max(0, this.unread - unread);
 	}
 
@@ -58,8 +70,19 @@
 		this.running = Math.max(0, this.running - 1);
 	}
 
-	void report(LoadReport report) {
-		this.others.report(report, this.running);
+	void report(long now, LoadReport report) {
+		double count = report.running() + report.waiting() - this.running;
+		this.others.report(now, count);
+		if (this.othersUnread.weight(now) < STILL_TELLS) {
+			// A plain report does not tell, so the others' are taken to be as this
+			// node's.
+			this.othersUnread.report(now, (this.running > 0) ? count * this.unreadRequests / this.running : 0);
+		}
+	}
+
+	void report(long now, EngineReport report) {
+		this.others.report(now, report.requests() - this.running);
+		this.othersUnread.report(now, report.unread() - this.unreadRequests);
 	}
 
 	void heard(long now) {
@@ -93,16 +116,30 @@
 		return this.failureShare;
 	}
 
-	double requests() {
-		return this.running + this.others.requests();
+	ReportedLoad others() {
+		return this.others;
+	}
+
+	ReportedLoad othersUnread() {
+		return this.othersUnread;
+	}
+
+	/**
+	 * Returns how many requests are likely there.
+	 * @param usual how many other nodes have at a replica on the mean
+	 */
+	double requests(long now, double usual) {
+		return this.running + this.others.at(now, usual);
 	}
 
 	/**
 	 * Returns what it likely has still to read, in tokens of the smallest model: what
-	 * this node gave it, and as much for each request of other nodes.
+	 * this node gave it, and for each request of other nodes as much as one has here.
+	 * @param usual how many unread requests of other nodes a replica has on the mean
+	 * @param tokens how much a request of this node has to be read, in such tokens
 	 */
-	double backlog() {
-		return (this.running > 0) ? this.unread * requests() / this.running : 0;
+	double backlog(long now, double usual, double tokens) {
+		return this.unread + tokens * this.othersUnread.at(now, usual);
 	}
 
 	int kept(Task task) {
--- a/core/src/test/java/org/gullsaddle/serve/ModelChooserTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/ModelChooserTests.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -63,11 +64,52 @@
 		assertThat(this.chooser.enough()).isLessThan(before);
 	}
 
+	private boolean asks(int confidence, Delay delay) {
+		return this.chooser.worthAsking(ROUTE, confidence, delay, 15_000);
+	}
+
 	@Test
 	void largestIsNotAskedWhereItWouldBeginTooLate() {
-		assertThat(this.chooser.inTime(ROUTE, new Delay(3000, 300), 15_000)).isTrue();
-		assertThat(this.chooser.inTime(ROUTE, new Delay(3900, 300), 15_000)).isFalse();
-		assertThat(this.chooser.inTime(ROUTE, new Delay(3000, 300), 3000)).isFalse();
+		assertThat(asks(10, new Delay(3000, 300))).isTrue();
+		assertThat(asks(10, new Delay(3900, 300))).isFalse();
+		assertThat(this.chooser.worthAsking(ROUTE, 10, new Delay(3000, 300), 3000)).isFalse();
+	}
+
+	@Nested
+	class WhileTheLargestIsInTime {
+
+		private static final Delay MAYBE_LATE = new Delay(3900, 600);
+
+		@BeforeEach
+		void answersInTime() {
+			for (int i = 0; i < 40; i++) {
+				ModelChooserTests.this.chooser.answered(ROUTE, "large", 500, 100);
+			}
+		}
+
+		/** Guards against answers that are surely wrong though engines have room. */
+		@Test
+		void whatIsSurelyWrongIsReplacedByWhatMayBeLate() {
+			assertThat(asks(10, MAYBE_LATE)).isTrue();
+			assertThat(asks(10, new Delay(8000, 600))).isFalse();
+		}
+
+		@Test
+		void whatIsPerhapsGoodIsKept() {
+			assertThat(asks(48, MAYBE_LATE)).isFalse();
+			assertThat(asks(48, new Delay(3000, 300))).isTrue();
+		}
+
+		/** Guards against large answers that make each other late under load. */
+		@Test
+		void lateAnswersMakeItBeAskedOnlyWhereItIsLikelyInTime() {
+			for (int i = 0; i < 3; i++) {
+				ModelChooserTests.this.chooser.answered(ROUTE, "large", 4500, 100);
+			}
+			assertThat(asks(10, MAYBE_LATE)).isFalse();
+			assertThat(asks(10, new Delay(3000, 300))).isTrue();
+		}
+
 	}
 
 	@Nested
--- a/core/src/test/java/org/gullsaddle/serve/ReplicaPickerTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/ReplicaPickerTests.java
@@ -101,6 +101,73 @@
 		assertThat(dataCenters).containsExactlyInAnyOrder("a", "c");
 	}
 
+	@Nested
+	class BesideManyOtherNodes {
+
+		private static final EngineReport BUSY = new EngineReport(8, 6, 0);
+
+		private final Task task = task("large", 15, "x");
+
+		private void tell(long now, String id, EngineReport report) {
+			ReplicaPickerTests.this.replicas.stream()
+				.filter((replica) -> replica.id().value().equals(id))
+				.forEach((replica) -> ReplicaPickerTests.this.picker.report(now, replica, report));
+		}
+
+		private EngineLoad load(long now, String id) {
+			return ReplicaPickerTests.this.picker.best(now, ReplicaPickerTests.this.replicas, Set.of(), this.task, 8)
+				.stream()
+				.filter((choice) -> choice.replica().id().value().equals(id))
+				.findFirst()
+				.orElseThrow()
+				.load();
+		}
+
+		/**
+		 * Guards against all nodes sending to the one replica that they know nothing of.
+		 */
+		@Test
+		void replicaThatWasNeverMetIsNotTakenForIdle() {
+			ReplicaPickerTests.this.replicas.stream()
+				.map((replica) -> replica.id().value())
+				.filter((id) -> !id.equals("near-3"))
+				.forEach((id) -> tell(0, id, BUSY));
+			assertThat(load(0, "near-3").requests()).isEqualTo(8);
+		}
+
+		/** Guards against an old queue, or an old lull, that is taken for today's. */
+		@Test
+		void oldReportGivesWayToTheMeanOfTheOthers() {
+			tell(0, "near-0", new EngineReport(0, 0, 0));
+			for (String id : List.of("near-1", "near-2", "near-3", "far-0", "far-1", "far-2", "far-3")) {
+				tell(10_000, id, BUSY);
+			}
+			assertThat(load(10_000, "near-0").requests()).isBetween(7.9, 8.0);
+		}
+
+		/** Guards against long prompts that wait behind those of other nodes. */
+		@Test
+		void promptGoesToTheReplicaThatSaysItIsFree() {
+			Choice first = send(this.task);
+			ReplicaPickerTests.this.picker.promptRead(first, this.task);
+			Replica free = ReplicaPickerTests.this.picker
+				.best(0, ReplicaPickerTests.this.replicas, Set.of(first.replica().id()), this.task, 1)
+				.get(0)
+				.replica();
+			ReplicaPickerTests.this.replicas.forEach((replica) -> tell(0, replica.id().value(), BUSY));
+			tell(0, free.id().value(), new EngineReport(0, 0, 0));
+			assertThat(pick(this.task).replica()).isEqualTo(free);
+		}
+
+		@Test
+		void replicaThatDidNotAnswerIsLeftOutForAWhile() {
+			Choice first = pick(this.task);
+			ReplicaPickerTests.this.picker.unreachable(0, first.replica());
+			assertThat(pick(this.task).replica()).isNotEqualTo(first.replica());
+		}
+
+	}
+
 	@Nested
 	class WithModelsOfDifferentSize {
 
--- a/daemon/src/main/java/org/gullsaddle/gateway/Attempt.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Attempt.java
@@ -32,6 +32,8 @@
 
 	private ReplicaAnswer answer;
 
+	private HttpClientResponse response;
+
 	private boolean sent;
 
 	private boolean ended;
@@ -101,6 +103,7 @@
 		if (this.ended) {
 			return;
 		}
+		this.response = response;
 		this.answer = this.codec.read(response);
 		boolean ours = this.answer.attemptId().isEmpty() ? !this.answer.success()
 				: this.answer.attemptId().get().equals(this.attemptId);
@@ -173,6 +176,24 @@
 		end(this.sent ? end : new AttemptEnd.NotRun(false, "given up before sending"));
 	}
 
+	/**
+	 * Holds the rest of the answer back, once its head has come.
+	 */
+	void pause() {
+		this.response.pause();
+	}
+
+	/**
+	 * Lets a paused answer go on.
+	 */
+	void resume() {
+		this.response.resume();
+	}
+
+	boolean ended() {
+		return this.ended;
+	}
+
 	private void end(AttemptEnd end) {
 		if (!this.ended) {
 			this.ended = true;
--- a/daemon/src/main/java/org/gullsaddle/gateway/Cascade.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Cascade.java
@@ -2,7 +2,6 @@
 
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.function.Function;
 
 import org.gullsaddle.fleet.Route;
 import org.gullsaddle.serve.Choice;
@@ -54,27 +53,34 @@
 	}
 
 	/**
-	 * Decides on an answer of which the caller has had nothing.
+	 * Returns the model that might be asked in place of an answer, of which the caller
+	 * has had nothing.
 	 * @param confidence the model's own opinion of it
-	 * @param pick finds the replica that another model would be asked on
-	 * @param left the time left in milliseconds
-	 * @return whether it is dropped, so that {@link #goOn} follows
+	 * @return the larger model, or empty if the answer is good enough
 	 */
-	boolean drops(OptionalInt confidence, Function<String, Optional<Choice>> pick, long left) {
+	Optional<String> larger(OptionalInt confidence) {
 		ModelChooser models = this.decisions.models();
 		if (this.doubtedConfidence >= 0) {
 			models.compared(this.doubted, this.doubtedConfidence, this.model, confidence.orElse(-1));
 		}
-		Optional<String> larger = models.larger(this.route, this.model, confidence, this.rule.nextIsLast());
-		if (larger.isEmpty()) {
-			return false;
-		}
-		String kept = whyKept(pick.apply(larger.get()), left);
-		this.log.doubted(this.id, this.model, confidence.orElse(0), models.enough(), larger.get(), kept);
+		return models.larger(this.route, this.model, confidence, this.rule.nextIsLast());
+	}
+
+	/**
+	 * Decides whether a doubted answer is dropped, so that {@link #goOn} follows.
+	 * @param confidence the model's own opinion of it
+	 * @param larger the model that would be asked instead
+	 * @param choice where that would run, if anywhere
+	 * @param left the time left in milliseconds
+	 * @return whether it is dropped
+	 */
+	boolean drops(int confidence, String larger, Optional<Choice> choice, long left) {
+		String kept = whyKept(confidence, choice, left);
+		this.log.doubted(this.id, this.model, confidence, this.decisions.models().enough(), larger, kept);
 		if (kept.isEmpty()) {
 			this.doubted = this.model;
-			this.doubtedConfidence = confidence.orElse(0);
-			this.next = larger.get();
+			this.doubtedConfidence = confidence;
+			this.next = larger;
 		}
 		return kept.isEmpty();
 	}
@@ -89,7 +95,7 @@
 	/**
 	 * Says why an answer that its model doubts is kept all the same, empty if it is not.
 	 */
-	private String whyKept(Optional<Choice> choice, long left) {
+	private String whyKept(int confidence, Optional<Choice> choice, long left) {
 		if (!this.rule.mayDrop(left)) {
 			return "no attempt or time left";
 		}
@@ -97,7 +103,7 @@
 			return "no replica";
 		}
 		Delay delay = choice.get().delay();
-		if (!this.decisions.models().inTime(this.route, delay, left)) {
+		if (!this.decisions.models().worthAsking(this.route, confidence, delay, left)) {
 			return "in " + Math.round(delay.expectedMillis()) + " of " + left + " ms";
 		}
 		return this.decisions.spendRetry() ? "" : "no retry left";
--- a/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
@@ -140,6 +140,15 @@
 		}
 	}
 
+	void loadUnknown(ReplicaId replica, String reason) {
+		if (allowed(false)) {
+			LOG.atInfo()
+				.addKeyValue("replica", replica.value())
+				.addKeyValue("reason", reason)
+				.log("engine did not tell its load");
+		}
+	}
+
 	void stalled(long millis, int open) {
 		LOG.atWarn().addKeyValue("millis", millis).addKeyValue("open", open).log("stood still");
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/FleetFeed.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/FleetFeed.java
@@ -25,12 +25,17 @@
 	private static final long WAIT_MILLIS = 2500;
 
 	/**
-	 * How soon after a call for changes the next one begins, in milliseconds. Every
-	 * replica's heartbeat is a change: without a pause a node asks as often as all of
-	 * them beat together, three times a second with 35 of them, and each call is paid
-	 * for. A second is a third of what a configuration may take to come into force.
+	 * How soon after a call for changes the next one begins while a roll-out is under
+	 * way, in milliseconds: nodes tell each other through the store then.
 	 */
-	private static final long EVERY_MILLIS = 1000;
+	private static final long ROLLOUT_EVERY_MILLIS = 1000;
+
+	/**
+	 * The part of the time in which news must be in force after which nodes ask for it.
+	 * Every replica's heartbeat is a change: without a pause a node asks as often as all
+	 * of them beat together, and each call is paid for.
+	 */
+	private static final double NEWS_PART = 0.4;
 
 	/** The pause before a call that follows a failure, in milliseconds. */
 	private static final long PAUSE_MILLIS = 150;
@@ -50,6 +55,8 @@
 
 	private final Consumer<FleetChange> listener;
 
+	private final long everyMillis;
+
 	private long revision = -1;
 
 	private long askedAt;
@@ -58,12 +65,18 @@
 
 	private boolean stopped;
 
-	FleetFeed(Vertx vertx, FleetSource source, FleetState state, DecisionLog log, Consumer<FleetChange> listener) {
+	/**
+	 * Makes a feed.
+	 * @param newsMillis how soon a change must be in force here, in milliseconds
+	 */
+	FleetFeed(Vertx vertx, FleetSource source, FleetState state, DecisionLog log, Consumer<FleetChange> listener,
+			long newsMillis) {
 		this.vertx = vertx;
 		this.source = source;
 		this.state = state;
 		this.log = log;
 		this.listener = listener;
+		this.everyMillis = Math.max(ROLLOUT_EVERY_MILLIS, Math.round(NEWS_PART * newsMillis));
 	}
 
 	void start() {
@@ -102,7 +115,7 @@
 			this.listener.accept(change);
 		}
 		this.revision = news.revision();
-		long pause = whole ? 0 : pause(this.askedAt, now);
+		long pause = whole ? 0 : pause(this.askedAt, now, everyMillis());
 		if (pause == 0) {
 			next();
 			return;
@@ -110,11 +123,18 @@
 		this.vertx.setTimer(pause, (timer) -> next());
 	}
 
+	/**
+	 * Returns how far calls for changes are apart now, in milliseconds.
+	 */
+	long everyMillis() {
+		return this.state.rolloutUnderWay() ? ROLLOUT_EVERY_MILLIS : this.everyMillis;
+	}
+
 	/**
 	 * Returns how long to wait before the next call, in milliseconds.
 	 */
-	static long pause(long askedAt, long now) {
-		return Math.max(0, askedAt + EVERY_MILLIS - now);
+	static long pause(long askedAt, long now, long every) {
+		return Math.max(0, askedAt + every - now);
 	}
 
 	private static Set<ReplicaId> listed(List<FleetChange> changes) {
--- a/daemon/src/main/java/org/gullsaddle/gateway/FleetState.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/FleetState.java
@@ -10,6 +10,7 @@
 import org.gullsaddle.fleet.FleetConfig;
 import org.gullsaddle.fleet.Replica;
 import org.gullsaddle.fleet.ReplicaDirectory;
+import org.gullsaddle.fleet.RolloutState;
 import org.gullsaddle.fleet.ServiceName;
 import org.gullsaddle.serve.ReleaseKey;
 import org.gullsaddle.serve.Rollout;
@@ -119,6 +120,12 @@
 		return this.rollouts.values();
 	}
 
+	boolean rolloutUnderWay() {
+		return this.rollouts.values()
+			.stream()
+			.anyMatch((rollout) -> rollout.state().map((state) -> state == RolloutState.RUNNING).orElse(true));
+	}
+
 	/**
 	 * Returns the replicas that a request may go to.
 	 * @param key what the request keeps its release by
--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -67,6 +67,8 @@
 
 	private final ChannelPool pool;
 
+	private final LoadProbe probe;
+
 	private final FleetFeed feed;
 
 	private final RolloutController rollouts;
@@ -92,10 +94,12 @@
 		this.codec = builder.codec;
 		this.decisions = new Decisions(this.settings.place(), this.settings.retryShare());
 		this.pool = new ChannelPool(vertx);
+		this.probe = new LoadProbe(vertx, this.pool, this.codec, this.decisions.picker(), this.log);
 		this.rollouts = new RolloutController(vertx, builder.board, builder.store, this.settings.node(), this.fleet,
 				this.log);
 		this.crashes = new CrashController(vertx, builder.store, this.settings.node(), this.log);
-		this.feed = new FleetFeed(vertx, builder.source, this.fleet, this.log, this::learned);
+		this.feed = new FleetFeed(vertx, builder.source, this.fleet, this.log, this::learned,
+				this.settings.newsMillis());
 	}
 
 	/**
@@ -113,6 +117,8 @@
 		this.telemetry.gauge("replicas.known", () -> this.fleet.directory().known().size());
 		this.telemetry.gauge("fleet.age.milliseconds", () -> this.fleet.age(Clock.millis()));
 		this.telemetry.gauge("log.lines.left.out", this.log::leftOut);
+		this.telemetry.gauge("probes.sent", this.probe::asked);
+		this.telemetry.gauge("probes.failed", this.probe::failed);
 	}
 
 	/**
@@ -315,6 +321,7 @@
 	private void tidy() {
 		this.pool.tidy(this.fleet.directory().known());
 		this.decisions.picker().retain(this.fleet.directory().known());
+		this.probe.retain(this.fleet.directory().known());
 	}
 
 	boolean stopping() {
@@ -349,6 +356,10 @@
 		return this.pool;
 	}
 
+	LoadProbe probe() {
+		return this.probe;
+	}
+
 	HeaderCodec codec() {
 		return this.codec;
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/GatewaySettings.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/GatewaySettings.java
@@ -13,7 +13,8 @@
  * @param metrics where its metrics are served, port 0 for nowhere
  * @param stopMillis how long a graceful stop may take
  * @param retryShare how many retries each request earns
+ * @param newsMillis how soon what the platform tells must be in force
  */
 public record GatewaySettings(String node, Place place, Address callers, Address ready, Address metrics,
-		long stopMillis, double retryShare) {
+		long stopMillis, double retryShare, long newsMillis) {
 }
--- a/daemon/src/main/java/org/gullsaddle/gateway/HeaderCodec.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/HeaderCodec.java
@@ -1,9 +1,14 @@
 package org.gullsaddle.gateway;
 
+import java.util.Optional;
+
 import io.vertx.core.MultiMap;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpServerRequest;
 
+import org.gullsaddle.serve.EngineReport;
+
 /**
  * Translates between HTTP headers as callers and replicas speak them and the product's
  * types.
@@ -42,4 +47,17 @@
 	 */
 	MultiMap toCaller(MultiMap replica);
 
+	/**
+	 * Returns where an engine tells its load.
+	 * @return the path
+	 */
+	String reportPath();
+
+	/**
+	 * Reads what an engine tells of its load.
+	 * @param body the body of its answer
+	 * @return its load, or empty if the body cannot be read
+	 */
+	Optional<EngineReport> readReport(Buffer body);
+
 }
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/gateway/LoadProbe.java
@@ -0,0 +1,178 @@
+package org.gullsaddle.gateway;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+
+import org.gullsaddle.fleet.Replica;
+import org.gullsaddle.fleet.ReplicaId;
+import org.gullsaddle.serve.EngineReport;
+import org.gullsaddle.serve.ReplicaPicker;
+import org.gullsaddle.serve.Task;
+
+/**
+ * Asks a few engines for their load before one of them is given a request. Confined to
+ * the event loop.
+ * <p>
+ * A node with many others beside it sees an answer of each engine every few seconds, and
+ * several nodes take the same engine for idle at once. The fresh loads of two or three
+ * candidates even the queues out nearly as well as the loads of all would.
+ */
+final class LoadProbe {
+
+	/** How many engines are asked for one request. */
+	static final int CANDIDATES = 3;
+
+	/** How long engines may take to tell, in milliseconds. */
+	private static final long WAIT_MILLIS = 60;
+
+	/** How long a report is as good as a new one, in milliseconds. */
+	private static final long FRESH_MILLIS = 40;
+
+	private final Vertx vertx;
+
+	private final ChannelPool pool;
+
+	private final HeaderCodec codec;
+
+	private final ReplicaPicker picker;
+
+	private final DecisionLog log;
+
+	private final Map<ReplicaId, Long> toldAt = new HashMap<>();
+
+	private int asked;
+
+	private int failed;
+
+	LoadProbe(Vertx vertx, ChannelPool pool, HeaderCodec codec, ReplicaPicker picker, DecisionLog log) {
+		this.vertx = vertx;
+		this.log = log;
+		this.pool = pool;
+		this.codec = codec;
+		this.picker = picker;
+	}
+
+	/**
+	 * Says whether a task takes so long that a wrong guess of an engine's load costs more
+	 * than asking: only the smallest model's do not.
+	 */
+	static boolean worthAsking(Task task) {
+		return task.pace() > 1;
+	}
+
+	/**
+	 * Asks engines, and has the picker learn what they say.
+	 * @param replicas the engines
+	 * @param then is given those that told in time, which may be none
+	 */
+	void ask(List<Replica> replicas, Consumer<List<Replica>> then) {
+		List<Future<Boolean>> answers = new ArrayList<>();
+		for (Replica replica : replicas) {
+			answers.add(fresh(replica) ? Future.succeededFuture(true) : ask(replica));
+		}
+		Future.join(answers).onComplete((all) -> {
+			List<Replica> told = new ArrayList<>();
+			for (int i = 0; i < answers.size(); i++) {
+				if (answers.get(i).result()) {
+					told.add(replicas.get(i));
+				}
+			}
+			then.accept(told);
+		});
+	}
+
+	/**
+	 * Returns how many reports were asked for since the start.
+	 */
+	int asked() {
+		return this.asked;
+	}
+
+	/**
+	 * Returns how many of them did not come in time, or could not be read.
+	 */
+	int failed() {
+		return this.failed;
+	}
+
+	/**
+	 * Forgets replicas that are gone.
+	 * @param known those to remember
+	 */
+	void retain(Set<ReplicaId> known) {
+		this.toldAt.keySet().retainAll(known);
+	}
+
+	private boolean fresh(Replica replica) {
+		Long at = this.toldAt.get(replica.id());
+		return at != null && Clock.millis() - at <= FRESH_MILLIS;
+	}
+
+	private Future<Boolean> ask(Replica replica) {
+		this.asked++;
+		Promise<EngineReport> answer = Promise.promise();
+		long timer = this.vertx.setTimer(WAIT_MILLIS, (id) -> answer.tryFail("nothing in " + WAIT_MILLIS + " ms"));
+		answer.future().onComplete((done) -> this.vertx.cancelTimer(timer));
+		this.pool.take(replica, false).onComplete((channel, unreachable) -> {
+			if (unreachable != null) {
+				this.picker.unreachable(Clock.millis(), replica);
+				answer.tryFail("unreachable");
+				return;
+			}
+			answer.future().onFailure((failure) -> channel.close());
+			if (!answer.future().isComplete()) {
+				read(channel).onComplete(answer::tryComplete, answer::tryFail);
+			}
+		});
+		return answer.future()
+			.map((report) -> told(replica, report))
+			.otherwise((failure) -> notTold(replica, failure.getMessage()));
+	}
+
+	private boolean told(Replica replica, EngineReport report) {
+		long now = Clock.millis();
+		this.toldAt.put(replica.id(), now);
+		this.picker.report(now, replica, report);
+		return true;
+	}
+
+	private boolean notTold(Replica replica, String reason) {
+		this.failed++;
+		this.log.loadUnknown(replica.id(), reason);
+		return false;
+	}
+
+	private Future<EngineReport> read(ChannelPool.Channel channel) {
+		RequestOptions options = new RequestOptions().setMethod(HttpMethod.GET).setURI(this.codec.reportPath());
+		return channel.connection()
+			.request(options)
+			.compose(HttpClientRequest::send)
+			.compose((response) -> response.body().compose((body) -> report(channel, response, body)));
+	}
+
+	private Future<EngineReport> report(ChannelPool.Channel channel, HttpClientResponse response, Buffer body) {
+		Optional<EngineReport> report = Statuses.success(response.statusCode()) ? this.codec.readReport(body)
+				: Optional.empty();
+		if (report.isEmpty()) {
+			return Future.failedFuture("no report, but status " + response.statusCode());
+		}
+		ReplicaAnswer answer = this.codec.read(response);
+		this.pool.giveBack(channel, answer.closes() ? 0 : answer.keepMillis());
+		return Future.succeededFuture(report.get());
+	}
+
+}
--- a/daemon/src/main/java/org/gullsaddle/gateway/ReplicaAnswer.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/ReplicaAnswer.java
@@ -21,16 +21,12 @@
 public record ReplicaAnswer(int status, Optional<String> attemptId, boolean signed, boolean notRun,
 		Optional<LoadReport> load, OptionalInt confidence, boolean closes, long keepMillis, boolean encoded) {
 
-	private static final int FIRST_SUCCESS = 200;
-
-	private static final int LAST_SUCCESS = 299;
-
 	/**
 	 * Says whether the status is one of success.
 	 * @return true for 200 to 299
 	 */
 	public boolean success() {
-		return this.status >= FIRST_SUCCESS && this.status <= LAST_SUCCESS;
+		return Statuses.success(this.status);
 	}
 
 }
--- a/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
@@ -5,6 +5,8 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
 
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
@@ -20,6 +22,7 @@
 import org.gullsaddle.fleet.ServiceName;
 import org.gullsaddle.serve.AttemptEnd;
 import org.gullsaddle.serve.Choice;
+import org.gullsaddle.serve.ReplicaPicker;
 import org.gullsaddle.serve.RetryRule;
 import org.gullsaddle.serve.Task;
 
@@ -46,6 +49,9 @@
 
 	private final StreamClock clock = new StreamClock();
 
+	/** Where the next attempt goes, if that is decided already. */
+	private Optional<Choice> chosen = Optional.empty();
+
 	private int attempts;
 
 	private boolean promptRead;
@@ -93,15 +99,63 @@
 			refuse("no time left");
 			return;
 		}
-		List<Replica> usable = this.gateway.fleet().replicas(now, this.request.service(), this.request.releaseKey());
-		Optional<Choice> choice = this.gateway.decisions()
-			.picker()
-			.pick(now, usable, this.tried, this.request.task(model()));
-		if (choice.isEmpty()) {
-			refuse(usable.isEmpty() ? "no replica" : "no replica left");
+		if (this.chosen.isPresent()) {
+			Choice choice = this.chosen.get();
+			this.chosen = Optional.empty();
+			send(choice, left);
+			return;
+		}
+		choose(this.request.task(model()), this.tried, this::sendTo);
+	}
+
+	/**
+	 * Sends the request to the replica that was picked, unless it ended meanwhile.
+	 */
+	private void sendTo(Optional<Choice> choice) {
+		if (this.done) {
+			return;
+		}
+		long left = this.request.left(Clock.millis());
+		if (left <= 0) {
+			refuse("no time left");
+		}
+		else if (choice.isEmpty()) {
+			refuse(usable().isEmpty() ? "no replica" : "no replica left");
+		}
+		else {
+			send(choice.get(), left);
+		}
+	}
+
+	private List<Replica> usable() {
+		return this.gateway.fleet().replicas(Clock.millis(), this.request.service(), this.request.releaseKey());
+	}
+
+	/**
+	 * Picks a replica for a task. Where its load decides much, the best few are asked for
+	 * theirs first.
+	 */
+	private void choose(Task task, Set<ReplicaId> without, Consumer<Optional<Choice>> then) {
+		ReplicaPicker picker = this.gateway.decisions().picker();
+		if (!LoadProbe.worthAsking(task)) {
+			then.accept(picker.pick(Clock.millis(), usable(), without, task));
+			return;
+		}
+		List<Choice> best = picker.best(Clock.millis(), usable(), without, task, LoadProbe.CANDIDATES)
+			.stream()
+			.filter((choice) -> !choice.load().otherRegion())
+			.toList();
+		if (best.isEmpty()) {
+			then.accept(picker.pick(Clock.millis(), usable(), without, task));
 			return;
 		}
-		send(choice.get(), left);
+		List<Replica> candidates = best.stream().map(Choice::replica).toList();
+		this.gateway.probe().ask(candidates, (told) -> {
+			Set<ReplicaId> silent = candidates.stream().map(Replica::id).collect(Collectors.toSet());
+			told.forEach((replica) -> silent.remove(replica.id()));
+			List<Replica> left = usable().stream().filter((replica) -> !silent.contains(replica.id())).toList();
+			then.accept(picker.pick(Clock.millis(), left.isEmpty() ? usable() : left, without, task));
+		});
 	}
 
 	private void send(Choice choice, long left) {
@@ -129,7 +183,9 @@
 			this.gateway.decisions().picker().began(from.choice(), this.task, from.headAt() - from.startedAt(), true);
 		}
 		this.relay.head(this.gateway.codec().toCaller(headers));
-		answer.load().ifPresent((load) -> this.gateway.decisions().picker().report(from.choice().replica(), load));
+		answer.load()
+			.ifPresent(
+					(load) -> this.gateway.decisions().picker().report(Clock.millis(), from.choice().replica(), load));
 		this.gateway.decisions().picker().heard(Clock.millis(), from.choice().replica());
 		if (this.relay.begun() && !answer.success()) {
 			from.withdraw(new AttemptEnd.Broken("no answer to go on with"));
@@ -141,19 +197,28 @@
 
 	/**
 	 * Drops an answer that its model itself doubts, while the caller has none of it, and
-	 * asks a larger model.
+	 * asks a larger model. Until that is decided nothing of the answer goes on.
 	 */
 	private void doubt(Attempt from, ReplicaAnswer answer) {
-		if (this.cascade.drops(answer.confidence(), this::replicaFor, this.request.left(Clock.millis()))) {
-			this.tried.remove(from.choice().replica().id());
-			from.withdraw(new AttemptEnd.Dropped(answer.confidence().orElse(0)));
+		Optional<String> larger = this.cascade.larger(answer.confidence());
+		if (larger.isEmpty()) {
+			return;
 		}
-	}
-
-	private Optional<Choice> replicaFor(String larger) {
-		long now = Clock.millis();
-		List<Replica> usable = this.gateway.fleet().replicas(now, this.request.service(), this.request.releaseKey());
-		return this.gateway.decisions().picker().pick(now, usable, Set.of(), this.request.task(larger));
+		from.pause();
+		int confidence = answer.confidence().orElse(0);
+		choose(this.request.task(larger.get()), Set.of(), (choice) -> {
+			if (this.done || from.ended()) {
+				return;
+			}
+			if (this.cascade.drops(confidence, larger.get(), choice, this.request.left(Clock.millis()))) {
+				this.tried.remove(from.choice().replica().id());
+				this.chosen = choice;
+				from.withdraw(new AttemptEnd.Dropped(confidence));
+			}
+			else {
+				from.resume();
+			}
+		});
 	}
 
 	@Override
--- a/daemon/src/main/java/org/gullsaddle/gateway/Statuses.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Statuses.java
@@ -21,6 +21,10 @@
 
 	static final int TIMED_OUT = 504;
 
+	private static final int FIRST_SUCCESS = 200;
+
+	private static final int LAST_SUCCESS = 299;
+
 	private static final int REQUEST_TIMEOUT = 408;
 
 	static final int MISDIRECTED = 421;
@@ -30,6 +34,10 @@
 	private Statuses() {
 	}
 
+	static boolean success(int status) {
+		return status >= FIRST_SUCCESS && status <= LAST_SUCCESS;
+	}
+
 	/**
 	 * Says whether callers read a status as: not run, and never will be.
 	 */
--- a/measure/src/main/java/org/gullsaddle/measure/EngineFleet.java
+++ b/measure/src/main/java/org/gullsaddle/measure/EngineFleet.java
@@ -19,6 +19,7 @@
 import org.gullsaddle.fleet.ServiceName;
 import org.gullsaddle.serve.AttemptEnd;
 import org.gullsaddle.serve.Choice;
+import org.gullsaddle.serve.EngineReport;
 import org.gullsaddle.serve.Loss;
 import org.gullsaddle.serve.Place;
 import org.gullsaddle.serve.Prompt;
@@ -35,6 +36,9 @@
 
 	private static final int NODES = 4;
 
+	/** How many engines are asked for their load before one gets a long prompt. */
+	private static final int ASKED = 3;
+
 	/** How old a load report is, in milliseconds. */
 	private static final double REPORT_MILLIS = 100;
 
@@ -65,6 +69,10 @@
 
 	private final Histogram first = new Histogram(3_600_000, 3);
 
+	private final Map<ReplicaId, Told> told = new HashMap<>();
+
+	private int asked;
+
 	private int inTime;
 
 	private int promised;
@@ -74,17 +82,25 @@
 	private int arrived;
 
 	EngineFleet(Timeline time, Policy policy, int count, EngineShape shape, long seed) {
-		this(time, policy, Loss.ALL, count, shape, seed);
+		this(time, policy, NODES, count, shape, seed);
+	}
+
+	/**
+	 * Makes a fleet of engines behind some nodes.
+	 */
+	EngineFleet(Timeline time, Policy policy, int nodes, int count, EngineShape shape, long seed) {
+		this(time, policy, Loss.ALL, nodes, count, shape, seed);
 	}
 
 	/**
 	 * Makes a fleet whose nodes pick engines by some losses only.
 	 */
 	EngineFleet(Timeline time, List<Loss> losses, int count, EngineShape shape, long seed) {
-		this(time, Policy.GULLSADDLE, losses, count, shape, seed);
+		this(time, Policy.GULLSADDLE, losses, NODES, count, shape, seed);
 	}
 
-	private EngineFleet(Timeline time, Policy policy, List<Loss> losses, int count, EngineShape shape, long seed) {
+	private EngineFleet(Timeline time, Policy policy, List<Loss> losses, int nodes, int count, EngineShape shape,
+			long seed) {
 		this.time = time;
 		this.policy = policy;
 		this.shape = shape;
@@ -97,7 +113,7 @@
 			this.numbers.put(replica.id(), i);
 			this.reports.put(replica.id(), new LoadReport(0, 0, shape.slots()));
 		}
-		for (int i = 0; i < NODES; i++) {
+		for (int i = 0; i < nodes; i++) {
 			this.nodes.add(new ReplicaPicker(new Place(DATA_CENTER, Map.of(DATA_CENTER, "r")), losses));
 			this.outstanding.add(new int[count]);
 		}
@@ -112,26 +128,45 @@
 	 */
 	void arrive(Prompt prompt, ModelKind model, int output, double objective) {
 		this.arrived++;
-		int node = this.random.nextInt(NODES);
+		int node = this.random.nextInt(this.nodes.size());
 		Task task = new Task(model.name(), prompt, model.relativePace(), 2 * this.shape.memoryTokens(),
 				Math.round(objective));
+		if (this.policy == Policy.ASKING && task.pace() > 1) {
+			ask(this.nodes.get(node), task);
+		}
 		Choice choice = this.nodes.get(node)
 			.pick(Math.round(this.time.now()), this.replicas, Set.of(), task)
 			.orElseThrow();
 		Sent sent = new Sent(node, choice, task, this.time.now(), objective);
 		EngineJob job = new EngineJob(model.name(), model.pace(), prompt.parts(), output, sent);
 		sent.engine = engine(sent, job);
-		if (this.policy == Policy.GULLSADDLE) {
+		if (this.policy.picks()) {
 			this.nodes.get(node).sent(Math.round(this.time.now()), choice, task);
 		}
 		this.outstanding.get(node)[sent.engine]++;
 		this.engines.get(sent.engine).take(job);
 	}
 
+	/**
+	 * Has a node learn the load of the engines that it likes best.
+	 */
+	private void ask(ReplicaPicker picker, Task task) {
+		long now = Math.round(this.time.now());
+		for (Choice each : picker.best(now, this.replicas, Set.of(), task, ASKED)) {
+			Told told = this.told.get(each.replica().id());
+			if (told == null || now - told.at >= REPORT_MILLIS) {
+				told = new Told(now, this.engines.get(this.numbers.get(each.replica().id())).report());
+				this.told.put(each.replica().id(), told);
+			}
+			picker.report(now, each.replica(), told.report);
+			this.asked++;
+		}
+	}
+
 	private int engine(Sent sent, EngineJob job) {
 		int[] own = this.outstanding.get(sent.node);
 		return switch (this.policy) {
-			case GULLSADDLE -> this.numbers.get(sent.choice.replica().id());
+			case GULLSADDLE, ASKING -> this.numbers.get(sent.choice.replica().id());
 			case RANDOM -> this.random.nextInt(this.engines.size());
 			case LEAST_REQUESTS -> least((i) -> own[i]);
 			case ORACLE -> least((i) -> this.engines.get(i).expectedFirstMillis(job));
@@ -167,6 +202,13 @@
 		return (double) this.promised / this.arrived;
 	}
 
+	/**
+	 * Returns how many reports were asked for.
+	 */
+	int asked() {
+		return this.asked;
+	}
+
 	Histogram first() {
 		return this.first;
 	}
@@ -183,6 +225,9 @@
 		/** By the router's own picker. */
 		GULLSADDLE,
 
+		/** By the same, after a few engines were asked for their load. */
+		ASKING,
+
 		/** Any one. */
 		RANDOM,
 
@@ -190,8 +235,18 @@
 		LEAST_REQUESTS,
 
 		/** That which will give the first token soonest, by what it knows itself. */
-		ORACLE
+		ORACLE;
 
+		boolean picks() {
+			return this == GULLSADDLE || this == ASKING;
+		}
+
+	}
+
+	/**
+	 * What an engine told, and when.
+	 */
+	private record Told(long at, EngineReport report) {
 	}
 
 	/**
@@ -228,11 +283,12 @@
 				EngineFleet.this.promised++;
 				EngineFleet.this.promisedInTime += kept ? 1 : 0;
 			}
-			if (EngineFleet.this.policy == Policy.GULLSADDLE) {
+			if (EngineFleet.this.policy.picks()) {
 				ReplicaPicker picker = EngineFleet.this.nodes.get(this.node);
 				picker.promptRead(this.choice, this.task);
 				picker.began(this.choice, this.task, Math.round(now - this.arrivedAt), true);
-				picker.report(this.choice.replica(), EngineFleet.this.reports.get(this.choice.replica().id()));
+				picker.report(Math.round(now), this.choice.replica(),
+						EngineFleet.this.reports.get(this.choice.replica().id()));
 				int requests = EngineFleet.this.engines.get(this.engine).requests();
 				EngineFleet.this.time.at(now + REPORT_MILLIS, () -> EngineFleet.this.reports
 					.put(this.choice.replica().id(), new LoadReport(requests, 0, EngineFleet.this.shape.slots())));
@@ -242,7 +298,7 @@
 		@Override
 		public void ended() {
 			EngineFleet.this.outstanding.get(this.node)[this.engine]--;
-			if (EngineFleet.this.policy == Policy.GULLSADDLE) {
+			if (EngineFleet.this.policy.picks()) {
 				EngineFleet.this.nodes.get(this.node)
 					.ended(Math.round(EngineFleet.this.time.now()), this.choice, new AttemptEnd.Answered(OK));
 			}
--- a/measure/src/main/java/org/gullsaddle/measure/EngineModel.java
+++ b/measure/src/main/java/org/gullsaddle/measure/EngineModel.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import org.gullsaddle.serve.EngineReport;
 import org.gullsaddle.serve.KeptParts;
 
 /**
@@ -43,6 +44,15 @@
 		return this.jobs.size();
 	}
 
+	/**
+	 * Returns what it would say of itself if it were asked.
+	 */
+	EngineReport report() {
+		int running = Math.min(this.shape.slots(), this.jobs.size());
+		int reading = (int) this.jobs.stream().limit(running).filter((job) -> job.unread() > 0).count();
+		return new EngineReport(running, reading, this.jobs.size() - running);
+	}
+
 	/**
 	 * Returns how many prompt tokens it has read.
 	 */
--- a/measure/src/main/java/org/gullsaddle/measure/Measure.java
+++ b/measure/src/main/java/org/gullsaddle/measure/Measure.java
@@ -48,6 +48,7 @@
 		all.put("allowance", new AllowanceExperiment());
 		all.put("overload", new OverloadExperiment());
 		all.put("placement", new PlacementExperiment());
+		all.put("size", new SizeExperiment());
 		all.put("ablation", new AblationExperiment());
 		all.put("capacity", new CapacityExperiment());
 		return all;
--- a/measure/src/main/java/org/gullsaddle/measure/PlacementExperiment.java
+++ b/measure/src/main/java/org/gullsaddle/measure/PlacementExperiment.java
@@ -109,6 +109,14 @@
 		return play(time, fleet, rate, seed);
 	}
 
+	/**
+	 * Plays two minutes of requests by many nodes.
+	 */
+	static EngineFleet play(EngineFleet.Policy policy, int nodes, int engines, double rate, long seed) {
+		Timeline time = new Timeline();
+		return play(time, new EngineFleet(time, policy, nodes, engines, EngineShape.LARGE_MODELS, seed), rate, seed);
+	}
+
 	private static EngineFleet play(Timeline time, EngineFleet fleet, double rate, long seed) {
 		Random random = new Random(seed);
 		int[] shared = new int[SHARED_PARTS];
