Sizes of models come from the models there are; an engine that told its load a moment ago is not asked again

LARGE_PACE = 3 took each model that costs three times the cheapest for large, whatever the largest costs, and a service with one model kept an engine free of it for large ones that do not exist.

OthersLoad is used by the agents' router alone and moves there.

--- a/core/src/main/java/org/gullsaddle/route/AgentState.java
+++ b/core/src/main/java/org/gullsaddle/route/AgentState.java
@@ -7,7 +7,6 @@
 import org.gullsaddle.base.AttemptId;
 import org.gullsaddle.base.LoadReport;
 import org.gullsaddle.serve.Ejection;
-import org.gullsaddle.serve.OthersLoad;
 
 /**
  * What the router knows of one agent.
--- a/core/src/main/java/org/gullsaddle/serve/OthersLoad.java
+++ b/core/src/main/java/org/gullsaddle/route/OthersLoad.java
@@ -1,4 +1,4 @@
-package org.gullsaddle.serve;
+package org.gullsaddle.route;
 
 import org.gullsaddle.base.LoadReport;
 
@@ -10,7 +10,7 @@
  * only the part of the others is taken from reports, and smoothed, as its moves are old
  * news.
  */
-public final class OthersLoad {
+final class OthersLoad {
 
 	private static final double SMOOTHING = 0.2;
 
@@ -21,7 +21,7 @@
 	 * @param report what the server says
 	 * @param own how many requests this node has there
 	 */
-	public void report(LoadReport report, int own) {
+	void report(LoadReport report, int own) {
 		double notOurs = report.running() + report.waiting() - own;
 		this.requests += SMOOTHING * (notOurs - this.requests);
 	}
@@ -30,7 +30,7 @@
 	 * Returns how many requests of others are likely to be there.
 	 * @return the number, 0 or more
 	 */
-	public double requests() {
+	double requests() {
 		return Math.max(0, this.requests);
 	}
 
--- a/core/src/main/java/org/gullsaddle/serve/Homes.java
+++ b/core/src/main/java/org/gullsaddle/serve/Homes.java
@@ -22,9 +22,6 @@
  */
 final class Homes {
 
-	/** From this pace on a model counts as large. */
-	private static final double LARGE_PACE = 3;
-
 	/** The small models' part of the work before any is known. */
 	private static final double FIRST_SMALL = 0.17;
 
@@ -62,11 +59,11 @@
 	 * @param unreadTokens how much of its prompt must be read
 	 */
 	void sent(long now, Task task, int unreadTokens) {
-		if (task.plain()) {
+		if (task.scale() == ModelScale.ALIKE) {
 			return;
 		}
 		forget(now);
-		if (task.pace() >= LARGE_PACE) {
+		if (task.scale() == ModelScale.LARGE) {
 			this.large += unreadTokens * task.pace();
 		}
 		else {
@@ -79,7 +76,7 @@
 	 * nodes that see the same replicas and alike work come to the same.
 	 */
 	Set<ReplicaId> away(List<Replica> usable, Task task) {
-		if (task.plain()) {
+		if (task.scale() == ModelScale.ALIKE) {
 			return Set.of();
 		}
 		Map<String, List<Replica>> byRegion = usable.stream()
@@ -90,7 +87,7 @@
 			ordered.sort(Comparator.comparingDouble((replica) -> Spread.unit(replica.id().value())));
 			long homes = smallHomes(near.size());
 			for (int i = 0; i < ordered.size() && homes > 0; i++) {
-				if ((i < homes) == (task.pace() >= LARGE_PACE)) {
+				if ((i < homes) == (task.scale() == ModelScale.LARGE)) {
 					away.add(ordered.get(i).id());
 				}
 			}
--- a/core/src/main/java/org/gullsaddle/serve/ModelPace.java
+++ b/core/src/main/java/org/gullsaddle/serve/ModelPace.java
@@ -17,6 +17,12 @@
 	/** How many times slower than the smallest a model is taken for at most. */
 	private static final double MAX_PACE = 15;
 
+	/** Models that differ by less run in one batch without slowing each other much. */
+	private static final double ALIKE_PACE = 1.5;
+
+	/** From this part of the largest model's pace on a model counts as large. */
+	private static final double LARGE_PART = 1.0 / 3;
+
 	private ModelPace() {
 	}
 
@@ -35,4 +41,19 @@
 			.orElse(1.0);
 	}
 
+	/**
+	 * Returns how a model compares with the others.
+	 * @param model the model
+	 * @param models all models of its service
+	 * @return its scale
+	 */
+	public static ModelScale scale(String model, List<ModelSize> models) {
+		double largest = models.stream().mapToDouble((each) -> of(each.name(), models)).max().orElse(1);
+		if (largest < ALIKE_PACE) {
+			return ModelScale.ALIKE;
+		}
+		double pace = of(model, models);
+		return (pace > 1 && pace >= LARGE_PART * largest) ? ModelScale.LARGE : ModelScale.SMALL;
+	}
+
 }
--- a/core/src/main/java/org/gullsaddle/serve/ReplicaPicker.java
+++ b/core/src/main/java/org/gullsaddle/serve/ReplicaPicker.java
@@ -253,6 +253,17 @@
 		state(replica).report(now, report);
 	}
 
+	/**
+	 * Says whether a replica told its load lately, by itself or in an answer.
+	 * @param now the time in milliseconds
+	 * @param replica the replica
+	 * @param millis how long ago at most, in milliseconds
+	 * @return true if it did
+	 */
+	public boolean toldWithin(long now, Replica replica, long millis) {
+		return state(replica).others().age(now) <= millis;
+	}
+
 	/**
 	 * Notes that a replica could not be reached, though no request was sent to it.
 	 * @param now the time in milliseconds
--- a/core/src/main/java/org/gullsaddle/serve/ReportedLoad.java
+++ b/core/src/main/java/org/gullsaddle/serve/ReportedLoad.java
@@ -27,6 +27,14 @@
 		this.at = now;
 	}
 
+	/**
+	 * Returns how old the report is, in milliseconds, or the longest time if there is
+	 * none.
+	 */
+	long age(long now) {
+		return (this.at != Long.MIN_VALUE) ? now - this.at : Long.MAX_VALUE;
+	}
+
 	/**
 	 * Says how much the report still tells, from 1 for a new one to 0.
 	 */
--- a/core/src/main/java/org/gullsaddle/serve/Task.java
+++ b/core/src/main/java/org/gullsaddle/serve/Task.java
@@ -6,10 +6,11 @@
  * @param model the model that is to run, empty for a plain service
  * @param prompt the prompt, {@link Prompt#NONE} for a plain service
  * @param pace how many times longer the model takes over a token than the smallest
+ * @param scale how the model compares with the others of its service
  * @param cacheTokens how many tokens the engine's memory holds
  * @param objectiveMillis how soon its answer is to begin, in milliseconds
  */
-public record Task(String model, Prompt prompt, double pace, long cacheTokens, long objectiveMillis) {
+public record Task(String model, Prompt prompt, double pace, ModelScale scale, long cacheTokens, long objectiveMillis) {
 
 	/**
 	 * Makes a call to a plain service.
@@ -17,7 +18,7 @@
 	 * @return the task
 	 */
 	public static Task call(long objectiveMillis) {
-		return new Task("", Prompt.NONE, 1, 0, objectiveMillis);
+		return new Task("", Prompt.NONE, 1, ModelScale.ALIKE, 0, objectiveMillis);
 	}
 
 	boolean plain() {
--- a/core/src/test/java/org/gullsaddle/serve/DelayEstimatorTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/DelayEstimatorTests.java
@@ -29,7 +29,8 @@
 	private final Random random = new Random(1);
 
 	private static Task task(String model, double pace) {
-		return new Task(model, new Prompt(1000, 100, OptionalInt.empty(), List.of()), pace, 100_000, OBJECTIVE);
+		return new Task(model, new Prompt(1000, 100, OptionalInt.empty(), List.of()), pace, ModelScale.LARGE, 100_000,
+				OBJECTIVE);
 	}
 
 	private static Replica replica(String release) {
--- a/core/src/test/java/org/gullsaddle/serve/HomesTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/HomesTests.java
@@ -17,15 +17,15 @@
 
 class HomesTests {
 
-	private static final Task SMALL = task("small", 1);
+	private static final Task SMALL = task("small", 1, ModelScale.SMALL);
 
-	private static final Task LARGE = task("large", 15);
+	private static final Task LARGE = task("large", 15, ModelScale.LARGE);
 
 	private final Homes homes = new Homes(new Place("a", Map.of("a", "north", "b", "north", "c", "south")));
 
-	private static Task task(String model, double pace) {
+	private static Task task(String model, double pace, ModelScale scale) {
 		Prompt prompt = new Prompt(1000, 10, OptionalInt.empty(), List.of(new PromptPart("p", 1000)));
-		return new Task(model, prompt, pace, 100_000, 4000);
+		return new Task(model, prompt, pace, scale, 100_000, 4000);
 	}
 
 	private static List<Replica> replicas(int count) {
@@ -46,6 +46,14 @@
 		return replicas - this.homes.away(replicas(replicas), SMALL).size();
 	}
 
+	/** Guards against an engine that stays idle where there is only one model. */
+	@Test
+	void modelThatIsAloneIsAtHomeEverywhere() {
+		Task only = task("only", 1, ModelScale.ALIKE);
+		this.homes.sent(0, only, 8000);
+		assertThat(this.homes.away(replicas(4), only)).isEmpty();
+	}
+
 	@Nested
 	class BeforeAnyWork {
 
--- a/core/src/test/java/org/gullsaddle/serve/LossTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/LossTests.java
@@ -36,8 +36,8 @@
 		return new Candidate(
 				new Replica(new ReplicaId(replica), new ServiceName("engines"), new Address("10.0.0.1", 80), "a", "v1",
 						8, false, 1),
-				new Task("large", prompt, 15, 100_000, OBJECTIVE), this.load, this.delay, this.readMillis, this.reach,
-				this.failureShare, this.atHome, this.meanRequests);
+				new Task("large", prompt, 15, ModelScale.LARGE, 100_000, OBJECTIVE), this.load, this.delay,
+				this.readMillis, this.reach, this.failureShare, this.atHome, this.meanRequests);
 	}
 
 	private double loss(Loss loss) {
--- a/core/src/test/java/org/gullsaddle/serve/ReplicaPickerTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/ReplicaPickerTests.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 
 import org.gullsaddle.base.Address;
+import org.gullsaddle.base.LoadReport;
 import org.gullsaddle.fleet.Replica;
 import org.gullsaddle.fleet.ReplicaId;
 import org.gullsaddle.fleet.ServiceName;
@@ -40,7 +41,8 @@
 
 	private static Task task(String model, double pace, String part) {
 		List<PromptPart> parts = List.of(new PromptPart(part, 12_000), new PromptPart(part + "-own", 500));
-		return new Task(model, new Prompt(12_500, 100, OptionalInt.empty(), parts), pace, CACHE, 4000);
+		return new Task(model, new Prompt(12_500, 100, OptionalInt.empty(), parts), pace,
+				(pace > 1) ? ModelScale.LARGE : ModelScale.SMALL, CACHE, 4000);
 	}
 
 	private Choice send(Task task) {
@@ -159,6 +161,15 @@
 			assertThat(pick(this.task).replica()).isEqualTo(free);
 		}
 
+		@Test
+		void loadThatAnAnswerToldCountsAsToldLately() {
+			Replica replica = ReplicaPickerTests.this.replicas.get(0);
+			assertThat(ReplicaPickerTests.this.picker.toldWithin(0, replica, 500)).isFalse();
+			ReplicaPickerTests.this.picker.report(1000, replica, new LoadReport(3, 0, 64));
+			assertThat(ReplicaPickerTests.this.picker.toldWithin(1500, replica, 500)).isTrue();
+			assertThat(ReplicaPickerTests.this.picker.toldWithin(1501, replica, 500)).isFalse();
+		}
+
 		@Test
 		void replicaThatDidNotAnswerIsLeftOutForAWhile() {
 			Choice first = pick(this.task);
--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -321,7 +321,6 @@
 	private void tidy() {
 		this.pool.tidy(this.fleet.directory().known());
 		this.decisions.picker().retain(this.fleet.directory().known());
-		this.probe.retain(this.fleet.directory().known());
 	}
 
 	boolean stopping() {
--- a/daemon/src/main/java/org/gullsaddle/gateway/LoadProbe.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/LoadProbe.java
@@ -1,11 +1,8 @@
 package org.gullsaddle.gateway;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Consumer;
 
 import io.vertx.core.Future;
@@ -18,7 +15,6 @@
 import io.vertx.core.http.RequestOptions;
 
 import org.gullsaddle.fleet.Replica;
-import org.gullsaddle.fleet.ReplicaId;
 import org.gullsaddle.serve.EngineReport;
 import org.gullsaddle.serve.ReplicaPicker;
 import org.gullsaddle.serve.Task;
@@ -39,8 +35,11 @@
 	/** How long engines may take to tell, in milliseconds. */
 	private static final long WAIT_MILLIS = 60;
 
-	/** How long a report is as good as a new one, in milliseconds. */
-	private static final long FRESH_MILLIS = 40;
+	/**
+	 * How old what an engine told may be, in its answers too, for it not to be asked, in
+	 * milliseconds: its reports tell of a moment that is as long ago.
+	 */
+	private static final long FRESH_MILLIS = 100;
 
 	private final Vertx vertx;
 
@@ -52,8 +51,6 @@
 
 	private final DecisionLog log;
 
-	private final Map<ReplicaId, Long> toldAt = new HashMap<>();
-
 	private int asked;
 
 	private int failed;
@@ -82,7 +79,8 @@
 	void ask(List<Replica> replicas, Consumer<List<Replica>> then) {
 		List<Future<Boolean>> answers = new ArrayList<>();
 		for (Replica replica : replicas) {
-			answers.add(fresh(replica) ? Future.succeededFuture(true) : ask(replica));
+			boolean fresh = this.picker.toldWithin(Clock.millis(), replica, FRESH_MILLIS);
+			answers.add(fresh ? Future.succeededFuture(true) : ask(replica));
 		}
 		Future.join(answers).onComplete((all) -> {
 			List<Replica> told = new ArrayList<>();
@@ -109,19 +107,6 @@
 		return this.failed;
 	}
 
-	/**
-	 * Forgets replicas that are gone.
-	 * @param known those to remember
-	 */
-	void retain(Set<ReplicaId> known) {
-		this.toldAt.keySet().retainAll(known);
-	}
-
-	private boolean fresh(Replica replica) {
-		Long at = this.toldAt.get(replica.id());
-		return at != null && Clock.millis() - at <= FRESH_MILLIS;
-	}
-
 	private Future<Boolean> ask(Replica replica) {
 		this.asked++;
 		Promise<EngineReport> answer = Promise.promise();
@@ -144,9 +129,7 @@
 	}
 
 	private boolean told(Replica replica, EngineReport report) {
-		long now = Clock.millis();
-		this.toldAt.put(replica.id(), now);
-		this.picker.report(now, replica, report);
+		this.picker.report(Clock.millis(), replica, report);
 		return true;
 	}
 
--- a/daemon/src/main/java/org/gullsaddle/gateway/ServedRequest.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/ServedRequest.java
@@ -134,7 +134,7 @@
 	Task task(String model) {
 		return engine()
 			.map((engine) -> new Task(model, this.caller.prompt(), ModelPace.of(model, engine.models()),
-					engine.cacheTokens(), this.route.targetMillis()))
+					ModelPace.scale(model, engine.models()), engine.cacheTokens(), this.route.targetMillis()))
 			.orElseGet(() -> Task.call(this.route.targetMillis()));
 	}
 
--- a/measure/src/main/java/org/gullsaddle/measure/EngineFleet.java
+++ b/measure/src/main/java/org/gullsaddle/measure/EngineFleet.java
@@ -21,6 +21,7 @@
 import org.gullsaddle.serve.Choice;
 import org.gullsaddle.serve.EngineReport;
 import org.gullsaddle.serve.Loss;
+import org.gullsaddle.serve.ModelScale;
 import org.gullsaddle.serve.Place;
 import org.gullsaddle.serve.Prompt;
 import org.gullsaddle.serve.ReplicaPicker;
@@ -129,7 +130,8 @@
 	void arrive(Prompt prompt, ModelKind model, int output, double objective) {
 		this.arrived++;
 		int node = this.random.nextInt(this.nodes.size());
-		Task task = new Task(model.name(), prompt, model.relativePace(), 2 * this.shape.memoryTokens(),
+		Task task = new Task(model.name(), prompt, model.relativePace(),
+				(model.relativePace() > 1) ? ModelScale.LARGE : ModelScale.SMALL, 2 * this.shape.memoryTokens(),
 				Math.round(objective));
 		if (this.policy == Policy.ASKING && task.pace() > 1) {
 			ask(this.nodes.get(node), task);
