Engines are asked only where answers tell too little; news is asked for each second after everything was read anew

So an engine is asked only if it told nothing for one and a half seconds, which is how long a count is taken to hold. Behind 33 nodes an answer comes every ten seconds.

Nodes ask each second for five seconds after they read everything.

--- a/daemon/src/main/java/org/gullsaddle/gateway/FleetFeed.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/FleetFeed.java
@@ -25,10 +25,14 @@
 	private static final long WAIT_MILLIS = 2500;
 
 	/**
-	 * How soon after a call for changes the next one begins while a roll-out is under
-	 * way, in milliseconds: nodes tell each other through the store then.
+	 * How soon after a call for changes the next one begins while much changes, in
+	 * milliseconds: during a roll-out, when nodes tell each other through the store, and
+	 * after everything was read anew, when replicas come back one after another.
 	 */
-	private static final long ROLLOUT_EVERY_MILLIS = 1000;
+	private static final long BUSY_EVERY_MILLIS = 1000;
+
+	/** How long after a reading of everything that holds, in milliseconds. */
+	private static final long SETTLE_MILLIS = 5000;
 
 	/**
 	 * The part of the time in which news must be in force after which nodes ask for it.
@@ -59,6 +63,8 @@
 
 	private long revision = -1;
 
+	private long readAllAt = Long.MIN_VALUE;
+
 	private long askedAt;
 
 	private int failures;
@@ -76,7 +82,7 @@
 		this.state = state;
 		this.log = log;
 		this.listener = listener;
-		this.everyMillis = Math.max(ROLLOUT_EVERY_MILLIS, Math.round(NEWS_PART * newsMillis));
+		this.everyMillis = Math.max(BUSY_EVERY_MILLIS, Math.round(NEWS_PART * newsMillis));
 	}
 
 	void start() {
@@ -97,7 +103,7 @@
 		call.subscribe((news) -> took(news, whole), this::failed);
 	}
 
-	private void took(FleetSource.News news, boolean whole) {
+	void took(FleetSource.News news, boolean whole) {
 		long now = Clock.millis();
 		if (this.failures >= FAILURES_TO_BE_AWAY) {
 			this.log.regained("store", now);
@@ -106,6 +112,7 @@
 		this.state.directory().storeAway(now, false);
 		this.state.heard(now);
 		if (whole) {
+			this.readAllAt = now;
 			this.state.directory().retain(now, listed(news.changes()));
 		}
 		for (FleetChange change : news.changes()) {
@@ -115,7 +122,7 @@
 			this.listener.accept(change);
 		}
 		this.revision = news.revision();
-		long pause = whole ? 0 : pause(this.askedAt, now, everyMillis());
+		long pause = whole ? 0 : pause(this.askedAt, now, everyMillis(now));
 		if (pause == 0) {
 			next();
 			return;
@@ -124,10 +131,11 @@
 	}
 
 	/**
-	 * Returns how far calls for changes are apart now, in milliseconds.
+	 * Returns how far calls for changes are apart at a time, in milliseconds.
 	 */
-	long everyMillis() {
-		return this.state.rolloutUnderWay() ? ROLLOUT_EVERY_MILLIS : this.everyMillis;
+	long everyMillis(long now) {
+		boolean settling = this.readAllAt != Long.MIN_VALUE && now - this.readAllAt < SETTLE_MILLIS;
+		return (settling || this.state.rolloutUnderWay()) ? BUSY_EVERY_MILLIS : this.everyMillis;
 	}
 
 	/**
--- a/daemon/src/main/java/org/gullsaddle/gateway/LoadProbe.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/LoadProbe.java
@@ -37,9 +37,10 @@
 
 	/**
 	 * How old what an engine told may be, in its answers too, for it not to be asked, in
-	 * milliseconds: its reports tell of a moment that is as long ago.
+	 * milliseconds: about as long as a queue stays as it is. Each question is paid for,
+	 * and a node that sees many answers of each engine knows enough.
 	 */
-	private static final long FRESH_MILLIS = 100;
+	private static final long FRESH_MILLIS = 1500;
 
 	private final Vertx vertx;
 
--- a/daemon/src/test/java/org/gullsaddle/gateway/FleetFeedTests.java
+++ b/daemon/src/test/java/org/gullsaddle/gateway/FleetFeedTests.java
@@ -1,5 +1,8 @@
 package org.gullsaddle.gateway;
 
+import java.util.List;
+
+import io.reactivex.rxjava3.core.Single;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -24,6 +27,20 @@
 
 		private static final FleetChange ORDERED = new FleetChange.Ordered(new RolloutOrder(SERVICE, "v2", 20_000), 1);
 
+		private static final FleetSource STORE_THAT_NEVER_ANSWERS = new FleetSource() {
+
+			@Override
+			public Single<News> readAll() {
+				return Single.never();
+			}
+
+			@Override
+			public Single<News> changes(long after, long waitMillis) {
+				return Single.never();
+			}
+
+		};
+
 		private final FleetState state = new FleetState();
 
 		@Test
@@ -34,9 +51,9 @@
 		/** Guards against paying for news twice as often as it must be known. */
 		@Test
 		void intervalIsAPartOfTheTimeInWhichNewsMustBeInForce() {
-			assertThat(feed(5000).everyMillis()).isEqualTo(2000);
-			assertThat(feed(3000).everyMillis()).isEqualTo(1200);
-			assertThat(feed(1000).everyMillis()).isEqualTo(1000);
+			assertThat(feed(5000).everyMillis(0)).isEqualTo(2000);
+			assertThat(feed(3000).everyMillis(0)).isEqualTo(1200);
+			assertThat(feed(1000).everyMillis(0)).isEqualTo(1000);
 		}
 
 		/** Guards against roll-out notes of other nodes that come too late to act on. */
@@ -44,15 +61,28 @@
 		void newsIsAskedForEverySecondWhileARolloutIsUnderWay() {
 			FleetFeed feed = feed(5000);
 			this.state.apply(0, ORDERED);
-			assertThat(feed.everyMillis()).isEqualTo(1000);
+			assertThat(feed.everyMillis(0)).isEqualTo(1000);
 			this.state.apply(0, new FleetChange.Progressed(SERVICE, "v2", RolloutState.RUNNING, 2));
-			assertThat(feed.everyMillis()).isEqualTo(1000);
+			assertThat(feed.everyMillis(0)).isEqualTo(1000);
 			this.state.apply(0, new FleetChange.Progressed(SERVICE, "v2", RolloutState.COMPLETED, 3));
-			assertThat(feed.everyMillis()).isEqualTo(2000);
+			assertThat(feed.everyMillis(0)).isEqualTo(2000);
+		}
+
+		/**
+		 * Guards against replicas that come back after an outage and are known seconds
+		 * later.
+		 */
+		@Test
+		void newsIsAskedForEverySecondAfterEverythingWasReadAnew() {
+			FleetFeed feed = feed(5000);
+			feed.took(new FleetSource.News(List.of(), 7), true);
+			long now = Clock.millis();
+			assertThat(feed.everyMillis(now)).isEqualTo(1000);
+			assertThat(feed.everyMillis(now + 5000)).isEqualTo(2000);
 		}
 
 		private FleetFeed feed(long newsMillis) {
-			return new FleetFeed(null, null, this.state, new DecisionLog(), (change) -> {
+			return new FleetFeed(null, STORE_THAT_NEVER_ANSWERS, this.state, new DecisionLog(), (change) -> {
 			}, newsMillis);
 		}
 
--- a/measure/src/main/java/org/gullsaddle/measure/EngineFleet.java
+++ b/measure/src/main/java/org/gullsaddle/measure/EngineFleet.java
@@ -74,6 +74,8 @@
 
 	private int asked;
 
+	private int largePrompts;
+
 	private int inTime;
 
 	private int promised;
@@ -134,6 +136,7 @@
 				(model.relativePace() > 1) ? ModelScale.LARGE : ModelScale.SMALL, 2 * this.shape.memoryTokens(),
 				Math.round(objective));
 		if (this.policy == Policy.ASKING && task.pace() > 1) {
+			this.largePrompts++;
 			ask(this.nodes.get(node), task);
 		}
 		Choice choice = this.nodes.get(node)
@@ -211,6 +214,13 @@
 		return this.asked;
 	}
 
+	/**
+	 * Returns for how many prompts engines were asked.
+	 */
+	int largePrompts() {
+		return this.largePrompts;
+	}
+
 	Histogram first() {
 		return this.first;
 	}
