--- a/core/src/main/java/org/gullsaddle/serve/Delay.java
+++ b/core/src/main/java/org/gullsaddle/serve/Delay.java
@@ -8,17 +8,13 @@
  */
 public record Delay(double expectedMillis, double deviationMillis) {
 
-	/** Makes a logistic curve follow the normal distribution within one percent. */
-	private static final double LOGISTIC_SLOPE = 1.702;
-
 	/**
 	 * Returns the chance that it comes in time.
 	 * @param millis the time that it has, in milliseconds
 	 * @return 0 to 1
 	 */
 	public double chanceWithin(double millis) {
-		double deviations = (millis - this.expectedMillis) / Math.max(1, this.deviationMillis);
-		return 1 / (1 + Math.exp(-LOGISTIC_SLOPE * deviations));
+		return NormalCurve.below(millis, this.expectedMillis, Math.max(1, this.deviationMillis));
 	}
 
 }
--- a/core/src/main/java/org/gullsaddle/serve/ModelChooser.java
+++ b/core/src/main/java/org/gullsaddle/serve/ModelChooser.java
@@ -63,9 +63,6 @@
 	/** How far a model's opinion of its answer is off, as a standard deviation. */
 	private static final double OPINION_NOISE = 10;
 
-	/** Makes a logistic curve follow the normal distribution within one percent. */
-	private static final double LOGISTIC_SLOPE = 1.702;
-
 	/**
 	 * Where a node begins that knows nothing of the load, as after a restart, when many
 	 * callers come back at once.
@@ -142,7 +139,7 @@
 	}
 
 	private static double chanceGood(int confidence) {
-		return 1 / (1 + Math.exp(-LOGISTIC_SLOPE * (confidence - EVEN) / OPINION_NOISE));
+		return NormalCurve.below(confidence, EVEN, OPINION_NOISE);
 	}
 
 	/**
--- /dev/null
+++ b/core/src/main/java/org/gullsaddle/serve/NormalCurve.java
@@ -0,0 +1,24 @@
+package org.gullsaddle.serve;
+
+/**
+ * The normal distribution, by a logistic curve that follows it within one percent.
+ */
+final class NormalCurve {
+
+	private static final double LOGISTIC_SLOPE = 1.702;
+
+	private NormalCurve() {
+	}
+
+	/**
+	 * Returns the chance that a normally distributed value lies below a limit.
+	 * @param limit the limit
+	 * @param mean the value's mean
+	 * @param deviation its standard deviation, more than 0
+	 * @return 0 to 1
+	 */
+	static double below(double limit, double mean, double deviation) {
+		return 1 / (1 + Math.exp(-LOGISTIC_SLOPE * (limit - mean) / deviation));
+	}
+
+}
--- a/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
@@ -1,12 +1,9 @@
 package org.gullsaddle.gateway;
 
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
-import java.util.function.Consumer;
-import java.util.stream.Collectors;
 
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
@@ -15,14 +12,12 @@
 
 import org.gullsaddle.base.TeamId;
 import org.gullsaddle.base.Verdict;
-import org.gullsaddle.fleet.Replica;
 import org.gullsaddle.fleet.ReplicaId;
 import org.gullsaddle.fleet.Route;
 import org.gullsaddle.fleet.RouteKind;
 import org.gullsaddle.fleet.ServiceName;
 import org.gullsaddle.serve.AttemptEnd;
 import org.gullsaddle.serve.Choice;
-import org.gullsaddle.serve.ReplicaPicker;
 import org.gullsaddle.serve.RetryRule;
 import org.gullsaddle.serve.Task;
 
@@ -37,6 +32,8 @@
 
 	private final RetryRule rule;
 
+	private final ReplicaChooser replicas;
+
 	private final Set<ReplicaId> tried = new HashSet<>();
 
 	private final AnswerRelay relay;
@@ -64,6 +61,7 @@
 		this.gateway = gateway;
 		this.request = request;
 		this.rule = new RetryRule(request.route());
+		this.replicas = new ReplicaChooser(gateway, request);
 		this.cascade = new Cascade(gateway.decisions(), gateway.log(), request.route(), this.rule, request.caller());
 		this.relay = new AnswerRelay(request.http(), gateway);
 	}
@@ -105,7 +103,7 @@
 			send(choice, left);
 			return;
 		}
-		choose(this.request.task(model()), this.tried, this::sendTo);
+		this.replicas.choose(this.request.task(model()), this.tried, this::sendTo);
 	}
 
 	/**
@@ -120,44 +118,13 @@
 			refuse("no time left");
 		}
 		else if (choice.isEmpty()) {
-			refuse(usable().isEmpty() ? "no replica" : "no replica left");
+			refuse(this.replicas.usable().isEmpty() ? "no replica" : "no replica left");
 		}
 		else {
 			send(choice.get(), left);
 		}
 	}
 
-	private List<Replica> usable() {
-		return this.gateway.fleet().replicas(Clock.millis(), this.request.service(), this.request.releaseKey());
-	}
-
-	/**
-	 * Picks a replica for a task. Where its load decides much, the best few are asked for
-	 * theirs first.
-	 */
-	private void choose(Task task, Set<ReplicaId> without, Consumer<Optional<Choice>> then) {
-		ReplicaPicker picker = this.gateway.decisions().picker();
-		if (!LoadProbe.worthAsking(task)) {
-			then.accept(picker.pick(Clock.millis(), usable(), without, task));
-			return;
-		}
-		List<Choice> best = picker.best(Clock.millis(), usable(), without, task, LoadProbe.CANDIDATES)
-			.stream()
-			.filter((choice) -> !choice.load().otherRegion())
-			.toList();
-		if (best.isEmpty()) {
-			then.accept(picker.pick(Clock.millis(), usable(), without, task));
-			return;
-		}
-		List<Replica> candidates = best.stream().map(Choice::replica).toList();
-		this.gateway.probe().ask(candidates, (told) -> {
-			Set<ReplicaId> silent = candidates.stream().map(Replica::id).collect(Collectors.toSet());
-			told.forEach((replica) -> silent.remove(replica.id()));
-			List<Replica> left = usable().stream().filter((replica) -> !silent.contains(replica.id())).toList();
-			then.accept(picker.pick(Clock.millis(), left.isEmpty() ? usable() : left, without, task));
-		});
-	}
-
 	private void send(Choice choice, long left) {
 		this.attempts++;
 		this.tried.add(choice.replica().id());
@@ -206,7 +173,7 @@
 		}
 		from.pause();
 		int confidence = answer.confidence().orElse(0);
-		choose(this.request.task(larger.get()), Set.of(), (choice) -> {
+		this.replicas.choose(this.request.task(larger.get()), Set.of(), (choice) -> {
 			if (this.done || from.ended()) {
 				return;
 			}
@@ -277,10 +244,7 @@
 		if (!held || !this.rule.mayTryAgain(this.request.left(now)) || this.gateway.crashes().refusedFor(this) > 0) {
 			return false;
 		}
-		boolean another = this.gateway.fleet()
-			.replicas(now, this.request.service(), this.request.releaseKey())
-			.stream()
-			.anyMatch((replica) -> !this.tried.contains(replica.id()));
+		boolean another = this.replicas.usable().stream().anyMatch((replica) -> !this.tried.contains(replica.id()));
 		if (!another || !this.gateway.decisions().spendRetry()) {
 			return false;
 		}
