One reading of a model's confidence, one way to write a plot, one task an attempt

The chance that an answer of some confidence is good stood in ModelChooser and, with the curve itself, in LossTable: Confidence.chanceGood serves both. Two experiments wrapped and announced their plot alike: Plot.write does. Serving made an attempt's task twice, each by several passes over the service's models. ReplicaPicker handed two values derived from one record down beside it.

./run-tests passed.

--- a/cli/src/main/java/org/gullsaddle/cli/LossTable.java
+++ b/cli/src/main/java/org/gullsaddle/cli/LossTable.java
@@ -13,6 +13,8 @@
 
 import io.vertx.core.json.JsonObject;
 
+import org.gullsaddle.serve.Confidence;
+
 /**
  * Counts what requests lost, from the lines that nodes log at the end of each attempt and
  * each request.
@@ -25,14 +27,6 @@
 	/** How many requests whose end has not been read yet are remembered. */
 	private static final int MAX_OPEN = 100_000;
 
-	/** An answer of this confidence is as likely good as too hard for its model. */
-	private static final double EVEN = 50;
-
-	/** How far a model's opinion of its answer is off, as a standard deviation. */
-	private static final double NOISE = 10;
-
-	private static final double LOGISTIC_SLOPE = 1.702;
-
 	private static final double PERCENT = 100;
 
 	private static final long MILLIS = 1000;
@@ -127,7 +121,7 @@
 		}
 
 		double chanceTooHard() {
-			return (this.confidence < 0) ? 0 : 1 / (1 + Math.exp(LOGISTIC_SLOPE * (this.confidence - EVEN) / NOISE));
+			return (this.confidence < 0) ? 0 : 1 - Confidence.chanceGood(this.confidence);
 		}
 
 	}
--- a/core/src/main/java/org/gullsaddle/serve/ModelChooser.java
+++ b/core/src/main/java/org/gullsaddle/serve/ModelChooser.java
@@ -57,12 +57,6 @@
 	 */
 	private static final double GAIN = 0.25;
 
-	/** An answer of this confidence is as likely good as too hard for its model. */
-	private static final double EVEN = 50;
-
-	/** How far a model's opinion of its answer is off, as a standard deviation. */
-	private static final double OPINION_NOISE = 10;
-
 	/**
 	 * Where a node begins that knows nothing of the load, as after a restart, when many
 	 * callers come back at once.
@@ -135,11 +129,7 @@
 	 */
 	public boolean worthAsking(Route route, int confidence, Delay delay, long leftMillis) {
 		double inTime = delay.chanceWithin(Math.min(route.targetMillis(), leftMillis));
-		return inTime >= Math.max(this.likely, Math.min(MOST_LIKELY, chanceGood(confidence) + GAIN));
-	}
-
-	private static double chanceGood(int confidence) {
-		return NormalCurve.below(confidence, EVEN, OPINION_NOISE);
+		return inTime >= Math.max(this.likely, Math.min(MOST_LIKELY, Confidence.chanceGood(confidence) + GAIN));
 	}
 
 	/**
--- a/core/src/main/java/org/gullsaddle/serve/ReplicaPicker.java
+++ b/core/src/main/java/org/gullsaddle/serve/ReplicaPicker.java
@@ -103,14 +103,13 @@
 			.mapToDouble((state) -> state.requests(now, others.at(state).requests()))
 			.average()
 			.orElse(0);
-		return (sound.isEmpty() ? able : sound).stream().map((state) -> {
-			boolean atHome = !away.contains(state.replica().id());
-			return candidate(now, state, task, others.at(state), atHome, meanRequests);
-		}).map(this::choice);
+		return (sound.isEmpty() ? able : sound).stream()
+			.map((state) -> candidate(now, state, task, others, meanRequests))
+			.map(this::choice);
 	}
 
-	private Candidate candidate(long now, ReplicaState state, Task task, Usual usual, boolean atHome,
-			double meanRequests) {
+	private Candidate candidate(long now, ReplicaState state, Task task, Others others, double meanRequests) {
+		Usual usual = others.at(state);
 		Replica replica = state.replica();
 		Reach reach = this.here.reach(replica.dataCenter());
 		double requests = state.requests(now, usual.requests());
@@ -119,7 +118,7 @@
 		EngineLoad load = new EngineLoad(unread(state, task), before, requests, reach == Reach.FAR);
 		DelayModel delays = this.delays.of(replica, task);
 		return new Candidate(replica, task, load, delays.first(load), delays.readMillis(load.unreadTokens()), reach,
-				state.failureShare(), atHome, meanRequests);
+				state.failureShare(), others.home(state), meanRequests);
 	}
 
 	/**
@@ -319,8 +318,12 @@
 			return new Others(away, Usual.of(now, parts.get(false)), Usual.of(now, parts.get(true)));
 		}
 
+		boolean home(ReplicaState state) {
+			return !this.away.contains(state.replica().id());
+		}
+
 		Usual at(ReplicaState state) {
-			return this.away.contains(state.replica().id()) ? this.elsewhere : this.atHome;
+			return home(state) ? this.atHome : this.elsewhere;
 		}
 
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
@@ -42,6 +42,7 @@
 
 	private final Cascade cascade;
 
+	/** What the attempt under way, or the next one, is to do. */
 	private Task task;
 
 	private final StreamClock clock = new StreamClock();
@@ -97,13 +98,14 @@
 			refuse("no time left");
 			return;
 		}
+		this.task = this.request.task(model());
 		if (this.chosen.isPresent()) {
 			Choice choice = this.chosen.get();
 			this.chosen = Optional.empty();
 			send(choice, left);
 			return;
 		}
-		this.replicas.choose(this.request.task(model()), this.tried, this::sendTo);
+		this.replicas.choose(this.task, this.tried, this::sendTo);
 	}
 
 	/**
@@ -130,7 +132,6 @@
 		this.tried.add(choice.replica().id());
 		this.promptRead = false;
 		this.clock.begin(Clock.millis());
-		this.task = this.request.task(model());
 		this.gateway.decisions().picker().sent(Clock.millis(), choice, this.task);
 		Optional<String> lastEvent = this.relay.lastEvent().or(this.request.caller()::lastEvent);
 		OptionalInt urgency = this.request.engine().isPresent()
--- a/measure/src/main/java/org/gullsaddle/measure/PlacementExperiment.java
+++ b/measure/src/main/java/org/gullsaddle/measure/PlacementExperiment.java
@@ -1,7 +1,5 @@
 package org.gullsaddle.measure;
 
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.EnumMap;
@@ -76,13 +74,7 @@
 				1.2);
 		report.atLeast("placement", "in time against an oracle", ours / judged.get(EngineFleet.Policy.ORACLE), "ratio",
 				0.95);
-		try {
-			plot.write(PLOT);
-		}
-		catch (IOException ex) {
-			throw new UncheckedIOException(ex);
-		}
-		System.out.println("placement: plot in " + PLOT);
+		plot.write("placement", PLOT);
 	}
 
 	/**
--- a/measure/src/main/java/org/gullsaddle/measure/Plot.java
+++ b/measure/src/main/java/org/gullsaddle/measure/Plot.java
@@ -1,7 +1,7 @@
 package org.gullsaddle.measure;
 
-import java.io.File;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 
@@ -43,13 +43,18 @@
 	}
 
 	/**
-	 * Writes the image.
-	 * @throws IOException if it cannot be written
+	 * Writes the image of an experiment, and says where it is.
+	 * @throws UncheckedIOException if it cannot be written
 	 */
-	void write(Path path) throws IOException {
-		Files.createDirectories(path.toAbsolutePath().getParent());
-		File file = path.toFile();
-		ChartUtils.saveChartAsPNG(file, this.chart, WIDTH, HEIGHT);
+	void write(String experiment, Path path) {
+		try {
+			Files.createDirectories(path.toAbsolutePath().getParent());
+			ChartUtils.saveChartAsPNG(path.toFile(), this.chart, WIDTH, HEIGHT);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+		System.out.println(experiment + ": plot in " + path);
 	}
 
 }
--- a/measure/src/main/java/org/gullsaddle/measure/SizeExperiment.java
+++ b/measure/src/main/java/org/gullsaddle/measure/SizeExperiment.java
@@ -1,7 +1,5 @@
 package org.gullsaddle.measure;
 
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Locale;
@@ -55,13 +53,7 @@
 			}
 		}
 		report.atLeast("size", "in time against an oracle", asking / oracle, "ratio", 0.95);
-		try {
-			plot.write(PLOT);
-		}
-		catch (IOException ex) {
-			throw new UncheckedIOException(ex);
-		}
-		System.out.println("size: plot in " + PLOT);
+		plot.write("size", PLOT);
 	}
 
 	/**
