The picker says whom to ask; what asking costs is counted by the rule that nodes follow

Cause: the experiment on what knowing the engines' load costs asked the best three engines before every large prompt, while nodes ask only those of them that told nothing for one and a half seconds. Which engines are asked stood in three classes (ReplicaChooser, LoadProbe and the experiment); ReplicaPicker.toAsk serves all of them now. Decisions are unchanged: engines that told lately were passed over before as well, after being listed.

--- a/core/src/main/java/org/gullsaddle/serve/ReplicaPicker.java
+++ b/core/src/main/java/org/gullsaddle/serve/ReplicaPicker.java
@@ -28,6 +28,16 @@
 	/** The part of an engine's memory that is left for kept parts. */
 	private static final double KEPT_SHARE = 0.5;
 
+	/** How many replicas are asked for their load before one gets a request. */
+	private static final int MOST_ASKED = 3;
+
+	/**
+	 * How old what a replica told may be, in its answers too, for it not to be asked, in
+	 * milliseconds: about as long as a queue stays as it is. Each question is paid for,
+	 * and a node that sees many answers of each replica knows enough.
+	 */
+	private static final long FRESH_MILLIS = 1500;
+
 	/** How fast the usual work of a request is learned. */
 	private static final double USUAL_SMOOTHING = 0.05;
 
@@ -78,8 +88,28 @@
 	}
 
 	/**
-	 * Returns the replicas that may be worth asking for their load before one is picked:
-	 * those with the least loss by what is known here.
+	 * Returns the replicas to ask for their load before one is picked for a task: the
+	 * best of the region that told nothing lately, if the task is a larger model's. A
+	 * replica of another region takes longer to tell than is waited for.
+	 * @param now the time in milliseconds
+	 * @param usable the replicas that take new work
+	 * @param tried those that refused or failed the request already
+	 * @param task what it is to do
+	 * @return the replicas, none if what is known is enough
+	 */
+	public List<Replica> toAsk(long now, List<Replica> usable, Set<ReplicaId> tried, Task task) {
+		if (task.pace() <= 1) {
+			return List.of();
+		}
+		return best(now, usable, tried, task, MOST_ASKED).stream()
+			.filter((choice) -> !choice.load().otherRegion())
+			.map(Choice::replica)
+			.filter((replica) -> !toldWithin(now, replica, FRESH_MILLIS))
+			.toList();
+	}
+
+	/**
+	 * Returns the replicas with the least loss by what is known here.
 	 * @param now the time in milliseconds
 	 * @param usable the replicas that take new work
 	 * @param tried those that refused or failed the request already
@@ -254,12 +284,8 @@
 
 	/**
 	 * Says whether a replica told its load lately, by itself or in an answer.
-	 * @param now the time in milliseconds
-	 * @param replica the replica
-	 * @param millis how long ago at most, in milliseconds
-	 * @return true if it did
 	 */
-	public boolean toldWithin(long now, Replica replica, long millis) {
+	boolean toldWithin(long now, Replica replica, long millis) {
 		return state(replica).others().age(now) <= millis;
 	}
 
--- a/core/src/main/java/org/gullsaddle/serve/ReplicaState.java
+++ b/core/src/main/java/org/gullsaddle/serve/ReplicaState.java
@@ -13,7 +13,7 @@
 	/** How long a first refused connection leaves a replica out, in milliseconds. */
 	private static final long UNREACHABLE_MILLIS = 700;
 
-	/** The weight from which what an engine said itself is not replaced by a guess. */
+	/** The weight from which a count of unread requests is not replaced by a guess. */
 	private static final double STILL_TELLS = 0.5;
 
 	private final KeptParts parts = new KeptParts();
--- a/core/src/test/java/org/gullsaddle/serve/ReplicaPickerTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/ReplicaPickerTests.java
@@ -170,6 +170,26 @@
 			assertThat(ReplicaPickerTests.this.picker.toldWithin(1501, replica, 500)).isFalse();
 		}
 
+		/** Guards against questions that are paid for and tell nothing new. */
+		@Test
+		void onlyReplicasOfTheRegionThatToldNothingLatelyAreAsked() {
+			List<Replica> asked = ReplicaPickerTests.this.picker.toAsk(0, ReplicaPickerTests.this.replicas, Set.of(),
+					this.task);
+			assertThat(asked).isNotEmpty()
+				.hasSizeLessThanOrEqualTo(3)
+				.allSatisfy((replica) -> assertThat(replica.dataCenter()).isEqualTo("a"));
+			tell(0, asked.get(0).id().value(), BUSY);
+			assertThat(ReplicaPickerTests.this.picker.toAsk(0, ReplicaPickerTests.this.replicas, Set.of(), this.task))
+				.doesNotContain(asked.get(0));
+		}
+
+		@Test
+		void nothingIsAskedForTheSmallestModel() {
+			assertThat(ReplicaPickerTests.this.picker.toAsk(0, ReplicaPickerTests.this.replicas, Set.of(),
+					task("small", 1, "x")))
+				.isEmpty();
+		}
+
 		@Test
 		void replicaThatDidNotAnswerIsLeftOutForAWhile() {
 			Choice first = pick(this.task);
--- a/daemon/src/main/java/org/gullsaddle/gateway/LoadProbe.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/LoadProbe.java
@@ -17,7 +17,6 @@
 import org.gullsaddle.fleet.Replica;
 import org.gullsaddle.serve.EngineReport;
 import org.gullsaddle.serve.ReplicaPicker;
-import org.gullsaddle.serve.Task;
 
 /**
  * Asks a few engines for their load before one of them is given a request. Confined to
@@ -29,19 +28,9 @@
  */
 final class LoadProbe {
 
-	/** How many engines are asked for one request. */
-	static final int CANDIDATES = 3;
-
 	/** How long engines may take to tell, in milliseconds. */
 	private static final long WAIT_MILLIS = 60;
 
-	/**
-	 * How old what an engine told may be, in its answers too, for it not to be asked, in
-	 * milliseconds: about as long as a queue stays as it is. Each question is paid for,
-	 * and a node that sees many answers of each engine knows enough.
-	 */
-	private static final long FRESH_MILLIS = 1500;
-
 	private final Vertx vertx;
 
 	private final ChannelPool pool;
@@ -64,25 +53,13 @@
 		this.picker = picker;
 	}
 
-	/**
-	 * Says whether a task takes so long that a wrong guess of an engine's load costs more
-	 * than asking: only the smallest model's do not.
-	 */
-	static boolean worthAsking(Task task) {
-		return task.pace() > 1;
-	}
-
 	/**
 	 * Asks engines, and has the picker learn what they say.
 	 * @param replicas the engines
 	 * @param then is given those that told in time, which may be none
 	 */
 	void ask(List<Replica> replicas, Consumer<List<Replica>> then) {
-		List<Future<Boolean>> answers = new ArrayList<>();
-		for (Replica replica : replicas) {
-			boolean fresh = this.picker.toldWithin(Clock.millis(), replica, FRESH_MILLIS);
-			answers.add(fresh ? Future.succeededFuture(true) : ask(replica));
-		}
+		List<Future<Boolean>> answers = replicas.stream().map(this::ask).toList();
 		Future.join(answers).onComplete((all) -> {
 			List<Replica> told = new ArrayList<>();
 			for (int i = 0; i < answers.size(); i++) {
--- a/daemon/src/main/java/org/gullsaddle/gateway/ReplicaChooser.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/ReplicaChooser.java
@@ -34,31 +34,23 @@
 	}
 
 	/**
-	 * Chooses a replica for a task. Where its load decides much, the best few near by are
-	 * asked for theirs first; an answer from another region takes longer than the wait.
+	 * Chooses a replica for a task, after some were asked for their load where too little
+	 * is known of it.
 	 * @param without replicas that are left out
 	 * @param then is given the choice, at once or when the replicas have told
 	 */
 	void choose(Task task, Set<ReplicaId> without, Consumer<Optional<Choice>> then) {
-		List<Replica> candidates = LoadProbe.worthAsking(task) ? candidates(task, without) : List.of();
-		if (candidates.isEmpty()) {
+		List<Replica> asked = picker().toAsk(Clock.millis(), usable(), without, task);
+		if (asked.isEmpty()) {
 			then.accept(picker().pick(Clock.millis(), usable(), without, task));
 			return;
 		}
-		this.gateway.probe().ask(candidates, (told) -> {
-			List<Replica> left = withoutSilent(candidates, told);
+		this.gateway.probe().ask(asked, (told) -> {
+			List<Replica> left = withoutSilent(asked, told);
 			then.accept(picker().pick(Clock.millis(), left.isEmpty() ? usable() : left, without, task));
 		});
 	}
 
-	private List<Replica> candidates(Task task, Set<ReplicaId> without) {
-		return picker().best(Clock.millis(), usable(), without, task, LoadProbe.CANDIDATES)
-			.stream()
-			.filter((choice) -> !choice.load().otherRegion())
-			.map(Choice::replica)
-			.toList();
-	}
-
 	private List<Replica> withoutSilent(List<Replica> asked, List<Replica> told) {
 		Set<ReplicaId> silent = asked.stream().map(Replica::id).collect(Collectors.toSet());
 		told.forEach((replica) -> silent.remove(replica.id()));
--- a/measure/src/main/java/org/gullsaddle/measure/EngineFleet.java
+++ b/measure/src/main/java/org/gullsaddle/measure/EngineFleet.java
@@ -37,7 +37,7 @@
 
 	private static final int NODES = 4;
 
-	/** How many engines are asked for their load before one gets a long prompt. */
+	/** How many engines are asked where all of the best are. */
 	private static final int ASKED = 3;
 
 	/** How old a load report is, in milliseconds. */
@@ -135,7 +135,7 @@
 		Task task = new Task(model.name(), prompt, model.relativePace(),
 				(model.relativePace() > 1) ? ModelScale.LARGE : ModelScale.SMALL, 2 * this.shape.memoryTokens(),
 				Math.round(objective));
-		if (this.policy == Policy.ASKING && task.pace() > 1) {
+		if (this.policy.asks() && task.pace() > 1) {
 			this.largePrompts++;
 			ask(this.nodes.get(node), task);
 		}
@@ -153,17 +153,20 @@
 	}
 
 	/**
-	 * Has a node learn the load of the engines that it likes best.
+	 * Has a node learn the load of engines before it picks one.
 	 */
 	private void ask(ReplicaPicker picker, Task task) {
 		long now = Math.round(this.time.now());
-		for (Choice each : picker.best(now, this.replicas, Set.of(), task, ASKED)) {
-			Told told = this.told.get(each.replica().id());
+		List<Replica> asking = (this.policy == Policy.ASKING)
+				? picker.best(now, this.replicas, Set.of(), task, ASKED).stream().map(Choice::replica).toList()
+				: picker.toAsk(now, this.replicas, Set.of(), task);
+		for (Replica each : asking) {
+			Told told = this.told.get(each.id());
 			if (told == null || now - told.at >= REPORT_MILLIS) {
-				told = new Told(now, this.engines.get(this.numbers.get(each.replica().id())).report());
-				this.told.put(each.replica().id(), told);
+				told = new Told(now, this.engines.get(this.numbers.get(each.id())).report());
+				this.told.put(each.id(), told);
 			}
-			picker.report(now, each.replica(), told.report);
+			picker.report(now, each, told.report);
 			this.asked++;
 		}
 	}
@@ -171,7 +174,7 @@
 	private int engine(Sent sent, EngineJob job) {
 		int[] own = this.outstanding.get(sent.node);
 		return switch (this.policy) {
-			case GULLSADDLE, ASKING -> this.numbers.get(sent.choice.replica().id());
+			case GULLSADDLE, ASKING, ASKING_IF_OLD -> this.numbers.get(sent.choice.replica().id());
 			case RANDOM -> this.random.nextInt(this.engines.size());
 			case LEAST_REQUESTS -> least((i) -> own[i]);
 			case ORACLE -> least((i) -> this.engines.get(i).expectedFirstMillis(job));
@@ -237,9 +240,12 @@
 		/** By the router's own picker. */
 		GULLSADDLE,
 
-		/** By the same, after a few engines were asked for their load. */
+		/** By the same, after the best few engines were asked for their load. */
 		ASKING,
 
+		/** By the same, after those of them were asked that told nothing lately. */
+		ASKING_IF_OLD,
+
 		/** Any one. */
 		RANDOM,
 
@@ -250,7 +256,11 @@
 		ORACLE;
 
 		boolean picks() {
-			return this == GULLSADDLE || this == ASKING;
+			return this == GULLSADDLE || asks();
+		}
+
+		boolean asks() {
+			return this == ASKING || this == ASKING_IF_OLD;
 		}
 
 	}
--- a/measure/src/main/java/org/gullsaddle/measure/SizeExperiment.java
+++ b/measure/src/main/java/org/gullsaddle/measure/SizeExperiment.java
@@ -18,12 +18,18 @@
 	/** The number of nodes that policies are judged at. */
 	private static final int JUDGED_NODES = 33;
 
+	/** So many that a plan of arrivals that suits one policy does not decide. */
+	private static final int SEEDS = 8;
+
 	/** Requests a second, nearly all that the engines can take. */
 	private static final double RATE = 105;
 
 	private static final List<EngineFleet.Policy> POLICIES = List.of(EngineFleet.Policy.RANDOM,
 			EngineFleet.Policy.LEAST_REQUESTS, EngineFleet.Policy.GULLSADDLE, EngineFleet.Policy.ASKING,
-			EngineFleet.Policy.ORACLE);
+			EngineFleet.Policy.ASKING_IF_OLD, EngineFleet.Policy.ORACLE);
+
+	private static final List<EngineFleet.Policy> KNOWING = List.of(EngineFleet.Policy.GULLSADDLE,
+			EngineFleet.Policy.ASKING, EngineFleet.Policy.ASKING_IF_OLD);
 
 	private static final double PERCENT = 100;
 
@@ -52,10 +58,28 @@
 				}
 			}
 		}
+		for (EngineFleet.Policy policy : KNOWING) {
+			report.figure("size", policy.toString().toLowerCase(Locale.ROOT),
+					"late behind " + JUDGED_NODES + " nodes, " + SEEDS + " seeds",
+					PERCENT * late(policy, JUDGED_NODES, seed), "%");
+		}
 		report.atLeast("size", "in time against an oracle", asking / oracle, "ratio", 0.95);
 		plot.write("size", PLOT);
 	}
 
+	/**
+	 * Returns the part of all requests whose first token came after the objective, on the
+	 * mean of some seeds.
+	 * @param seed the first seed
+	 */
+	static double late(EngineFleet.Policy policy, int nodes, long seed) {
+		double late = 0;
+		for (int i = 0; i < SEEDS; i++) {
+			late += (1 - play(policy, nodes, seed + i).inTime()) / SEEDS;
+		}
+		return late;
+	}
+
 	/**
 	 * Plays two minutes of requests behind some nodes.
 	 */
--- a/measure/src/test/java/org/gullsaddle/measure/SizeExperimentTests.java
+++ b/measure/src/test/java/org/gullsaddle/measure/SizeExperimentTests.java
@@ -1,7 +1,5 @@
 package org.gullsaddle.measure;
 
-import java.util.stream.LongStream;
-
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -18,19 +16,10 @@
 
 		private static final int NODES = 33;
 
-		/** So many that a plan of arrivals that suits one policy does not decide. */
-		private static final long SEEDS = 8;
-
-		private static double late(EngineFleet.Policy policy) {
-			return LongStream.rangeClosed(1, SEEDS)
-				.mapToDouble((seed) -> 1 - SizeExperiment.play(policy, NODES, seed).inTime())
-				.average()
-				.orElseThrow();
-		}
-
 		@Test
 		void fewerAreLateWhereEnginesAreAsked() {
-			assertThat(late(EngineFleet.Policy.ASKING)).isLessThan(0.75 * late(EngineFleet.Policy.GULLSADDLE));
+			assertThat(SizeExperiment.late(EngineFleet.Policy.ASKING, NODES, 1))
+				.isLessThan(0.75 * SizeExperiment.late(EngineFleet.Policy.GULLSADDLE, NODES, 1));
 		}
 
 		@Test
