An entry that was told an old status of an agent last is told again

Known red: "waited in vain for entry-N to have an allowance".

Cause: an agent announced its versions when they changed against what it had announced last to anyone. The link's thread read the status from before the probe, the probe's thread told the new one to all entries, and the link's thread sent the old one after it. From then only loads were told, as nothing changed any more.

Ruled out: the store (orders of the other entry were granted and served), the template, the allowance (refusals for it are told as such), ports.

Now what each entry was told last is remembered for that entry, so that the next probe (200 ms later there) tells it again. StatusAnnouncerTests fails with the old rule (entryThatWasToldAnOldStatusLastIsToldAgain) and passes now.

--- a/daemon/src/main/java/org/gullsaddle/backend/AgentNode.java
+++ b/daemon/src/main/java/org/gullsaddle/backend/AgentNode.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
@@ -27,7 +26,6 @@
 import org.gullsaddle.base.AgentInfo;
 import org.gullsaddle.base.AttemptId;
 import org.gullsaddle.base.LoadReport;
-import org.gullsaddle.base.ModelVersion;
 import org.gullsaddle.base.NodeId;
 import org.gullsaddle.base.RequestId;
 import org.gullsaddle.base.Usage;
@@ -103,7 +101,7 @@
 
 	private int failedProbes;
 
-	private Set<ModelVersion> announced = Set.of();
+	private final StatusAnnouncer announcer = new StatusAnnouncer();
 
 	/**
 	 * Makes an agent that does nothing yet.
@@ -187,13 +185,14 @@
 		}
 		handle(new AdmissionEvent.EntryUp(link.peer()));
 		suspects().forEach((suspicion) -> link.send(new Frame.Suspect(suspicion)));
-		link.send(status());
+		this.announcer.tell(link.peer(), status(), link::send);
 		link.send(inForce());
 	}
 
 	@Override
 	public void down(PeerLink link) {
 		if (this.entries.remove(link.peer(), link)) {
+			this.announcer.forget(link.peer());
 			handle(new AdmissionEvent.EntryDown(link.peer()));
 		}
 	}
@@ -366,10 +365,7 @@
 			handle(new AdmissionEvent.BackendDown());
 		}
 		Frame.Status status = status();
-		boolean changed = !status.agent().versions().equals(this.announced);
-		this.announced = status.agent().versions();
-		Frame report = changed ? status : new Frame.Load(status.agent().load());
-		this.entries.values().forEach((link) -> link.send(report));
+		this.entries.values().forEach((link) -> this.announcer.update(link.peer(), status, link::send));
 	}
 
 	private void tick() {
--- /dev/null
+++ b/daemon/src/test/java/org/gullsaddle/backend/StatusAnnouncerTests.java
@@ -0,0 +1,67 @@
+package org.gullsaddle.backend;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import org.junit.jupiter.api.Test;
+
+import org.gullsaddle.base.AgentInfo;
+import org.gullsaddle.base.LoadReport;
+import org.gullsaddle.base.ModelVersion;
+import org.gullsaddle.base.NodeId;
+import org.gullsaddle.wire.Frame;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class StatusAnnouncerTests {
+
+	private static final NodeId ENTRY = new NodeId("entry");
+
+	private static final LoadReport IDLE = new LoadReport(0, 0, 8);
+
+	private final StatusAnnouncer announcer = new StatusAnnouncer();
+
+	private final List<Frame> sent = new ArrayList<>();
+
+	private static Frame.Status serving(String... versions) {
+		Set<ModelVersion> served = Set.of(versions).stream().map(ModelVersion::of).collect(Collectors.toSet());
+		return new Frame.Status(new AgentInfo(new NodeId("agent"), "west", "west-1", served, IDLE), false);
+	}
+
+	@Test
+	void onlyTheLoadIsToldWhileNothingElseChanges() {
+		this.announcer.tell(ENTRY, serving("small@1"), this.sent::add);
+		this.announcer.update(ENTRY, serving("small@1"), this.sent::add);
+		assertThat(this.sent).containsExactly(serving("small@1"), new Frame.Load(IDLE));
+	}
+
+	@Test
+	void changeIsToldWhole() {
+		this.announcer.tell(ENTRY, serving("small@1"), this.sent::add);
+		this.announcer.update(ENTRY, serving("small@2"), this.sent::add);
+		assertThat(this.sent).containsExactly(serving("small@1"), serving("small@2"));
+	}
+
+	/**
+	 * Guards against an entry that never serves: its link came up during the first probe,
+	 * and the status from before it arrived last.
+	 */
+	@Test
+	void entryThatWasToldAnOldStatusLastIsToldAgain() {
+		this.announcer.update(ENTRY, serving("small@1"), this.sent::add);
+		this.announcer.tell(ENTRY, serving(), this.sent::add);
+		this.announcer.update(ENTRY, serving("small@1"), this.sent::add);
+		assertThat(this.sent).endsWith(serving("small@1"));
+	}
+
+	@Test
+	void entryThatLinksAgainIsToldWhole() {
+		this.announcer.tell(ENTRY, serving("small@1"), this.sent::add);
+		this.announcer.forget(ENTRY);
+		this.announcer.update(ENTRY, serving("small@1"), this.sent::add);
+		assertThat(this.sent).endsWith(serving("small@1"));
+	}
+
+}
--- /dev/null
+++ b/daemon/src/test/java/org/gullsaddle/backend/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of what stands beside a backend server.
+ */
+package org.gullsaddle.backend;
