Regions bind, emptied data centers get nothing new, cold replicas are spared

Now one function, ReplicaRules.usable, says where a request may go: replicas that take new work, in regions that its route and its team both allow, in data centers that are not being emptied, of its release. Warm ones come first. Where none is left, cold ones get what they bear: each node its part of half of the pace, in the first half of its own second, drawn by a hash, so that no common clock is needed. Nodes are counted by one note each in the store, written only where a service limits cold replicas; a node that is not counted yet sends them nothing. What was chosen is looked at again when its connection is open. Callers who have nowhere to go are refused at once, not run, with a time to come back by the reason: half a second, about a second where all is cold, some seconds where data centers are being emptied.

Weighed: a share of the pace by the number of nodes alone (a burst capacity of one request a node is a herd of 31); half of the pace without turns (13 of 12 requests in two of 800 fuzzed runs, at the moment when all nodes find all replicas cold); the replica's hold-take as arbiter (a call to each cold replica for each request). An evacuation holds by its key: a value that cannot be read is still an operator's order.

Fuzz of the pace: 4, 31, 100 and 340 nodes, 100 seeds each, clocks apart, a fifth of the nodes not counted, at most 12 requests a second where a replica bears 5.

Found on the way: a request whose replica was closed before it was sent was told to come back in a quarter second (ReplicaRulesTests, once in a full run); refusals after a last attempt give the reason's time now.

--- /dev/null
+++ b/core/src/main/java/org/gullsaddle/fleet/ColdStart.java
@@ -0,0 +1,24 @@
+package org.gullsaddle.fleet;
+
+/**
+ * How a service's replicas behave after their start: they are slow for a while, and crash
+ * if they get more requests than they bear then.
+ *
+ * @param millis how long a replica is usually cold, in milliseconds
+ * @param perSecond how many requests a second a cold replica bears from all callers
+ * together, 0 if it bears as many as a warm one
+ */
+public record ColdStart(long millis, double perSecond) {
+
+	/** Replicas that bear as many requests at their start as later. */
+	public static final ColdStart NONE = new ColdStart(0, 0);
+
+	/**
+	 * Says whether cold replicas need care.
+	 * @return true if they bear less than warm ones
+	 */
+	public boolean limited() {
+		return this.perSecond > 0;
+	}
+
+}
--- a/core/src/main/java/org/gullsaddle/fleet/FleetChange.java
+++ b/core/src/main/java/org/gullsaddle/fleet/FleetChange.java
@@ -17,8 +17,9 @@
 	 * A replica's entry was written.
 	 *
 	 * @param replica the replica
+	 * @param coldMillis how long it says that it stays cold, in milliseconds
 	 */
-	record Listed(Replica replica) implements FleetChange {
+	record Listed(Replica replica, long coldMillis) implements FleetChange {
 	}
 
 	/**
@@ -49,6 +50,22 @@
 	record Progressed(ServiceName service, String target, RolloutState state, long revision) implements FleetChange {
 	}
 
+	/**
+	 * A data center is to be emptied: its replicas get nothing new.
+	 *
+	 * @param dataCenter the data center
+	 */
+	record EvacuationBegan(String dataCenter) implements FleetChange {
+	}
+
+	/**
+	 * A data center's replicas may be used again.
+	 *
+	 * @param dataCenter the data center
+	 */
+	record EvacuationEnded(String dataCenter) implements FleetChange {
+	}
+
 	/**
 	 * A node of this system wrote a note for the others.
 	 *
--- a/core/src/main/java/org/gullsaddle/fleet/FleetConfig.java
+++ b/core/src/main/java/org/gullsaddle/fleet/FleetConfig.java
@@ -1,6 +1,7 @@
 package org.gullsaddle.fleet;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -96,6 +97,14 @@
 		return Optional.ofNullable(this.services.get(name));
 	}
 
+	/**
+	 * Returns the services.
+	 * @return all that are configured
+	 */
+	public Collection<ServiceSpec> services() {
+		return List.copyOf(this.services.values());
+	}
+
 	/**
 	 * Returns what callers may send.
 	 * @return the limits
--- a/core/src/main/java/org/gullsaddle/fleet/ReplicaDirectory.java
+++ b/core/src/main/java/org/gullsaddle/fleet/ReplicaDirectory.java
@@ -7,6 +7,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Predicate;
 
 /**
  * The replicas as the registry last told of them. Confined to one thread.
@@ -25,10 +27,17 @@
 	 */
 	static final long LAPSED_MILLIS = 2200;
 
+	/** How long a replica is taken as cold by one word of it, in milliseconds. */
+	static final long MOST_COLD_MILLIS = 60_000;
+
 	private final Map<ReplicaId, Replica> listed = new TreeMap<>();
 
 	private final Map<ReplicaId, Replica> lapsed = new HashMap<>();
 
+	private final Set<String> evacuated = new TreeSet<>();
+
+	private final Map<ReplicaId, Cold> cold = new HashMap<>();
+
 	private boolean away;
 
 	private boolean told;
@@ -66,6 +75,68 @@
 		if (replica != null) {
 			missing(now, replica);
 		}
+		this.cold.keySet().retainAll(known());
+	}
+
+	/**
+	 * Takes in how long a replica says that it stays cold. An entry that is read again
+	 * with the same words is as old as when it was read first.
+	 * @param now the time
+	 * @param replica the replica
+	 * @param millis how long, in milliseconds
+	 */
+	public void cold(long now, Replica replica, long millis) {
+		Cold before = this.cold.get(replica.id());
+		if (before == null || before.toldMillis != millis || !before.replica.sameProcess(replica)) {
+			long until = now + Math.clamp(millis, 0, MOST_COLD_MILLIS);
+			this.cold.put(replica.id(), new Cold(replica, millis, until));
+		}
+	}
+
+	/**
+	 * Returns how long a replica stays cold.
+	 * @param now the time
+	 * @param id the replica
+	 * @return the time in milliseconds, 0 if it is warm
+	 */
+	public long coldMillis(long now, ReplicaId id) {
+		Cold told = this.cold.get(id);
+		return (told != null) ? Math.max(0, told.until - now) : 0;
+	}
+
+	/**
+	 * Returns how many listed replicas are cold.
+	 * @param now the time
+	 * @return their number
+	 */
+	public long countCold(long now) {
+		return this.listed.keySet().stream().filter((id) -> coldMillis(now, id) > 0).count();
+	}
+
+	/**
+	 * Takes in that a data center is to be emptied.
+	 * @param dataCenter the data center
+	 * @return whether that is new
+	 */
+	public boolean evacuate(String dataCenter) {
+		return this.evacuated.add(dataCenter);
+	}
+
+	/**
+	 * Takes in that a data center's replicas may be used again.
+	 * @param dataCenter the data center
+	 * @return whether it was to be emptied until now
+	 */
+	public boolean takeBack(String dataCenter) {
+		return this.evacuated.remove(dataCenter);
+	}
+
+	/**
+	 * Returns the data centers whose replicas get nothing new.
+	 * @return their names
+	 */
+	public Set<String> evacuated() {
+		return Set.copyOf(this.evacuated);
 	}
 
 	/**
@@ -109,12 +180,14 @@
 	}
 
 	/**
-	 * Returns the replicas of a service that take new work.
+	 * Returns the replicas of a service that take new work: those that are not about to
+	 * stop, in data centers that are allowed and not to be emptied.
 	 * @param now the time
 	 * @param service the service
+	 * @param allowed says of a data center whether it is allowed
 	 * @return the replicas, in the order of their ids
 	 */
-	public List<Replica> usable(long now, ServiceName service) {
+	public List<Replica> usable(long now, ServiceName service, Predicate<String> allowed) {
 		if (!outage(now)) {
 			this.lapsed.clear();
 		}
@@ -123,10 +196,29 @@
 		return all.values()
 			.stream()
 			.filter((replica) -> replica.service().equals(service))
-			.filter((replica) -> !replica.draining())
+			.filter(this::takesWork)
+			.filter((replica) -> allowed.test(replica.dataCenter()))
 			.toList();
 	}
 
+	/**
+	 * Says whether a replica that was chosen a moment ago still takes new work.
+	 * @param now the time
+	 * @param chosen the replica
+	 * @return true if the same process is known and its data center is not to be emptied
+	 */
+	public boolean stillTakes(long now, Replica chosen) {
+		Replica known = this.listed.get(chosen.id());
+		if (known == null && outage(now)) {
+			known = this.lapsed.get(chosen.id());
+		}
+		return known != null && known.sameProcess(chosen) && takesWork(known);
+	}
+
+	private boolean takesWork(Replica replica) {
+		return !replica.draining() && !this.evacuated.contains(replica.dataCenter());
+	}
+
 	private void missing(long now, Replica replica) {
 		if (outage(now) && !replica.draining()) {
 			this.lapsed.put(replica.id(), replica);
@@ -137,4 +229,7 @@
 		return this.away || (this.everAway && now - this.backAt <= LAPSED_MILLIS);
 	}
 
+	private record Cold(Replica replica, long toldMillis, long until) {
+	}
+
 }
--- a/core/src/main/java/org/gullsaddle/fleet/Route.java
+++ b/core/src/main/java/org/gullsaddle/fleet/Route.java
@@ -37,6 +37,8 @@
 
 	private final boolean resumable;
 
+	private final RegionLimit limit;
+
 	private Route(Builder builder) {
 		this.name = Check.notNull(builder.name, "name");
 		this.host = Check.notNull(builder.host, "host");
@@ -51,6 +53,7 @@
 		this.rank = builder.rank;
 		this.open = builder.open;
 		this.resumable = builder.resumable;
+		this.limit = builder.limit;
 	}
 
 	/**
@@ -167,6 +170,14 @@
 		return this.resumable;
 	}
 
+	/**
+	 * Returns where its requests may be served.
+	 * @return the regions
+	 */
+	public RegionLimit limit() {
+		return this.limit;
+	}
+
 	/**
 	 * Says whether a request may run again after a run that failed or was lost.
 	 * @return true if it may
@@ -206,6 +217,8 @@
 
 		private boolean resumable;
 
+		private RegionLimit limit = RegionLimit.ANYWHERE;
+
 		private Builder(String name) {
 			this.name = name;
 		}
@@ -290,6 +303,16 @@
 			return this;
 		}
 
+		/**
+		 * Sets where requests may be served.
+		 * @param newLimit the regions
+		 * @return this builder
+		 */
+		public Builder in(RegionLimit newLimit) {
+			this.limit = newLimit;
+			return this;
+		}
+
 		/**
 		 * Builds the route.
 		 * @return the route
--- a/core/src/main/java/org/gullsaddle/fleet/ServiceSpec.java
+++ b/core/src/main/java/org/gullsaddle/fleet/ServiceSpec.java
@@ -8,6 +8,7 @@
  * @param name its name
  * @param maxConnections how many connections one replica takes from all callers together
  * @param engine the shape of its model engines, empty for a plain service
+ * @param coldStart how its replicas behave after their start
  */
-public record ServiceSpec(ServiceName name, int maxConnections, Optional<EngineSpec> engine) {
+public record ServiceSpec(ServiceName name, int maxConnections, Optional<EngineSpec> engine, ColdStart coldStart) {
 }
--- /dev/null
+++ b/core/src/main/java/org/gullsaddle/serve/ReplicaRules.java
@@ -0,0 +1,162 @@
+package org.gullsaddle.serve;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+
+import org.gullsaddle.fleet.ColdStart;
+import org.gullsaddle.fleet.RegionLimit;
+import org.gullsaddle.fleet.Replica;
+import org.gullsaddle.fleet.ReplicaDirectory;
+import org.gullsaddle.fleet.ReplicaId;
+import org.gullsaddle.fleet.ServiceName;
+
+/**
+ * Which replicas a request may go to at all, whatever it would lose there: those that
+ * take new work, in a region that is allowed, of the release that is its own. Cold ones
+ * come last, and only as many requests go there as they bear. Confined to one thread.
+ */
+public final class ReplicaRules {
+
+	private final ReplicaDirectory directory;
+
+	private final Place place;
+
+	private final ColdPace pace;
+
+	/**
+	 * Makes the rules of a node.
+	 * @param directory the replicas
+	 * @param place where the node is
+	 * @param pace what the node may send to cold replicas
+	 */
+	public ReplicaRules(ReplicaDirectory directory, Place place, ColdPace pace) {
+		this.directory = directory;
+		this.place = place;
+		this.pace = pace;
+	}
+
+	/**
+	 * Returns the replicas that a request may go to now.
+	 * @param now the time in milliseconds
+	 * @param wanted what the request asks of them
+	 * @param without replicas that it was sent to already
+	 * @return the replicas, some of which may be among those left out
+	 */
+	public List<Replica> usable(long now, Wanted wanted, Set<ReplicaId> without) {
+		List<Replica> open = open(now, wanted);
+		List<Replica> warm = allowed(now, wanted, open, (replica) -> !cold(now, wanted, replica));
+		if (!without.containsAll(warm.stream().map(Replica::id).toList())) {
+			return warm;
+		}
+		return allowed(now, wanted, open, (replica) -> !cold(now, wanted, replica) || room(now, wanted, replica));
+	}
+
+	/**
+	 * Says why there is no replica for a request, or no other one.
+	 * @param now the time in milliseconds
+	 * @param wanted what the request asked of them
+	 * @return the reason
+	 */
+	public NoReplica whyNone(long now, Wanted wanted) {
+		if (!open(now, wanted).isEmpty()) {
+			boolean allCold = open(now, wanted).stream().allMatch((replica) -> cold(now, wanted, replica));
+			return allCold ? NoReplica.COLD : NoReplica.TRIED;
+		}
+		if (this.directory.evacuated().stream().anyMatch((each) -> wanted.limit().allows(this.place.region(each)))) {
+			return NoReplica.EVACUATED;
+		}
+		boolean elsewhere = !this.directory.usable(now, wanted.service(), (dataCenter) -> true).isEmpty();
+		return elsewhere ? NoReplica.OTHER_REGION : NoReplica.NONE;
+	}
+
+	/**
+	 * Notes that a request was sent.
+	 * @param now the time in milliseconds
+	 * @param wanted what it asked of replicas
+	 * @param replica where it was sent
+	 */
+	public void sent(long now, Wanted wanted, Replica replica) {
+		if (cold(now, wanted, replica)) {
+			this.pace.sent(now, replica);
+		}
+	}
+
+	/**
+	 * Says whether a replica is to be spared.
+	 * @param now the time in milliseconds
+	 * @param wanted what a request asks of it
+	 * @param replica the replica
+	 * @return true if it is cold, and bears less than a warm one
+	 */
+	public boolean cold(long now, Wanted wanted, Replica replica) {
+		return wanted.coldStart().limited() && this.directory.coldMillis(now, replica.id()) > 0;
+	}
+
+	private boolean room(long now, Wanted wanted, Replica replica) {
+		return wanted.nodes().isPresent()
+				&& this.pace.room(now, replica, wanted.coldStart().perSecond(), wanted.nodes().get());
+	}
+
+	private List<Replica> open(long now, Wanted wanted) {
+		return this.directory.usable(now, wanted.service(),
+				(dataCenter) -> wanted.limit().allows(this.place.region(dataCenter)));
+	}
+
+	private static List<Replica> allowed(long now, Wanted wanted, List<Replica> open, Predicate<Replica> bears) {
+		List<Replica> able = open.stream().filter(bears).toList();
+		return wanted.rollout().map((rollout) -> rollout.allowed(now, able, wanted.key())).orElse(able);
+	}
+
+	/**
+	 * What a request asks of replicas.
+	 *
+	 * @param service the service
+	 * @param limit the regions that it may be served in
+	 * @param coldStart what cold replicas of the service bear
+	 * @param nodes how many nodes share that, or empty if that is not known
+	 * @param rollout the roll-out of the service, if there is one
+	 * @param key what it keeps its release by
+	 */
+	public record Wanted(ServiceName service, RegionLimit limit, ColdStart coldStart, Optional<Integer> nodes,
+			Optional<Rollout> rollout, ReleaseKey key) {
+	}
+
+	/**
+	 * Why there is no replica.
+	 */
+	public enum NoReplica {
+
+		/** None is known. */
+		NONE("no replica"),
+
+		/** All that are open were tried, or are of a release that it may not go to. */
+		TRIED("no replica left"),
+
+		/** All that are open are cold, and get as much as they bear. */
+		COLD("all replicas are cold"),
+
+		/** All are in data centers that are to be emptied. */
+		EVACUATED("data centers are being emptied"),
+
+		/** All are in regions that are not allowed. */
+		OTHER_REGION("no replica in an allowed region");
+
+		private final String reason;
+
+		NoReplica(String reason) {
+			this.reason = reason;
+		}
+
+		/**
+		 * Returns the reason as callers are told.
+		 * @return some words
+		 */
+		public String reason() {
+			return this.reason;
+		}
+
+	}
+
+}
--- a/core/src/test/java/org/gullsaddle/fleet/ReplicaDirectoryTests.java
+++ b/core/src/test/java/org/gullsaddle/fleet/ReplicaDirectoryTests.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Set;
 
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -21,7 +22,10 @@
 	}
 
 	private List<String> usable(long now) {
-		return this.directory.usable(now, DESK).stream().map((replica) -> replica.id().value()).toList();
+		return this.directory.usable(now, DESK, (dataCenter) -> true)
+			.stream()
+			.map((replica) -> replica.id().value())
+			.toList();
 	}
 
 	@Test
@@ -87,4 +91,104 @@
 
 	}
 
+	@Nested
+	class ColdReplicas {
+
+		private final Replica one = replica("one", false);
+
+		private long cold(long now) {
+			return ReplicaDirectoryTests.this.directory.coldMillis(now, this.one.id());
+		}
+
+		private void told(long now, long millis) {
+			ReplicaDirectoryTests.this.directory.put(this.one);
+			ReplicaDirectoryTests.this.directory.cold(now, this.one, millis);
+		}
+
+		@Test
+		void areColdAsLongAsTheySay() {
+			told(1000, 3000);
+			assertThat(cold(1000)).isEqualTo(3000);
+			assertThat(cold(3999)).isEqualTo(1);
+			assertThat(cold(4000)).isZero();
+		}
+
+		@Test
+		void areWarmAgainWhenTheySaySo() {
+			told(1000, 3000);
+			told(2000, 0);
+			assertThat(cold(2000)).isZero();
+		}
+
+		/** Guards against replicas that stay cold as their old entry is read again. */
+		@Test
+		void entryThatIsReadAgainSaysNothingNew() {
+			told(1000, 3000);
+			told(3500, 3000);
+			assertThat(cold(4000)).isZero();
+		}
+
+		@Test
+		void areColdAnewAfterAnotherStart() {
+			told(1000, 3000);
+			Replica again = new Replica(this.one.id(), DESK, this.one.address(), "a", "v1", 8, false, 2);
+			ReplicaDirectoryTests.this.directory.put(again);
+			ReplicaDirectoryTests.this.directory.cold(5000, again, 3000);
+			assertThat(cold(5000)).isEqualTo(3000);
+		}
+
+		/** Guards against a replica that is out for a day by one absurd entry. */
+		@Test
+		void absurdTimesAreBounded() {
+			told(0, Long.MAX_VALUE);
+			assertThat(cold(0)).isEqualTo(ReplicaDirectory.MOST_COLD_MILLIS);
+			told(0, -5);
+			assertThat(cold(0)).isZero();
+		}
+
+	}
+
+	@Nested
+	class Evacuations {
+
+		private final Replica one = replica("one", false);
+
+		@BeforeEach
+		void listOne() {
+			ReplicaDirectoryTests.this.directory.put(this.one);
+		}
+
+		@Test
+		void replicasGetNothingNewUntilTheyAreTakenBack() {
+			ReplicaDirectoryTests.this.directory.evacuate("a");
+			assertThat(usable(0)).isEmpty();
+			ReplicaDirectoryTests.this.directory.takeBack("a");
+			assertThat(usable(0)).containsExactly("one");
+		}
+
+		@Test
+		void otherDataCentersGoOn() {
+			ReplicaDirectoryTests.this.directory.evacuate("b");
+			assertThat(usable(0)).containsExactly("one");
+		}
+
+		/**
+		 * Guards against requests that are sent late over a connection asked for early.
+		 */
+		@Test
+		void replicaThatWasChosenBeforeIsNotSentTheRequest() {
+			assertThat(ReplicaDirectoryTests.this.directory.stillTakes(0, this.one)).isTrue();
+			ReplicaDirectoryTests.this.directory.evacuate("a");
+			assertThat(ReplicaDirectoryTests.this.directory.stillTakes(0, this.one)).isFalse();
+		}
+
+		@Test
+		void replicaThatStartedAnewIsNotTheOneThatWasChosen() {
+			ReplicaDirectoryTests.this.directory
+				.put(new Replica(this.one.id(), DESK, this.one.address(), "a", "v1", 8, false, 2));
+			assertThat(ReplicaDirectoryTests.this.directory.stillTakes(0, this.one)).isFalse();
+		}
+
+	}
+
 }
--- /dev/null
+++ b/core/src/test/java/org/gullsaddle/serve/ColdPaceTests.java
@@ -0,0 +1,109 @@
+package org.gullsaddle.serve;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Random;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import org.gullsaddle.base.Address;
+import org.gullsaddle.fleet.Replica;
+import org.gullsaddle.fleet.ReplicaId;
+import org.gullsaddle.fleet.ServiceName;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class ColdPaceTests {
+
+	private static final double PER_SECOND = 5;
+
+	/** What a replica bears in any one second before it crashes. */
+	private static final int BEARABLE = 12;
+
+	private static final Replica REPLICA = new Replica(new ReplicaId("cold"), new ServiceName("engines"),
+			new Address("10.0.0.1", 80), "a", "v1", 8, false, 1);
+
+	@Test
+	void oneNodeAloneKeepsToItsPart() {
+		ColdPace pace = new ColdPace("node");
+		int sent = 0;
+		while (pace.room(0, REPLICA, PER_SECOND, 1)) {
+			pace.sent(0, REPLICA);
+			sent++;
+		}
+		assertThat(sent).isBetween(1, 2);
+	}
+
+	/**
+	 * Guards against a herd: nodes that all have requests waiting send them to the same
+	 * cold replica at once. Their clocks are apart, and some start again.
+	 */
+	@ParameterizedTest
+	@ValueSource(ints = { 4, 31, 100, 340 })
+	void nodesTogetherSendNoMoreThanAReplicaBears(int nodes) {
+		for (int seed = 0; seed < 100; seed++) {
+			assertThat(mostInASecond(nodes, nodes, seed)).as("seed " + seed).isLessThanOrEqualTo(BEARABLE);
+		}
+	}
+
+	@ParameterizedTest
+	@ValueSource(ints = { 4, 31, 340 })
+	void nodesThatMissedAFewOthersSendNoMoreEither(int nodes) {
+		for (int seed = 0; seed < 100; seed++) {
+			assertThat(mostInASecond(nodes, Math.max(1, nodes * 4 / 5), seed)).as("seed " + seed)
+				.isLessThanOrEqualTo(BEARABLE);
+		}
+	}
+
+	/**
+	 * Guards against a pace so low that a region whose replicas are all cold stands
+	 * still.
+	 */
+	@ParameterizedTest
+	@ValueSource(ints = { 4, 31, 340 })
+	void replicasGetAQuarterOfWhatTheyBear(int nodes) {
+		assertThat(sendings(nodes, nodes, 1, 60_000)).hasSizeGreaterThan((int) (60 * PER_SECOND / 4));
+	}
+
+	private static int mostInASecond(int nodes, int believed, int seed) {
+		Deque<Long> window = new ArrayDeque<>();
+		int most = 0;
+		for (long at : sendings(nodes, believed, seed, 5000)) {
+			window.addLast(at);
+			while (window.getFirst() <= at - 1000) {
+				window.removeFirst();
+			}
+			most = Math.max(most, window.size());
+		}
+		return most;
+	}
+
+	/**
+	 * Lets nodes that always have a request waiting send as soon as they may.
+	 */
+	private static List<Long> sendings(int nodes, int believed, int seed, long millis) {
+		Random random = new Random(seed);
+		List<ColdPace> paces = new ArrayList<>();
+		List<Long> clocks = new ArrayList<>();
+		for (int i = 0; i < nodes; i++) {
+			paces.add(new ColdPace("node-" + seed + '-' + i));
+			clocks.add(random.nextLong(100_000));
+		}
+		List<Long> sent = new ArrayList<>();
+		for (long now = 0; now < millis; now += 20) {
+			for (int i = 0; i < nodes; i++) {
+				long own = now + clocks.get(i);
+				if (paces.get(i).room(own, REPLICA, PER_SECOND, believed)) {
+					paces.get(i).sent(own, REPLICA);
+					sent.add(now);
+				}
+			}
+		}
+		return sent;
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/gullsaddle/serve/ReplicaRulesTests.java
@@ -0,0 +1,183 @@
+package org.gullsaddle.serve;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import org.gullsaddle.base.Address;
+import org.gullsaddle.fleet.ColdStart;
+import org.gullsaddle.fleet.RegionLimit;
+import org.gullsaddle.fleet.Replica;
+import org.gullsaddle.fleet.ReplicaDirectory;
+import org.gullsaddle.fleet.ReplicaId;
+import org.gullsaddle.fleet.RolloutOrder;
+import org.gullsaddle.fleet.ServiceName;
+import org.gullsaddle.serve.ReplicaRules.NoReplica;
+import org.gullsaddle.serve.ReplicaRules.Wanted;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class ReplicaRulesTests {
+
+	private static final ServiceName ENGINES = new ServiceName("engines");
+
+	private static final ColdStart COLD_START = new ColdStart(3000, 20);
+
+	private static final ReleaseKey KEY = new ReleaseKey("request", false);
+
+	private final ReplicaDirectory directory = new ReplicaDirectory();
+
+	private final Place place = new Place("a", Map.of("a", "north", "b", "north", "c", "south"));
+
+	private final ReplicaRules rules = new ReplicaRules(this.directory, this.place, new ColdPace("node"));
+
+	private static Replica replica(String dataCenter, String release) {
+		return new Replica(new ReplicaId(dataCenter + '-' + release), ENGINES, new Address("10.0.0.1", 80), dataCenter,
+				release, 8, false, 1);
+	}
+
+	private static Wanted wanted(RegionLimit limit) {
+		return new Wanted(ENGINES, limit, COLD_START, Optional.of(1), Optional.empty(), KEY);
+	}
+
+	private static RegionLimit limit(String regions) {
+		return RegionLimit.to(words(regions));
+	}
+
+	private static List<String> words(String text) {
+		return (text != null) ? Arrays.asList(text.split(" ")) : List.of();
+	}
+
+	private String usable(Wanted wanted) {
+		return this.rules.usable(0, wanted, Set.of())
+			.stream()
+			.map((replica) -> replica.id().value())
+			.collect(Collectors.joining(" "));
+	}
+
+	@BeforeEach
+	void listReplicas() {
+		List.of("a", "b", "c").forEach((dataCenter) -> this.directory.put(replica(dataCenter, "v1")));
+	}
+
+	/** Guards against a way past one rule where another one binds too. */
+	@ParameterizedTest
+	@CsvSource({ "'', '', '', a-v1 b-v1 c-v1", "north, '', '', a-v1 b-v1", "south, '', '', c-v1", "west, '', '', ''",
+			"'', a, '', b-v1 c-v1", "'', a c, '', b-v1", "'', a b c, '', ''", "south, c, '', ''",
+			"north, c, '', a-v1 b-v1", "'', '', a, b-v1 c-v1", "north, a, b, b-v1", "south, '', c, c-v1",
+			"north, a b, a b, ''", "'', nowhere, '', a-v1 b-v1 c-v1" })
+	void regionsEvacuationsAndColdReplicasBindTogether(String regions, String evacuated, String cold, String expected) {
+		words(evacuated.isEmpty() ? null : evacuated).forEach(this.directory::evacuate);
+		words(cold.isEmpty() ? null : cold)
+			.forEach((dataCenter) -> this.directory.cold(0, replica(dataCenter, "v1"), 1000));
+		assertThat(usable(wanted(limit(regions.isEmpty() ? null : regions)))).isEqualTo(expected);
+	}
+
+	@Nested
+	class WhereThereIsNoReplica {
+
+		private NoReplica why(RegionLimit limit) {
+			return ReplicaRulesTests.this.rules.whyNone(0, wanted(limit));
+		}
+
+		@Test
+		void anEvacuationIsTold() {
+			ReplicaRulesTests.this.directory.evacuate("c");
+			assertThat(why(limit("south"))).isEqualTo(NoReplica.EVACUATED);
+		}
+
+		@Test
+		void aRegionWithoutReplicasIsTold() {
+			assertThat(why(limit("west"))).isEqualTo(NoReplica.OTHER_REGION);
+		}
+
+		@Test
+		void anEmptyRegistryIsTold() {
+			List.of("a", "b", "c")
+				.forEach((dataCenter) -> ReplicaRulesTests.this.directory.remove(0, replica(dataCenter, "v1").id()));
+			assertThat(why(RegionLimit.ANYWHERE)).isEqualTo(NoReplica.NONE);
+		}
+
+		@Test
+		void coldReplicasAreTold() {
+			ReplicaRulesTests.this.directory.cold(0, replica("c", "v1"), 1000);
+			assertThat(why(limit("south"))).isEqualTo(NoReplica.COLD);
+		}
+
+	}
+
+	@Nested
+	class WhereAllReplicasAreCold {
+
+		private final Wanted south = wanted(limit("south"));
+
+		private final Replica cold = replica("c", "v1");
+
+		@BeforeEach
+		void coolDown() {
+			ReplicaRulesTests.this.directory.cold(0, this.cold, 1000);
+		}
+
+		@Test
+		void theyGetNoMoreThanTheyBear() {
+			int sent = 0;
+			while (!ReplicaRulesTests.this.rules.usable(0, this.south, Set.of()).isEmpty()) {
+				ReplicaRulesTests.this.rules.sent(0, this.south, this.cold);
+				sent++;
+			}
+			assertThat(sent).isBetween(1, 20);
+		}
+
+		/** Guards against nodes that all take the whole of what a replica bears. */
+		@Test
+		void theyGetNothingFromANodeThatTheOthersMayNotCount() {
+			Wanted uncounted = new Wanted(ENGINES, limit("south"), COLD_START, Optional.empty(), Optional.empty(), KEY);
+			assertThat(usable(uncounted)).isEmpty();
+		}
+
+		@Test
+		void theyAreUsedAsUsualIfTheyBearAsMuchAsWarmOnes() {
+			Wanted unlimited = new Wanted(ENGINES, limit("south"), ColdStart.NONE, Optional.empty(), Optional.empty(),
+					KEY);
+			assertThat(usable(unlimited)).isEqualTo("c-v1");
+		}
+
+		@Test
+		void oneThatTurnsWarmIsUsed() {
+			assertThat(ReplicaRulesTests.this.rules.cold(1000, this.south, this.cold)).isFalse();
+		}
+
+	}
+
+	@Nested
+	class DuringARollout {
+
+		/**
+		 * Guards against requests that are refused as the replicas of their new release
+		 * have just started, while the old ones are warm.
+		 */
+		@Test
+		void requestsOfTheNewReleaseGoToTheOldOneWhileTheNewReplicasAreCold() {
+			Replica fresh = replica("a", "v2");
+			ReplicaRulesTests.this.directory.put(fresh);
+			ReplicaRulesTests.this.directory.cold(0, fresh, 1000);
+			Rollout rollout = new Rollout(-9000, new RolloutOrder(ENGINES, "v2", 10_000), 1);
+			Wanted wanted = new Wanted(ENGINES, RegionLimit.ANYWHERE, COLD_START, Optional.of(1), Optional.of(rollout),
+					KEY);
+			assertThat(usable(wanted)).isEqualTo("a-v1 b-v1 c-v1");
+			ReplicaRulesTests.this.directory.cold(0, fresh, 0);
+			assertThat(usable(wanted)).isEqualTo("a-v2");
+		}
+
+	}
+
+}
--- a/daemon/src/main/java/org/gullsaddle/gateway/Attempt.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Attempt.java
@@ -18,6 +18,8 @@
 
 	private final Choice choice;
 
+	private final long coldMillis;
+
 	private final ChannelPool pool;
 
 	private final HeaderCodec codec;
@@ -42,8 +44,9 @@
 
 	private long headAt = this.startedAt;
 
-	Attempt(Choice choice, String attemptId, ChannelPool pool, HeaderCodec codec, Listener listener) {
+	Attempt(Choice choice, long coldMillis, String attemptId, ChannelPool pool, HeaderCodec codec, Listener listener) {
 		this.choice = choice;
+		this.coldMillis = coldMillis;
 		this.attemptId = attemptId;
 		this.pool = pool;
 		this.codec = codec;
@@ -65,6 +68,11 @@
 				taken.close();
 				return;
 			}
+			if (!this.listener.stillOpen(this)) {
+				taken.close();
+				end(new AttemptEnd.NotRun(false, "replica closed before sending"));
+				return;
+			}
 			RequestOptions options = new RequestOptions().setMethod(method).setURI(uri);
 			taken.connection().request(options).onComplete((request, refused) -> {
 				if (refused != null) {
@@ -205,6 +213,13 @@
 		return this.choice;
 	}
 
+	/**
+	 * Returns how long the replica was to stay cold when it was chosen, 0 if it was warm.
+	 */
+	long coldMillis() {
+		return this.coldMillis;
+	}
+
 	ReplicaAnswer answer() {
 		return this.answer;
 	}
@@ -239,6 +254,12 @@
 	 */
 	interface Listener {
 
+		/**
+		 * Says whether the replica may still be sent the request: a new connection takes
+		 * a while, and it may be about to stop by then.
+		 */
+		boolean stillOpen(Attempt attempt);
+
 		void head(Attempt attempt, ReplicaAnswer answer, MultiMap headers);
 
 		void data(Attempt attempt, Buffer bytes);
--- a/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
@@ -75,6 +75,7 @@
 				.addKeyValue("address", listed.replica().address().toString())
 				.addKeyValue("release", listed.replica().release())
 				.addKeyValue("draining", listed.replica().draining())
+				.addKeyValue("coldMillis", listed.coldMillis())
 				.log("replica listed");
 			case FleetChange.Unlisted unlisted ->
 				line.addKeyValue("replica", unlisted.id().value()).log("replica unlisted");
@@ -86,6 +87,10 @@
 				.addKeyValue("target", progressed.target())
 				.addKeyValue("state", progressed.state().name())
 				.log("roll-out progressed");
+			case FleetChange.EvacuationBegan began ->
+				line.addKeyValue("dataCenter", began.dataCenter()).log("evacuation began");
+			case FleetChange.EvacuationEnded ended ->
+				line.addKeyValue("dataCenter", ended.dataCenter()).log("evacuation ended");
 			case FleetChange.Noted noted -> line.addKeyValue("key", noted.key()).log("note taken in");
 			case FleetChange.Unreadable unreadable -> line.addKeyValue("key", unreadable.key())
 				.addKeyValue("reason", unreadable.reason())
@@ -104,13 +109,15 @@
 			.log("roll-out state written");
 	}
 
-	void attempt(String id, Choice choice, String model, int confidence, String end, long millis, StreamClock stream,
-			boolean failure) {
+	void attempt(String id, Choice choice, long coldMillis, String model, int confidence, String end, long millis,
+			StreamClock stream, boolean failure) {
 		if (allowed(failure)) {
 			LOG.atInfo()
 				.addKeyValue("id", id)
 				.addKeyValue("confidence", confidence)
 				.addKeyValue("replica", choice.replica().id().value())
+				.addKeyValue("dataCenter", choice.replica().dataCenter())
+				.addKeyValue("coldMillis", coldMillis)
 				.addKeyValue("release", choice.replica().release())
 				.addKeyValue("model", model)
 				.addKeyValue("unreadTokens", choice.unreadTokens())
--- a/daemon/src/main/java/org/gullsaddle/gateway/Decisions.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Decisions.java
@@ -11,6 +11,7 @@
 import org.gullsaddle.serve.ModelChooser;
 import org.gullsaddle.serve.Place;
 import org.gullsaddle.serve.ReplicaPicker;
+import org.gullsaddle.serve.ReplicaRules;
 import org.gullsaddle.serve.RetryBudget;
 
 /**
@@ -21,6 +22,18 @@
 	/** When a refused caller is to come back at the earliest, in milliseconds. */
 	private static final long COME_BACK_MILLIS = 250;
 
+	/**
+	 * When a caller is to come back for whom all replicas are cold: each node is let to
+	 * them again every second, in milliseconds.
+	 */
+	private static final long COLD_BACK_MILLIS = 700;
+
+	/**
+	 * When a caller is to come back whose data centers are being emptied, in
+	 * milliseconds: that takes some seconds, and most callers come back only once.
+	 */
+	private static final long REOPENED_BACK_MILLIS = 2000;
+
 	/** The part of the objective after which a silent replica is taken as lost. */
 	private static final double SILENT_PART = 0.6;
 
@@ -68,6 +81,19 @@
 		return COME_BACK_MILLIS + this.random.nextLong(COME_BACK_MILLIS);
 	}
 
+	/**
+	 * Returns when a caller is to come back for whom there is no replica: when there may
+	 * be one again, spread out likewise.
+	 */
+	long comeBackMillis(ReplicaRules.NoReplica why) {
+		long soonest = switch (why) {
+			case NONE, TRIED -> COME_BACK_MILLIS;
+			case COLD -> COLD_BACK_MILLIS;
+			case EVACUATED, OTHER_REGION -> REOPENED_BACK_MILLIS;
+		};
+		return soonest + this.random.nextLong(soonest);
+	}
+
 	FairShare shares() {
 		return this.shares;
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/FleetFeed.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/FleetFeed.java
@@ -1,15 +1,11 @@
 package org.gullsaddle.gateway;
 
-import java.util.HashSet;
-import java.util.List;
-import java.util.Set;
 import java.util.function.Consumer;
 
 import io.reactivex.rxjava3.core.Single;
 import io.vertx.core.Vertx;
 
 import org.gullsaddle.fleet.FleetChange;
-import org.gullsaddle.fleet.ReplicaId;
 
 /**
  * Keeps {@link FleetState} up to date: reads everything once, then waits for changes, and
@@ -113,7 +109,7 @@
 		this.state.heard(now);
 		if (whole) {
 			this.readAllAt = now;
-			this.state.directory().retain(now, listed(news.changes()));
+			this.state.retain(now, news.changes());
 		}
 		for (FleetChange change : news.changes()) {
 			if (this.state.apply(now, change)) {
@@ -145,16 +141,6 @@
 		return Math.max(0, askedAt + every - now);
 	}
 
-	private static Set<ReplicaId> listed(List<FleetChange> changes) {
-		Set<ReplicaId> ids = new HashSet<>();
-		for (FleetChange change : changes) {
-			if (change instanceof FleetChange.Listed listed) {
-				ids.add(listed.replica().id());
-			}
-		}
-		return ids;
-	}
-
 	private void failed(Throwable failure) {
 		long now = Clock.millis();
 		this.failures++;
--- a/daemon/src/main/java/org/gullsaddle/gateway/FleetState.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/FleetState.java
@@ -2,17 +2,19 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.gullsaddle.fleet.FleetChange;
 import org.gullsaddle.fleet.FleetConfig;
 import org.gullsaddle.fleet.Replica;
 import org.gullsaddle.fleet.ReplicaDirectory;
+import org.gullsaddle.fleet.ReplicaId;
 import org.gullsaddle.fleet.RolloutState;
 import org.gullsaddle.fleet.ServiceName;
-import org.gullsaddle.serve.ReleaseKey;
 import org.gullsaddle.serve.Rollout;
 
 /**
@@ -38,7 +40,7 @@
 	boolean apply(long now, FleetChange change) {
 		return switch (change) {
 			case FleetChange.Configured configured -> configure(configured.config());
-			case FleetChange.Listed listed -> list(listed.replica());
+			case FleetChange.Listed listed -> list(now, listed);
 			case FleetChange.Unlisted unlisted -> {
 				boolean known = this.directory.find(unlisted.id()).isPresent();
 				this.directory.remove(now, unlisted.id());
@@ -46,6 +48,8 @@
 			}
 			case FleetChange.Ordered ordered -> order(now, ordered);
 			case FleetChange.Progressed progressed -> progress(progressed);
+			case FleetChange.EvacuationBegan began -> this.directory.evacuate(began.dataCenter());
+			case FleetChange.EvacuationEnded ended -> this.directory.takeBack(ended.dataCenter());
 			case FleetChange.Noted noted -> false;
 			case FleetChange.Unreadable unreadable -> true;
 		};
@@ -63,9 +67,11 @@
 		return true;
 	}
 
-	private boolean list(Replica replica) {
+	private boolean list(long now, FleetChange.Listed listed) {
+		Replica replica = listed.replica();
 		Optional<Replica> before = this.directory.find(replica.id());
 		this.directory.put(replica);
+		this.directory.cold(now, replica, listed.coldMillis());
 		return !before.equals(Optional.of(replica));
 	}
 
@@ -93,6 +99,27 @@
 		return !progressed.equals(before);
 	}
 
+	/**
+	 * Takes in that everything was read: what was not told is gone.
+	 */
+	void retain(long now, List<FleetChange> everything) {
+		Set<ReplicaId> replicas = new HashSet<>();
+		Set<String> evacuated = new HashSet<>();
+		for (FleetChange change : everything) {
+			if (change instanceof FleetChange.Listed listed) {
+				replicas.add(listed.replica().id());
+			}
+			else if (change instanceof FleetChange.EvacuationBegan began) {
+				evacuated.add(began.dataCenter());
+			}
+		}
+		this.directory.retain(now, replicas);
+		this.directory.evacuated()
+			.stream()
+			.filter((dataCenter) -> !evacuated.contains(dataCenter))
+			.forEach(this.directory::takeBack);
+	}
+
 	void heard(long now) {
 		this.heardAt = now;
 	}
@@ -126,13 +153,4 @@
 			.anyMatch((rollout) -> rollout.state().map((state) -> state == RolloutState.RUNNING).orElse(true));
 	}
 
-	/**
-	 * Returns the replicas that a request may go to.
-	 * @param key what the request keeps its release by
-	 */
-	List<Replica> replicas(long now, ServiceName service, ReleaseKey key) {
-		List<Replica> usable = this.directory.usable(now, service);
-		return rollout(service).map((rollout) -> rollout.allowed(now, usable, key)).orElse(usable);
-	}
-
 }
--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -22,6 +22,8 @@
 import org.gullsaddle.fleet.RouteKind;
 import org.gullsaddle.fleet.Team;
 import org.gullsaddle.serve.AttemptEnd;
+import org.gullsaddle.serve.ColdPace;
+import org.gullsaddle.serve.ReplicaRules;
 import org.gullsaddle.store.Store;
 import org.gullsaddle.telemetry.Telemetry;
 
@@ -65,12 +67,18 @@
 
 	private final Decisions decisions;
 
+	private final ColdPace coldPace;
+
 	private final ChannelPool pool;
 
 	private final LoadProbe probe;
 
 	private final FleetFeed feed;
 
+	private final NodeRegister nodes;
+
+	private final ReplicaRules rules;
+
 	private final RolloutController rollouts;
 
 	private final CrashController crashes;
@@ -93,8 +101,11 @@
 		this.settings = builder.settings;
 		this.codec = builder.codec;
 		this.decisions = new Decisions(this.settings.place(), this.settings.retryShare());
+		this.coldPace = new ColdPace(this.settings.node());
 		this.pool = new ChannelPool(vertx);
 		this.probe = new LoadProbe(vertx, this.pool, this.codec, this.decisions.picker(), this.log);
+		this.nodes = new NodeRegister(vertx, builder.store, this.settings.node());
+		this.rules = new ReplicaRules(this.fleet.directory(), this.settings.place(), this.coldPace);
 		this.rollouts = new RolloutController(vertx, builder.board, builder.store, this.settings.node(), this.fleet,
 				this.log);
 		this.crashes = new CrashController(vertx, builder.store, this.settings.node(), this.log);
@@ -115,6 +126,10 @@
 		this.telemetry.gauge("open.requests", this.open::size);
 		this.telemetry.gauge("held.requests", this.held::count);
 		this.telemetry.gauge("replicas.known", () -> this.fleet.directory().known().size());
+		this.telemetry.gauge("replicas.cold", () -> this.fleet.directory().countCold(Clock.millis()));
+		this.telemetry.gauge("data.centers.evacuated", () -> this.fleet.directory().evacuated().size());
+		this.telemetry.gauge("nodes.known", () -> this.nodes.known().orElse(0));
+		this.telemetry.gauge("config.version", () -> this.fleet.config().map(FleetConfig::version).orElse(0L));
 		this.telemetry.gauge("fleet.age.milliseconds", () -> this.fleet.age(Clock.millis()));
 		this.telemetry.gauge("log.lines.left.out", this.log::leftOut);
 		this.telemetry.gauge("probes.sent", this.probe::asked);
@@ -278,8 +293,9 @@
 		long millis = now - attempt.startedAt();
 		this.decisions.picker().ended(now, attempt.choice(), end);
 		this.crashes.ended(serving, attempt.choice().replica(), end);
-		this.log.attempt(serving.id(), attempt.choice(), serving.model(), attempt.confidence(), end.toString(), millis,
-				serving.clock(), !(end instanceof AttemptEnd.Answered answered) || answered.failure());
+		this.log.attempt(serving.id(), attempt.choice(), attempt.coldMillis(), serving.model(), attempt.confidence(),
+				end.toString(), millis, serving.clock(),
+				!(end instanceof AttemptEnd.Answered answered) || answered.failure());
 		this.telemetry.attempt(serving.service().value(), end.word());
 		if (serving.clock().begun() && serving.route().kind() == RouteKind.STREAM) {
 			long first = serving.clock().firstMillis(now);
@@ -303,6 +319,7 @@
 			// The replicas that were read with it are taken in first.
 			this.vertx.runOnContext((nothing) -> this.held.release());
 		}
+		this.nodes.learned(change);
 		this.rollouts.learned(change);
 		this.crashes.learned(change);
 	}
@@ -321,6 +338,7 @@
 	private void tidy() {
 		this.pool.tidy(this.fleet.directory().known());
 		this.decisions.picker().retain(this.fleet.directory().known());
+		this.coldPace.retain(this.fleet.directory().known());
 	}
 
 	boolean stopping() {
@@ -339,6 +357,14 @@
 		return this.decisions;
 	}
 
+	NodeRegister nodes() {
+		return this.nodes;
+	}
+
+	ReplicaRules rules() {
+		return this.rules;
+	}
+
 	StallWatch stalls() {
 		return this.stalls;
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/ReplicaChooser.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/ReplicaChooser.java
@@ -10,6 +10,7 @@
 import org.gullsaddle.fleet.ReplicaId;
 import org.gullsaddle.serve.Choice;
 import org.gullsaddle.serve.ReplicaPicker;
+import org.gullsaddle.serve.ReplicaRules;
 import org.gullsaddle.serve.Task;
 
 /**
@@ -27,10 +28,48 @@
 	}
 
 	/**
-	 * Returns the replicas that the request may go to now.
+	 * Says whether there is a replica that the request was not sent to yet.
 	 */
-	List<Replica> usable() {
-		return this.gateway.fleet().replicas(Clock.millis(), this.request.service(), this.request.releaseKey());
+	boolean another(Set<ReplicaId> tried) {
+		return usable(tried).stream().anyMatch((replica) -> !tried.contains(replica.id()));
+	}
+
+	/**
+	 * Says why there is no replica for the request.
+	 */
+	ReplicaRules.NoReplica whyNone() {
+		return rules().whyNone(Clock.millis(), wanted());
+	}
+
+	/**
+	 * Says whether a replica that was chosen before may still be sent the request.
+	 */
+	boolean stillOpen(Replica chosen) {
+		return this.gateway.fleet().directory().stillTakes(Clock.millis(), chosen);
+	}
+
+	/**
+	 * Returns how long a replica stays cold, 0 if it is warm.
+	 */
+	long coldMillis(Replica replica) {
+		return this.gateway.fleet().directory().coldMillis(Clock.millis(), replica.id());
+	}
+
+	/**
+	 * Notes that the request is sent to a replica.
+	 */
+	void sent(Replica replica) {
+		rules().sent(Clock.millis(), wanted(), replica);
+	}
+
+	private List<Replica> usable(Set<ReplicaId> without) {
+		return rules().usable(Clock.millis(), wanted(), without);
+	}
+
+	private ReplicaRules.Wanted wanted() {
+		return new ReplicaRules.Wanted(this.request.service(), this.request.limit(), this.request.coldStart(),
+				this.gateway.nodes().known(), this.gateway.fleet().rollout(this.request.service()),
+				this.request.releaseKey());
 	}
 
 	/**
@@ -40,21 +79,37 @@
 	 * @param then is given the choice, at once or when the replicas have told
 	 */
 	void choose(Task task, Set<ReplicaId> without, Consumer<Optional<Choice>> then) {
-		List<Replica> asked = picker().toAsk(Clock.millis(), usable(), without, task);
+		List<Replica> asked = toAsk(task, without);
 		if (asked.isEmpty()) {
-			then.accept(picker().pick(Clock.millis(), usable(), without, task));
+			then.accept(picker().pick(Clock.millis(), usable(without), without, task));
 			return;
 		}
 		this.gateway.probe().ask(asked, (told) -> {
-			List<Replica> left = withoutSilent(asked, told);
-			then.accept(picker().pick(Clock.millis(), left.isEmpty() ? usable() : left, without, task));
+			List<Replica> usable = usable(without);
+			List<Replica> left = withoutSilent(usable, asked, told);
+			then.accept(picker().pick(Clock.millis(), left.isEmpty() ? usable : left, without, task));
 		});
 	}
 
-	private List<Replica> withoutSilent(List<Replica> asked, List<Replica> told) {
+	/**
+	 * A question is work too, and what cold replicas bear is kept for requests.
+	 */
+	private List<Replica> toAsk(Task task, Set<ReplicaId> without) {
+		long now = Clock.millis();
+		return picker().toAsk(now, usable(without), without, task)
+			.stream()
+			.filter((replica) -> !rules().cold(now, wanted(), replica))
+			.toList();
+	}
+
+	private static List<Replica> withoutSilent(List<Replica> usable, List<Replica> asked, List<Replica> told) {
 		Set<ReplicaId> silent = asked.stream().map(Replica::id).collect(Collectors.toSet());
 		told.forEach((replica) -> silent.remove(replica.id()));
-		return usable().stream().filter((replica) -> !silent.contains(replica.id())).toList();
+		return usable.stream().filter((replica) -> !silent.contains(replica.id())).toList();
+	}
+
+	private ReplicaRules rules() {
+		return this.gateway.rules();
 	}
 
 	private ReplicaPicker picker() {
--- a/daemon/src/main/java/org/gullsaddle/gateway/ServedRequest.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/ServedRequest.java
@@ -9,8 +9,10 @@
 
 import org.gullsaddle.base.Fingerprint;
 import org.gullsaddle.base.TeamId;
+import org.gullsaddle.fleet.ColdStart;
 import org.gullsaddle.fleet.EngineSpec;
 import org.gullsaddle.fleet.FleetConfig;
+import org.gullsaddle.fleet.RegionLimit;
 import org.gullsaddle.fleet.Route;
 import org.gullsaddle.fleet.RouteKind;
 import org.gullsaddle.fleet.ServiceName;
@@ -119,6 +121,20 @@
 		return this.config.service(this.service).flatMap(ServiceSpec::engine);
 	}
 
+	/**
+	 * Returns what cold replicas of its service bear.
+	 */
+	ColdStart coldStart() {
+		return this.config.service(this.service).map(ServiceSpec::coldStart).orElse(ColdStart.NONE);
+	}
+
+	/**
+	 * Returns where it may be served, by its route and by its team.
+	 */
+	RegionLimit limit() {
+		return this.team.map(Team::limit).orElse(RegionLimit.ANYWHERE).and(this.route.limit());
+	}
+
 	boolean stream() {
 		return this.route.kind() == RouteKind.STREAM;
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
@@ -1,6 +1,7 @@
 package org.gullsaddle.gateway;
 
 import java.util.HashSet;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
@@ -18,6 +19,7 @@
 import org.gullsaddle.fleet.ServiceName;
 import org.gullsaddle.serve.AttemptEnd;
 import org.gullsaddle.serve.Choice;
+import org.gullsaddle.serve.ReplicaRules;
 import org.gullsaddle.serve.RetryRule;
 import org.gullsaddle.serve.Task;
 
@@ -120,30 +122,43 @@
 			refuse("no time left");
 		}
 		else if (choice.isEmpty()) {
-			refuse(this.replicas.usable().isEmpty() ? "no replica" : "no replica left");
+			refuseForNone();
 		}
 		else {
 			send(choice.get(), left);
 		}
 	}
 
+	private void refuseForNone() {
+		ReplicaRules.NoReplica why = this.replicas.whyNone();
+		this.gateway.telemetry().count("no.replica." + why.name().toLowerCase(Locale.ROOT));
+		refuse(why.reason(), this.gateway.decisions().comeBackMillis(why));
+	}
+
 	private void send(Choice choice, long left) {
 		this.attempts++;
 		this.tried.add(choice.replica().id());
 		this.promptRead = false;
 		this.clock.begin(Clock.millis());
 		this.gateway.decisions().picker().sent(Clock.millis(), choice, this.task);
+		this.replicas.sent(choice.replica());
 		Optional<String> lastEvent = this.relay.lastEvent().or(this.request.caller()::lastEvent);
 		OptionalInt urgency = this.request.engine().isPresent()
 				? OptionalInt.of(Decisions.urgency(this.request.rank(), this.overShare)) : OptionalInt.empty();
 		Handover handover = new Handover(choice.replica().id(), left, this.request.team(),
 				route().models().isEmpty() ? "" : model(), urgency, lastEvent);
 		MultiMap headers = this.gateway.codec().toReplica(this.request.http().headers(), handover);
-		this.attempt = new Attempt(choice, id(), this.gateway.pool(), this.gateway.codec(), this);
+		this.attempt = new Attempt(choice, this.replicas.coldMillis(choice.replica()), id(), this.gateway.pool(),
+				this.gateway.codec(), this);
 		this.attempt.send(this.request.http().method(), this.request.http().uri(), headers, this.request.body(),
 				route().kind() == RouteKind.ONCE);
 	}
 
+	@Override
+	public boolean stillOpen(Attempt from) {
+		return this.replicas.stillOpen(from.choice().replica());
+	}
+
 	@Override
 	public void head(Attempt from, ReplicaAnswer answer, MultiMap headers) {
 		readPrompt(from);
@@ -245,8 +260,7 @@
 		if (!held || !this.rule.mayTryAgain(this.request.left(now)) || this.gateway.crashes().refusedFor(this) > 0) {
 			return false;
 		}
-		boolean another = this.replicas.usable().stream().anyMatch((replica) -> !this.tried.contains(replica.id()));
-		if (!another || !this.gateway.decisions().spendRetry()) {
+		if (!this.replicas.another(this.tried) || !this.gateway.decisions().spendRetry()) {
 			return false;
 		}
 		tryNext();
@@ -277,7 +291,7 @@
 			case AttemptEnd.Dropped dropped -> "dropped";
 			case AttemptEnd.Answered answered -> "answered";
 		};
-		refuse(reason);
+		refuse(reason, this.gateway.decisions().comeBackMillis(this.replicas.whyNone()));
 	}
 
 	/**
