A node that is behind reads that callers have left before it passes their requests on

Cause: callers give a node a second to read an idempotent request. A node that is two seconds behind finds request and close together in the socket. Netty hands the request over first; it is passed on at once over a kept connection, and the close is read in the next turn of the event loop.

Now a request that is read while the node is behind (a periodic look 200 ms late, or such a look within the last second) waits one turn of the event loop, which reads the closes first.

--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -234,9 +234,24 @@
 	}
 
 	/**
-	 * Takes in a request whose body is complete.
+	 * Takes in a request whose body is complete. A node that is behind may read it after
+	 * its caller has left. The close of its connection, which is read in the next turn of
+	 * the event loop, is waited for then, so that no replica gets work for nobody.
 	 */
-	void serve(HttpServerRequest request, CallerRequest caller, Buffer body, long startedAt) {
+	void take(HttpServerRequest request, CallerRequest caller, Buffer body, long startedAt) {
+		Runnable serve = () -> serve(request, caller, body, startedAt);
+		if (this.stalls.behind(Clock.millis())) {
+			// A timer that is due by the end of this turn still runs in it; one that it
+			// sets
+			// does not.
+			this.vertx.setTimer(1, (first) -> this.vertx.setTimer(1, (second) -> serve.run()));
+		}
+		else {
+			serve.run();
+		}
+	}
+
+	private void serve(HttpServerRequest request, CallerRequest caller, Buffer body, long startedAt) {
 		CallerAnswerWriter writer = new CallerAnswerWriter(request.response(), this::stopping);
 		Optional<FleetConfig> config = this.fleet.config();
 		if (request.response().closed()) {
--- a/daemon/src/main/java/org/gullsaddle/gateway/Intake.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Intake.java
@@ -46,7 +46,7 @@
 		this.request.endHandler((nothing) -> {
 			if (!this.over) {
 				this.over = true;
-				this.gateway.serve(this.request, caller, this.body, this.startedAt);
+				this.gateway.take(this.request, caller, this.body, this.startedAt);
 			}
 		});
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/StallWatch.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/StallWatch.java
@@ -16,8 +16,19 @@
 	 */
 	private static final long STALL_MILLIS = 500;
 
+	/**
+	 * How late a look must be for what lies in the sockets to be old, in milliseconds: a
+	 * part of the second that callers give a node to read their requests.
+	 */
+	private static final long BEHIND_MILLIS = 200;
+
+	/** How long after such a look sockets may still hold old bytes, in milliseconds. */
+	private static final long CATCH_UP_MILLIS = 1000;
+
 	private long lastLook = Long.MAX_VALUE;
 
+	private long caughtUpAt = Long.MIN_VALUE;
+
 	private long awakeSince = Long.MIN_VALUE;
 
 	/**
@@ -28,6 +39,9 @@
 	long look(long now) {
 		long late = (this.lastLook == Long.MAX_VALUE) ? 0 : now - this.lastLook;
 		this.lastLook = now;
+		if (late >= BEHIND_MILLIS) {
+			this.caughtUpAt = now + CATCH_UP_MILLIS;
+		}
 		if (late < STALL_MILLIS) {
 			return 0;
 		}
@@ -35,6 +49,14 @@
 		return late;
 	}
 
+	/**
+	 * Says whether bytes that are read now may have come long ago.
+	 */
+	boolean behind(long now) {
+		boolean lookIsLate = this.lastLook != Long.MAX_VALUE && now - this.lastLook >= BEHIND_MILLIS;
+		return lookIsLate || now < this.caughtUpAt;
+	}
+
 	/**
 	 * Returns since when bytes have been waited for that last came at a time.
 	 */
--- a/daemon/src/test/java/org/gullsaddle/gateway/StallWatchTests.java
+++ b/daemon/src/test/java/org/gullsaddle/gateway/StallWatchTests.java
@@ -21,6 +21,30 @@
 		assertThat(this.watch.silentSince(4100)).isEqualTo(4100);
 	}
 
+	/** Guards against work for callers that left while their requests lay unread. */
+	@Test
+	void nodeIsBehindFromAMissedLookUntilItHasCaughtUp() {
+		this.watch.look(1000);
+		assertThat(this.watch.behind(1100)).isFalse();
+		assertThat(this.watch.behind(1250)).isTrue();
+		this.watch.look(1250);
+		assertThat(this.watch.behind(1300)).isTrue();
+		this.watch.look(2240);
+		assertThat(this.watch.behind(4000)).isTrue();
+		this.watch.look(2260);
+		assertThat(this.watch.behind(2310)).isTrue();
+		this.watch.look(2310);
+		assertThat(this.watch.behind(3300)).isTrue();
+	}
+
+	@Test
+	void nodeThatLooksInTimeIsNotBehind() {
+		for (long now = 0; now < 5000; now += 50) {
+			this.watch.look(now);
+			assertThat(this.watch.behind(now + 60)).isFalse();
+		}
+	}
+
 	@Test
 	void looksThatAreALittleLateAreNoStandstill() {
 		this.watch.look(1000);
