--- a/measure/src/main/java/org/gullsaddle/measure/EngineModel.java
+++ b/measure/src/main/java/org/gullsaddle/measure/EngineModel.java
@@ -40,6 +40,13 @@
 		}
 	}
 
+	/**
+	 * Gives a request up.
+	 */
+	void drop(EngineJob job) {
+		this.jobs.remove(job);
+	}
+
 	int requests() {
 		return this.jobs.size();
 	}
--- a/measure/src/main/java/org/gullsaddle/measure/Measure.java
+++ b/measure/src/main/java/org/gullsaddle/measure/Measure.java
@@ -49,6 +49,7 @@
 		all.put("overload", new OverloadExperiment());
 		all.put("placement", new PlacementExperiment());
 		all.put("size", new SizeExperiment());
+		all.put("cascade", new CascadeExperiment());
 		all.put("ablation", new AblationExperiment());
 		all.put("capacity", new CapacityExperiment());
 		return all;
--- a/measure/src/main/java/org/gullsaddle/measure/PlacementExperiment.java
+++ b/measure/src/main/java/org/gullsaddle/measure/PlacementExperiment.java
@@ -135,7 +135,7 @@
 	/**
 	 * Draws a size around a mean, with the long tail that prompts have.
 	 */
-	private static int tokens(Random random, int mean) {
+	static int tokens(Random random, int mean) {
 		double spread = 0.8;
 		return (int) Math.max(1, Math.round(mean * Math.exp(spread * random.nextGaussian() - spread * spread / 2)));
 	}
