Evidence against a release is pooled as if one node had seen all answers

Each node told the most that speaks against the release in any kind of request, cut off at nothing, and these were added up: a failure counts 1.74 until five good answers of the same kind at the same node have followed it, so that of many nodes some have always just seen one. The more nodes, the surer a good release is taken back.

Ruled out: slow answers (failures alone do it in the model), a node that was cut off (the one that wrote had been back for eight seconds), an allowance for chance by node (0.4 or 0.3 for each further node: still taken back at 4 to 100 nodes in the model, as at few answers a node failures are never followed by good answers).

Now nodes tell sums that good answers lower, of all answers and by route; what is new in them goes into one test of all and one of each route. A node that started again is heard anew, and one that came late does not take old sums for news.

--- a/core/src/main/java/org/gullsaddle/serve/ReleaseTrial.java
+++ b/core/src/main/java/org/gullsaddle/serve/ReleaseTrial.java
@@ -1,7 +1,5 @@
 package org.gullsaddle.serve;
 
-import org.gullsaddle.rollout.ChangeDetector;
-
 /**
  * The evidence against a new release from one kind of request, judged by how the old
  * release answers the same kind.
@@ -40,18 +38,12 @@
 
 	private static final double SMOOTHING = 0.1;
 
-	private final ChangeDetector detector;
-
 	private int oldAnswers;
 
 	private int oldFailures;
 
 	private double oldMillis;
 
-	ReleaseTrial(double threshold) {
-		this.detector = new ChangeDetector(threshold);
-	}
-
 	void oldAnswered(boolean failed, double firstMillis) {
 		this.oldAnswers++;
 		if (failed) {
@@ -62,11 +54,15 @@
 		this.oldMillis += Math.max(SMOOTHING, 1.0 / sound) * (firstMillis - this.oldMillis);
 	}
 
-	void newAnswered(boolean failed, double firstMillis) {
+	/**
+	 * Returns what an answer of the new release says against it, as a logarithm; negative
+	 * if it speaks for it.
+	 */
+	double newAnswered(boolean failed, double firstMillis) {
 		double good = goodRate();
 		double bad = good + BAD_SHARE * (1 - good);
 		boolean counts = failed || slow(firstMillis);
-		this.detector.add(counts ? Math.log(bad / good) : Math.log((1 - bad) / (1 - good)));
+		return counts ? Math.log(bad / good) : Math.log((1 - bad) / (1 - good));
 	}
 
 	private double goodRate() {
@@ -83,8 +79,4 @@
 				&& firstMillis > SLOW * this.oldMillis + SLOW_MARGIN_MILLIS;
 	}
 
-	double evidence() {
-		return this.detector.sum();
-	}
-
 }
--- a/core/src/main/java/org/gullsaddle/serve/Rollout.java
+++ b/core/src/main/java/org/gullsaddle/serve/Rollout.java
@@ -51,10 +51,16 @@
 	/** A hundred to one for a bad release. */
 	private static final double THRESHOLD = Math.log(100);
 
+	/**
+	 * How much longer than this node another one may have known the order for both to
+	 * have known it from the start, in milliseconds.
+	 */
+	private static final long LATE_MILLIS = 3000;
+
 	/** How many kinds of request are judged, each by itself; later ones count as one. */
 	private static final int MAX_KINDS = 64;
 
-	private static final String OTHER_KINDS = "other";
+	private static final AnswerKind OTHER_KINDS = new AnswerKind("other", "");
 
 	private final RolloutOrder order;
 
@@ -62,9 +68,9 @@
 
 	private final long seenAt;
 
-	private final Map<String, ReleaseTrial> trials = new HashMap<>();
+	private final Map<AnswerKind, ReleaseTrial> trials = new HashMap<>();
 
-	private final Map<String, RolloutNote> others = new HashMap<>();
+	private final PooledEvidence evidence = new PooledEvidence(THRESHOLD);
 
 	/** When each replica of the new release was last found slow, until its answer. */
 	private final Map<ReplicaId, Long> slowUntil = new HashMap<>();
@@ -73,8 +79,6 @@
 
 	private long stateRevision;
 
-	private int answers;
-
 	private long headStart;
 
 	private boolean condemned;
@@ -139,25 +143,22 @@
 	/**
 	 * Notes the end of an answer.
 	 * @param replica the replica that gave it
-	 * @param kind what kind of request it answers, of those that are alike in their pace
-	 * and failures
+	 * @param kind what it is compared by
 	 * @param failed whether it was a failure
 	 * @param sentAt when the request was sent, in milliseconds
 	 * @param firstMillis how long its first part took, in milliseconds
 	 */
-	public void answered(Replica replica, String kind, boolean failed, long sentAt, long firstMillis) {
+	public void answered(Replica replica, AnswerKind kind, boolean failed, long sentAt, long firstMillis) {
 		boolean known = this.trials.containsKey(kind) || this.trials.size() < MAX_KINDS;
-		ReleaseTrial trial = this.trials.computeIfAbsent(known ? kind : OTHER_KINDS,
-				(missing) -> new ReleaseTrial(THRESHOLD));
+		ReleaseTrial trial = this.trials.computeIfAbsent(known ? kind : OTHER_KINDS, (missing) -> new ReleaseTrial());
 		if (!replica.release().equals(this.order.target())) {
 			trial.oldAnswered(failed, firstMillis);
 			return;
 		}
-		this.answers++;
 		if (!failed && trial.slow(firstMillis) && !newlySlow(replica.id(), sentAt, firstMillis)) {
 			return;
 		}
-		trial.newAnswered(failed, firstMillis);
+		this.evidence.answered((known ? kind : OTHER_KINDS).route(), trial.newAnswered(failed, firstMillis));
 		judge();
 	}
 
@@ -180,7 +181,7 @@
 	 * @param note the note
 	 */
 	public void learn(long now, RolloutNote note) {
-		this.others.put(note.node(), note);
+		this.evidence.learn(note, note.elapsedMillis() - (now - this.seenAt) < LATE_MILLIS);
 		this.headStart = Math.max(this.headStart, note.elapsedMillis() - (now - this.seenAt));
 		judge();
 	}
@@ -192,7 +193,7 @@
 	 * @return the note
 	 */
 	public RolloutNote note(long now, String node) {
-		return new RolloutNote(node, ownEvidence(), this.answers, elapsed(now));
+		return this.evidence.note(node, elapsed(now));
 	}
 
 	/**
@@ -200,7 +201,7 @@
 	 * @return the sum of logarithms, 0 or more
 	 */
 	public double evidence() {
-		return ownEvidence() + this.others.values().stream().mapToDouble(RolloutNote::evidence).sum();
+		return this.evidence.sum();
 	}
 
 	/**
@@ -208,7 +209,7 @@
 	 * @return the number
 	 */
 	public int answers() {
-		return this.answers + this.others.values().stream().mapToInt(RolloutNote::answers).sum();
+		return this.evidence.answers();
 	}
 
 	/**
@@ -281,16 +282,8 @@
 		return replicas.stream().filter((replica) -> replica.release().equals(this.order.target()) == target).toList();
 	}
 
-	/**
-	 * A release may be bad for one kind of request only; the others' good answers must
-	 * not hide that.
-	 */
-	private double ownEvidence() {
-		return this.trials.values().stream().mapToDouble(ReleaseTrial::evidence).max().orElse(0);
-	}
-
 	private void judge() {
-		this.condemned = this.condemned || evidence() >= THRESHOLD;
+		this.condemned = this.condemned || this.evidence.enough();
 	}
 
 	private double part(long now) {
--- a/core/src/test/java/org/gullsaddle/serve/RolloutTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/RolloutTests.java
@@ -1,12 +1,21 @@
 package org.gullsaddle.serve;
 
+import java.io.IOException;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Random;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.gullsaddle.base.Address;
+import org.gullsaddle.base.Json;
 import org.gullsaddle.fleet.Replica;
 import org.gullsaddle.fleet.ReplicaId;
 import org.gullsaddle.fleet.RolloutOrder;
@@ -33,7 +42,8 @@
 	private long sentAt;
 
 	private void answered(String release, String kind, boolean failed, long firstMillis) {
-		this.rollout.answered(BOTH.get(release.equals("v2") ? 1 : 0), kind, failed, this.sentAt, firstMillis);
+		this.rollout.answered(BOTH.get(release.equals("v2") ? 1 : 0), new AnswerKind(kind, ""), failed, this.sentAt,
+				firstMillis);
 		this.sentAt += firstMillis;
 	}
 
@@ -82,7 +92,7 @@
 	 */
 	@Test
 	void nodeThatStartsAnewGoesOnWhereTheOthersAre() {
-		this.rollout.learn(0, new RolloutNote("other", 0, 40, DURATION * 3 / 4));
+		this.rollout.learn(0, new RolloutNote("other", 0, Map.of(), 40, DURATION * 3 / 4));
 		assertThat(sessionsOnTarget(0)).isEqualTo(1000);
 	}
 
@@ -213,7 +223,7 @@
 			RolloutTests.this.rollout.progressed(RolloutState.RUNNING, "v2", 11);
 			answers(1, 2);
 			assertThat(RolloutTests.this.rollout.due(1000)).isEmpty();
-			RolloutTests.this.rollout.learn(1000, new RolloutNote("other", 2.5, 3, 1000));
+			RolloutTests.this.rollout.learn(1000, new RolloutNote("other", 2.5, Map.of(), 3, 1000));
 			assertThat(RolloutTests.this.rollout.due(1000)).contains(RolloutState.ROLLED_BACK);
 		}
 
@@ -261,7 +271,8 @@
 				answered("v1", "chat", false, 100);
 			}
 			for (int i = 0; i < 12; i++) {
-				RolloutTests.this.rollout.answered(BOTH.get(1), "chat", false, 10_000 + i * 100, 2500 - i * 100);
+				RolloutTests.this.rollout.answered(BOTH.get(1), new AnswerKind("chat", ""), false, 10_000 + i * 100,
+						2500 - i * 100);
 			}
 			assertThat(RolloutTests.this.rollout.due(DURATION / 2)).isNotEqualTo(Optional.of(RolloutState.ROLLED_BACK));
 			assertThat(RolloutTests.this.rollout.evidence()).isLessThan(Math.log(10));
@@ -280,4 +291,135 @@
 
 	}
 
+	/**
+	 * Many nodes, each with a small part of the traffic, tell each other what they saw.
+	 */
+	@Nested
+	class SeenByManyNodes {
+
+		private static final int SEEDS = 20;
+
+		private static final int ROUTES = 4;
+
+		private static final int MODELS = 3;
+
+		private static final long NOTE_MILLIS = 2000;
+
+		private static final long STEP_MILLIS = 100;
+
+		/** What a node sends to the new release in a step at first. */
+		private static final double CANARY = 0.02;
+
+		/** The same once all traffic goes there. */
+		private static final double ALL = 0.25;
+
+		/** What any release fails. */
+		private static final double USUAL = 0.04;
+
+		/**
+		 * Plays a roll-out until any node condemns the release or its time is over.
+		 * @param badRate what it fails on the bad routes
+		 * @param badRoutes how many routes are bad
+		 * @param badFrom when they turn bad
+		 * @return how many answers failed on them until then, or empty if it was not
+		 * condemned
+		 */
+		private OptionalInt badAnswers(int nodes, double badRate, int badRoutes, long badFrom, int seed) {
+			Random random = new Random(seed);
+			List<Rollout> rollouts = Stream
+				.generate(() -> new Rollout(0, new RolloutOrder(SERVICE, "v2", DURATION), 10))
+				.limit(nodes)
+				.toList();
+			rollouts.forEach((rollout) -> rollout.progressed(RolloutState.RUNNING, "v2", 11));
+			int bad = 0;
+			for (long now = 0; now < 0.85 * DURATION; now += STEP_MILLIS) {
+				for (int i = 0; i < nodes; i++) {
+					if (random.nextDouble() < ((now < DURATION / 2) ? CANARY : ALL)) {
+						int route = random.nextInt(ROUTES);
+						boolean onBad = route < badRoutes && now >= badFrom;
+						boolean failed = random.nextDouble() < (onBad ? badRate : USUAL);
+						bad += (onBad && failed) ? 1 : 0;
+						AnswerKind kind = new AnswerKind("route-" + route, "model-" + random.nextInt(MODELS));
+						rollouts.get(i).answered(BOTH.get(1), kind, failed, now, 100);
+					}
+					if (now % NOTE_MILLIS == STEP_MILLIS * (i % (NOTE_MILLIS / STEP_MILLIS))) {
+						tell(now, rollouts, i);
+					}
+					if (rollouts.get(i).due(now).equals(Optional.of(RolloutState.ROLLED_BACK))) {
+						return OptionalInt.of(bad);
+					}
+				}
+			}
+			return OptionalInt.empty();
+		}
+
+		private void tell(long now, List<Rollout> rollouts, int from) {
+			RolloutNote note = rollouts.get(from).note(now, "node-" + from);
+			for (int i = 0; i < rollouts.size(); i++) {
+				if (i != from) {
+					rollouts.get(i).learn(now, note);
+				}
+			}
+		}
+
+		/**
+		 * Guards against a good release that is taken back as some nodes have just seen
+		 * the few failures that any release has.
+		 */
+		@ParameterizedTest
+		@ValueSource(ints = { 4, 20, 31, 100 })
+		void goodReleaseIsHardlyEverTakenBack(int nodes) {
+			long takenBack = IntStream.range(0, SEEDS)
+				.filter((seed) -> badAnswers(nodes, 0, 0, 0, seed).isPresent())
+				.count();
+			assertThat(takenBack).isLessThanOrEqualTo(1);
+		}
+
+		@ParameterizedTest
+		@ValueSource(ints = { 4, 20, 31, 100 })
+		void badReleaseIsFoundOutBeforeFiftyBadAnswers(int nodes) {
+			for (int seed = 0; seed < SEEDS; seed++) {
+				assertThat(badAnswers(nodes, 0.5, ROUTES, 0, seed).orElse(1000)).as("seed " + seed).isLessThan(50);
+			}
+		}
+
+		@ParameterizedTest
+		@ValueSource(ints = { 4, 20, 31, 100 })
+		void releaseThatIsBadOnOneRouteIsFoundOutToo(int nodes) {
+			for (int seed = 0; seed < SEEDS; seed++) {
+				assertThat(badAnswers(nodes, 0.5, 1, 0, seed).orElse(1000)).as("seed " + seed).isLessThan(50);
+			}
+		}
+
+		/**
+		 * Guards against good answers of long ago that hide that a release turned bad.
+		 */
+		@ParameterizedTest
+		@ValueSource(ints = { 4, 20, 31 })
+		void releaseThatTurnsBadLateIsFoundOutToo(int nodes) {
+			for (int seed = 0; seed < SEEDS; seed++) {
+				assertThat(badAnswers(nodes, 0.5, ROUTES, DURATION / 2 + 2000, seed).orElse(1000)).as("seed " + seed)
+					.isLessThan(100);
+			}
+		}
+
+		@Test
+		void noteIsReadAsItWasWritten() throws IOException {
+			RolloutNote note = new RolloutNote("node", -1.5, Map.of("orders", 1.74, "reads", -3.0), 9, 4000);
+			assertThat(Json.read(Json.write(note), RolloutNote.class)).isEqualTo(note);
+		}
+
+		/**
+		 * Guards against a node's old sum that is taken for what it saw after a restart.
+		 */
+		@Test
+		void nodeThatStartedAgainIsHeardAnew() {
+			Rollout rollout = RolloutTests.this.rollout;
+			rollout.learn(1000, new RolloutNote("other", -50, Map.of(), 140, 1000));
+			rollout.learn(3000, new RolloutNote("other", -1, Map.of(), 3, 3000));
+			assertThat(rollout.evidence()).isZero();
+		}
+
+	}
+
 }
--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -21,6 +21,7 @@
 import org.gullsaddle.fleet.Route;
 import org.gullsaddle.fleet.RouteKind;
 import org.gullsaddle.fleet.Team;
+import org.gullsaddle.serve.AnswerKind;
 import org.gullsaddle.serve.AttemptEnd;
 import org.gullsaddle.serve.ColdPace;
 import org.gullsaddle.serve.ReplicaRules;
@@ -318,7 +319,7 @@
 			this.telemetry.delayError(serving.service().value(), serving.model(),
 					first - Math.round(attempt.choice().delay().expectedMillis()));
 		}
-		this.rollouts.ended(serving.service(), serving.route().name() + '/' + serving.model(), attempt, end);
+		this.rollouts.ended(serving.service(), new AnswerKind(serving.route().name(), serving.model()), attempt, end);
 	}
 
 	void closed(Serving serving, String outcome, int status, String reason) {
--- a/daemon/src/main/java/org/gullsaddle/gateway/RolloutController.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/RolloutController.java
@@ -14,6 +14,7 @@
 import org.gullsaddle.fleet.FleetChange;
 import org.gullsaddle.fleet.RolloutState;
 import org.gullsaddle.fleet.ServiceName;
+import org.gullsaddle.serve.AnswerKind;
 import org.gullsaddle.serve.AttemptEnd;
 import org.gullsaddle.serve.Rollout;
 import org.gullsaddle.serve.RolloutNote;
@@ -86,7 +87,7 @@
 	 * release; only a failure that the replica itself reports does.
 	 * @param kind the route, and the model that answered
 	 */
-	void ended(ServiceName service, String kind, Attempt attempt, AttemptEnd end) {
+	void ended(ServiceName service, AnswerKind kind, Attempt attempt, AttemptEnd end) {
 		Optional<Rollout> rollout = this.fleet.rollout(service);
 		if (rollout.isEmpty() || !(end instanceof AttemptEnd.Answered answered)) {
 			return;
@@ -152,13 +153,14 @@
 	private void tell(Rollout rollout, long now) {
 		Told last = this.told.computeIfAbsent(key(rollout), (key) -> new Told(this.store, key));
 		RolloutNote note = rollout.note(now, this.node);
-		boolean urgent = note.evidence() - last.evidence >= URGENT_EVIDENCE && now - last.at >= URGENT_NOTE_MILLIS;
+		last.lowest = Math.min(last.lowest, note.evidence());
+		boolean urgent = note.evidence() - last.lowest >= URGENT_EVIDENCE && now - last.at >= URGENT_NOTE_MILLIS;
 		boolean due = note.answers() != last.answers && now - last.at >= NOTE_MILLIS;
 		if (last.note.busy() || !(urgent || due)) {
 			return;
 		}
 		last.at = now;
-		last.evidence = note.evidence();
+		last.lowest = note.evidence();
 		last.answers = note.answers();
 		last.note.write(Json.write(note), () -> last.answers = -1);
 	}
@@ -177,7 +179,8 @@
 
 		private long at;
 
-		private double evidence;
+		/** The least evidence since the last note: what has risen since is news. */
+		private double lowest;
 
 		private int answers;
 
