--- a/core/src/main/java/org/gullsaddle/fleet/ColdStart.java
+++ b/core/src/main/java/org/gullsaddle/fleet/ColdStart.java
@@ -2,16 +2,16 @@
 
 /**
  * How a service's replicas behave after their start: they are slow for a while, and crash
- * if they get more requests than they bear then.
+ * if they get more requests than they bear then. How long a replica stays cold it says
+ * itself.
  *
- * @param millis how long a replica is usually cold, in milliseconds
  * @param perSecond how many requests a second a cold replica bears from all callers
  * together, 0 if it bears as many as a warm one
  */
-public record ColdStart(long millis, double perSecond) {
+public record ColdStart(double perSecond) {
 
 	/** Replicas that bear as many requests at their start as later. */
-	public static final ColdStart NONE = new ColdStart(0, 0);
+	public static final ColdStart NONE = new ColdStart(0);
 
 	/**
 	 * Says whether cold replicas need care.
--- a/core/src/test/java/org/gullsaddle/serve/ReplicaRulesTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/ReplicaRulesTests.java
@@ -30,7 +30,7 @@
 
 	private static final ServiceName ENGINES = new ServiceName("engines");
 
-	private static final ColdStart COLD_START = new ColdStart(3000, 20);
+	private static final ColdStart COLD_START = new ColdStart(20);
 
 	private static final ReleaseKey KEY = new ReleaseKey("request", false);
 
--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -242,9 +242,7 @@
 	void take(HttpServerRequest request, CallerRequest caller, Buffer body, long startedAt) {
 		Runnable serve = () -> serve(request, caller, body, startedAt);
 		if (this.stalls.behind(Clock.millis())) {
-			// A timer that is due by the end of this turn still runs in it; one that it
-			// sets
-			// does not.
+			// A timer that is due may still run in this turn; one that it sets does not.
 			this.vertx.setTimer(1, (first) -> this.vertx.setTimer(1, (second) -> serve.run()));
 		}
 		else {
