A node is behind from its start, not from its first look on

By its log: the deployment was up and the event loop stood still within 50 ms of the gateway's start, before the first periodic look. StallWatch counts from the first look, so that the node did not take itself as behind; the four requests were passed on at 36.888 s and their closes read 5 ms later. The first second of a node, when its classes are loaded, is when it is behind most.

Ruled out: that two timers of a millisecond are not enough (one of the four requests shows no time between its reading and its attempt, so that it did not wait).

The first look is made at the start now.

--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -159,6 +159,7 @@
 		this.feed.start();
 		this.rollouts.start();
 		this.vertx.setTimer(HeldRequests.HOLD_MILLIS, (timer) -> this.held.release());
+		this.stalls.look(Clock.millis());
 		this.vertx.setPeriodic(TICK_MILLIS, (timer) -> tick());
 		this.vertx.setPeriodic(TIDY_MILLIS, (timer) -> tidy());
 		return this.server.listen(this.settings.callers().port(), this.settings.callers().host())
