The replicas of a request are found once for each choice

ReplicaChooser found the usable replicas for the question whom to ask and once more for the pick in the same turn, for each request, also where nothing is ever asked (plain services, the smallest model); whyNone found them twice; the count of a second stood twice in ColdPace; each removal of a replica went through all known ones to forget how cold they are.

--- a/core/src/main/java/org/gullsaddle/fleet/ReplicaDirectory.java
+++ b/core/src/main/java/org/gullsaddle/fleet/ReplicaDirectory.java
@@ -75,7 +75,9 @@
 		if (replica != null) {
 			missing(now, replica);
 		}
-		this.cold.keySet().retainAll(known());
+		if (!this.lapsed.containsKey(id)) {
+			this.cold.remove(id);
+		}
 	}
 
 	/**
@@ -189,6 +191,7 @@
 	 */
 	public List<Replica> usable(long now, ServiceName service, Predicate<String> allowed) {
 		if (!outage(now)) {
+			this.cold.keySet().removeAll(this.lapsed.keySet());
 			this.lapsed.clear();
 		}
 		TreeMap<ReplicaId, Replica> all = new TreeMap<>(this.lapsed);
--- a/core/src/main/java/org/gullsaddle/serve/ColdPace.java
+++ b/core/src/main/java/org/gullsaddle/serve/ColdPace.java
@@ -57,9 +57,7 @@
 			return false;
 		}
 		long second = Math.floorDiv(now, SECOND_MILLIS);
-		Sent last = this.sent.get(replica.id());
-		int already = (last != null && last.second == second) ? last.count : 0;
-		return already < most(second, replica.id(), USED_PART * perSecond / nodes);
+		return count(second, replica.id()) < most(second, replica.id(), USED_PART * perSecond / nodes);
 	}
 
 	/**
@@ -69,8 +67,7 @@
 	 */
 	public void sent(long now, Replica replica) {
 		long second = Math.floorDiv(now, SECOND_MILLIS);
-		this.sent.compute(replica.id(),
-				(id, last) -> new Sent(second, (last != null && last.second == second) ? last.count + 1 : 1));
+		this.sent.put(replica.id(), new Sent(second, count(second, replica.id()) + 1));
 	}
 
 	/**
@@ -81,6 +78,11 @@
 		this.sent.keySet().retainAll(known);
 	}
 
+	private int count(long second, ReplicaId replica) {
+		Sent last = this.sent.get(replica);
+		return (last != null && last.second == second) ? last.count : 0;
+	}
+
 	private long most(long second, ReplicaId replica, double share) {
 		double whole = Math.floor(share);
 		boolean oneMore = Spread.unit(this.node + '/' + replica + '/' + second) < share - whole;
--- a/core/src/main/java/org/gullsaddle/serve/ReplicaRules.java
+++ b/core/src/main/java/org/gullsaddle/serve/ReplicaRules.java
@@ -60,8 +60,9 @@
 	 * @return the reason
 	 */
 	public NoReplica whyNone(long now, Wanted wanted) {
-		if (!open(now, wanted).isEmpty()) {
-			boolean allCold = open(now, wanted).stream().allMatch((replica) -> cold(now, wanted, replica));
+		List<Replica> open = open(now, wanted);
+		if (!open.isEmpty()) {
+			boolean allCold = open.stream().allMatch((replica) -> cold(now, wanted, replica));
 			return allCold ? NoReplica.COLD : NoReplica.TRIED;
 		}
 		if (this.directory.evacuated().stream().anyMatch((each) -> wanted.limit().allows(this.place.region(each)))) {
--- a/daemon/src/main/java/org/gullsaddle/gateway/ReplicaChooser.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/ReplicaChooser.java
@@ -79,26 +79,28 @@
 	 * @param then is given the choice, at once or when the replicas have told
 	 */
 	void choose(Task task, Set<ReplicaId> without, Consumer<Optional<Choice>> then) {
-		List<Replica> asked = toAsk(task, without);
+		List<Replica> usable = usable(without);
+		List<Replica> asked = toAsk(usable, task, without);
 		if (asked.isEmpty()) {
-			then.accept(picker().pick(Clock.millis(), usable(without), without, task));
+			then.accept(picker().pick(Clock.millis(), usable, without, task));
 			return;
 		}
 		this.gateway.probe().ask(asked, (told) -> {
-			List<Replica> usable = usable(without);
-			List<Replica> left = withoutSilent(usable, asked, told);
-			then.accept(picker().pick(Clock.millis(), left.isEmpty() ? usable : left, without, task));
+			List<Replica> stillUsable = usable(without);
+			List<Replica> left = withoutSilent(stillUsable, asked, told);
+			then.accept(picker().pick(Clock.millis(), left.isEmpty() ? stillUsable : left, without, task));
 		});
 	}
 
 	/**
 	 * A question is work too, and what cold replicas bear is kept for requests.
 	 */
-	private List<Replica> toAsk(Task task, Set<ReplicaId> without) {
+	private List<Replica> toAsk(List<Replica> usable, Task task, Set<ReplicaId> without) {
 		long now = Clock.millis();
-		return picker().toAsk(now, usable(without), without, task)
+		ReplicaRules.Wanted wanted = wanted();
+		return picker().toAsk(now, usable, without, task)
 			.stream()
-			.filter((replica) -> !rules().cold(now, wanted(), replica))
+			.filter((replica) -> !rules().cold(now, wanted, replica))
 			.toList();
 	}
 
