What becomes of requests that were read leaves Gateway

RequestDispatcher holds, refuses or serves what Intake has read, and knows the callers that connected late; Gateway wires and starts. Moved as it was, no behaviour changes.

--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -1,26 +1,19 @@
 package org.gullsaddle.gateway;
 
-import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
 
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
-import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
-import io.vertx.core.http.HttpServerRequest;
 
 import org.gullsaddle.fleet.FleetChange;
 import org.gullsaddle.fleet.FleetConfig;
 import org.gullsaddle.fleet.ReplicaId;
-import org.gullsaddle.fleet.Route;
 import org.gullsaddle.fleet.RouteKind;
-import org.gullsaddle.fleet.Team;
 import org.gullsaddle.serve.AnswerKind;
 import org.gullsaddle.serve.AttemptEnd;
 import org.gullsaddle.serve.ColdPace;
@@ -86,16 +79,13 @@
 
 	private final StallWatch stalls = new StallWatch();
 
-	private final HeldRequests held = new HeldRequests();
-
 	private final Set<Serving> open = new LinkedHashSet<>();
 
 	private HttpServer server;
 
 	private final StopPlan stop = new StopPlan();
 
-	/** Callers' connections that were opened after the balancer should have noticed. */
-	private final Set<HttpConnection> lateCallers = new HashSet<>();
+	private final RequestDispatcher dispatcher;
 
 	private Gateway(Builder builder, Vertx vertx) {
 		this.vertx = vertx;
@@ -110,6 +100,7 @@
 		this.rollouts = new RolloutController(vertx, builder.board, builder.store, this.settings.node(), this.fleet,
 				this.log);
 		this.crashes = new CrashController(vertx, builder.store, this.settings.node(), this.log);
+		this.dispatcher = new RequestDispatcher(vertx, this);
 		this.feed = new FleetFeed(vertx, builder.source, this.fleet, this.log, this::learned,
 				this.settings.newsMillis());
 	}
@@ -125,7 +116,7 @@
 
 	private void showGauges() {
 		this.telemetry.gauge("open.requests", this.open::size);
-		this.telemetry.gauge("held.requests", this.held::count);
+		this.telemetry.gauge("held.requests", this.dispatcher::held);
 		this.telemetry.gauge("replicas.known", () -> this.fleet.directory().known().size());
 		this.telemetry.gauge("replicas.cold", () -> this.fleet.directory().countCold(Clock.millis()));
 		this.telemetry.gauge("data.centers.evacuated", () -> this.fleet.directory().evacuated().size());
@@ -153,12 +144,12 @@
 			.setHttp2ClearTextEnabled(false)
 			.setAcceptBacklog(EarlyListener.BACKLOG);
 		this.server = this.vertx.createHttpServer(options)
-			.connectionHandler(this::connected)
+			.connectionHandler(this.dispatcher::connected)
 			.requestHandler((request) -> new Intake(this, request).begin());
 		showGauges();
 		this.feed.start();
 		this.rollouts.start();
-		this.vertx.setTimer(HeldRequests.HOLD_MILLIS, (timer) -> this.held.release());
+		this.vertx.setTimer(HeldRequests.HOLD_MILLIS, (timer) -> this.dispatcher.release());
 		this.stalls.look(Clock.millis());
 		this.vertx.setPeriodic(TICK_MILLIS, (timer) -> tick());
 		this.vertx.setPeriodic(TIDY_MILLIS, (timer) -> tidy());
@@ -167,13 +158,6 @@
 			.onSuccess((nothing) -> this.log.started(this.settings.node(), this.settings.place().dataCenter()));
 	}
 
-	private void connected(HttpConnection connection) {
-		if (!this.stop.takesAll(Clock.millis())) {
-			this.lateCallers.add(connection);
-			connection.closeHandler((nothing) -> this.lateCallers.remove(connection));
-		}
-	}
-
 	/**
 	 * Stops gracefully: tells the balancer, serves what still comes for a moment, then
 	 * only what ends before the process does.
@@ -232,72 +216,7 @@
 	 * @return the number
 	 */
 	public int held() {
-		return this.held.count();
-	}
-
-	/**
-	 * Takes in a request whose body is complete. A node that is behind may read it after
-	 * its caller has left. The close of its connection, which is read in the next turn of
-	 * the event loop, is waited for then, so that no replica gets work for nobody.
-	 */
-	void take(HttpServerRequest request, CallerRequest caller, Buffer body, long startedAt) {
-		Runnable serve = () -> serve(request, caller, body, startedAt);
-		if (this.stalls.behind(Clock.millis())) {
-			// A timer that is due may still run in this turn; one that it sets does not.
-			this.vertx.setTimer(1, (first) -> this.vertx.setTimer(1, (second) -> serve.run()));
-		}
-		else {
-			serve.run();
-		}
-	}
-
-	private void serve(HttpServerRequest request, CallerRequest caller, Buffer body, long startedAt) {
-		CallerAnswerWriter writer = new CallerAnswerWriter(request.response(), this::stopping);
-		Optional<FleetConfig> config = this.fleet.config();
-		if (request.response().closed()) {
-			return;
-		}
-		if (config.isEmpty() && !stopping() && this.held.hold(() -> serve(request, caller, body, startedAt))) {
-			return;
-		}
-		if (config.isEmpty()) {
-			refused(writer, caller, Statuses.UNAVAILABLE, Optional.of(this.decisions.comeBackMillis()),
-					"no configuration yet");
-			return;
-		}
-		Optional<Route> route = config.get().route(caller.host(), caller.path());
-		if (route.isEmpty()) {
-			refused(writer, caller, Statuses.NOT_FOUND, Optional.empty(), "no route");
-			return;
-		}
-		boolean keyed = config.get().keyed() && !route.get().open();
-		Optional<Team> team = keyed ? caller.key().flatMap(config.get()::team) : Optional.empty();
-		if (keyed && team.isEmpty()) {
-			refused(writer, caller, Statuses.UNAUTHORIZED, Optional.empty(), "unknown key");
-			return;
-		}
-		if (!this.stop.takes(route.get(), Clock.millis())) {
-			boolean noNodeReady = this.lateCallers.contains(request.connection());
-			long after = noNodeReady ? this.stop.backMillis(Clock.millis()) : 0;
-			refused(writer, caller, Statuses.UNAVAILABLE, Optional.of(after + this.decisions.comeBackMillis()),
-					"stopping");
-			return;
-		}
-		ServedRequest served = ServedRequest.of(request)
-			.caller(caller, team)
-			.under(config.get(), route.get(), this.decisions.service(route.get(), caller.attemptId().orElse("")))
-			.body(body)
-			.time(startedAt, this.stop.latest(route.get()))
-			.build();
-		new Serving(this, served).start();
-	}
-
-	void refused(CallerAnswerWriter writer, CallerRequest caller, int status, Optional<Long> after, String reason) {
-		writer.error(status, after, reason);
-		long version = this.fleet.config().map(FleetConfig::version).orElse(0L);
-		this.log.request(new DecisionLog.RequestLine(caller.attemptId().orElse(""), "", "", "refused", status, reason,
-				"not-run", 0, false, 0, version, this.fleet.age(Clock.millis()), 0));
-		this.telemetry.count("refused." + status);
+		return this.dispatcher.held();
 	}
 
 	void opened(Serving serving) {
@@ -332,7 +251,7 @@
 	private void learned(FleetChange change) {
 		if (change instanceof FleetChange.Configured) {
 			// The replicas that were read with it are taken in first.
-			this.vertx.runOnContext((nothing) -> this.held.release());
+			this.vertx.runOnContext((nothing) -> this.dispatcher.release());
 		}
 		this.nodes.learned(change);
 		this.rollouts.learned(change);
@@ -372,6 +291,10 @@
 		return this.decisions;
 	}
 
+	RequestDispatcher dispatcher() {
+		return this.dispatcher;
+	}
+
 	NodeRegister nodes() {
 		return this.nodes;
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/Intake.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Intake.java
@@ -46,7 +46,7 @@
 		this.request.endHandler((nothing) -> {
 			if (!this.over) {
 				this.over = true;
-				this.gateway.take(this.request, caller, this.body, this.startedAt);
+				this.gateway.dispatcher().take(this.request, caller, this.body, this.startedAt);
 			}
 		});
 	}
@@ -69,7 +69,7 @@
 	private void reject(int status, String reason) {
 		this.over = true;
 		CallerAnswerWriter writer = new CallerAnswerWriter(this.request.response(), () -> true);
-		this.gateway.refused(writer, CallerRequest.unread(), status, Optional.empty(), reason);
+		this.gateway.dispatcher().refused(writer, CallerRequest.unread(), status, Optional.empty(), reason);
 	}
 
 }
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/gateway/RequestDispatcher.java
@@ -0,0 +1,132 @@
+package org.gullsaddle.gateway;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpServerRequest;
+
+import org.gullsaddle.fleet.FleetConfig;
+import org.gullsaddle.fleet.Route;
+import org.gullsaddle.fleet.Team;
+
+/**
+ * Decides what becomes of requests that were read: they are held for the configuration,
+ * refused, or served. Confined to the event loop.
+ */
+final class RequestDispatcher {
+
+	private final Vertx vertx;
+
+	private final Gateway gateway;
+
+	private final HeldRequests held = new HeldRequests();
+
+	/** Callers' connections that were opened after the balancer should have noticed. */
+	private final Set<HttpConnection> lateCallers = new HashSet<>();
+
+	RequestDispatcher(Vertx vertx, Gateway gateway) {
+		this.vertx = vertx;
+		this.gateway = gateway;
+	}
+
+	/**
+	 * Takes in that a caller has connected.
+	 */
+	void connected(HttpConnection connection) {
+		if (!this.gateway.stop().takesAll(Clock.millis())) {
+			this.lateCallers.add(connection);
+			connection.closeHandler((nothing) -> this.lateCallers.remove(connection));
+		}
+	}
+
+	/**
+	 * Returns how many requests wait for the configuration.
+	 */
+	int held() {
+		return this.held.count();
+	}
+
+	/**
+	 * Decides on the requests that are held.
+	 */
+	void release() {
+		this.held.release();
+	}
+
+	/**
+	 * Takes in a request whose body is complete. A node that is behind may read it after
+	 * its caller has left. The close of its connection, which is read in the next turn of
+	 * the event loop, is waited for then, so that no replica gets work for nobody.
+	 */
+	void take(HttpServerRequest request, CallerRequest caller, Buffer body, long startedAt) {
+		Runnable serve = () -> serve(request, caller, body, startedAt);
+		if (this.gateway.stalls().behind(Clock.millis())) {
+			// A timer that is due may still run in this turn; one that it sets does not.
+			this.vertx.setTimer(1, (first) -> this.vertx.setTimer(1, (second) -> serve.run()));
+		}
+		else {
+			serve.run();
+		}
+	}
+
+	private void serve(HttpServerRequest request, CallerRequest caller, Buffer body, long startedAt) {
+		CallerAnswerWriter writer = new CallerAnswerWriter(request.response(), this.gateway::stopping);
+		Optional<FleetConfig> config = this.gateway.fleet().config();
+		if (request.response().closed()) {
+			return;
+		}
+		if (config.isEmpty() && !this.gateway.stopping()
+				&& this.held.hold(() -> serve(request, caller, body, startedAt))) {
+			return;
+		}
+		if (config.isEmpty()) {
+			refused(writer, caller, Statuses.UNAVAILABLE, Optional.of(this.gateway.decisions().comeBackMillis()),
+					"no configuration yet");
+			return;
+		}
+		Optional<Route> route = config.get().route(caller.host(), caller.path());
+		if (route.isEmpty()) {
+			refused(writer, caller, Statuses.NOT_FOUND, Optional.empty(), "no route");
+			return;
+		}
+		boolean keyed = config.get().keyed() && !route.get().open();
+		Optional<Team> team = keyed ? caller.key().flatMap(config.get()::team) : Optional.empty();
+		if (keyed && team.isEmpty()) {
+			refused(writer, caller, Statuses.UNAUTHORIZED, Optional.empty(), "unknown key");
+			return;
+		}
+		if (!this.gateway.stop().takes(route.get(), Clock.millis())) {
+			boolean noNodeReady = this.lateCallers.contains(request.connection());
+			long after = noNodeReady ? this.gateway.stop().backMillis(Clock.millis()) : 0;
+			refused(writer, caller, Statuses.UNAVAILABLE,
+					Optional.of(after + this.gateway.decisions().comeBackMillis()), "stopping");
+			return;
+		}
+		ServedRequest served = ServedRequest.of(request)
+			.caller(caller, team)
+			.under(config.get(), route.get(),
+					this.gateway.decisions().service(route.get(), caller.attemptId().orElse("")))
+			.body(body)
+			.time(startedAt, this.gateway.stop().latest(route.get()))
+			.build();
+		new Serving(this.gateway, served).start();
+	}
+
+	/**
+	 * Ends a request that no route took.
+	 * @param after when the caller may come back, in milliseconds
+	 */
+	void refused(CallerAnswerWriter writer, CallerRequest caller, int status, Optional<Long> after, String reason) {
+		writer.error(status, after, reason);
+		long version = this.gateway.fleet().config().map(FleetConfig::version).orElse(0L);
+		this.gateway.log()
+			.request(new DecisionLog.RequestLine(caller.attemptId().orElse(""), "", "", "refused", status, reason,
+					"not-run", 0, false, 0, version, this.gateway.fleet().age(Clock.millis()), 0));
+		this.gateway.telemetry().count("refused." + status);
+	}
+
+}
