--- a/measure/src/main/java/org/gullsaddle/measure/CascadeFleet.java
+++ b/measure/src/main/java/org/gullsaddle/measure/CascadeFleet.java
@@ -8,17 +8,12 @@
 import java.util.Random;
 import java.util.Set;
 
-import org.gullsaddle.base.Address;
 import org.gullsaddle.fleet.ModelSize;
 import org.gullsaddle.fleet.Replica;
-import org.gullsaddle.fleet.ReplicaId;
-import org.gullsaddle.fleet.ServiceName;
 import org.gullsaddle.serve.AttemptEnd;
 import org.gullsaddle.serve.Choice;
-import org.gullsaddle.serve.EngineReport;
 import org.gullsaddle.serve.ModelChooser;
 import org.gullsaddle.serve.ModelPace;
-import org.gullsaddle.serve.Place;
 import org.gullsaddle.serve.Prompt;
 import org.gullsaddle.serve.ReplicaPicker;
 import org.gullsaddle.serve.Task;
@@ -30,8 +25,6 @@
  */
 final class CascadeFleet {
 
-	private static final String DATA_CENTER = "a";
-
 	private static final int OK = 200;
 
 	/** How old a load report is, in milliseconds. */
@@ -70,14 +63,10 @@
 
 	private final EngineShape shape;
 
-	private final Map<ReplicaId, EngineModel> engines = new HashMap<>();
-
-	private final List<Replica> replicas = new ArrayList<>();
+	private final EngineRack rack;
 
 	private final List<Node> nodes = new ArrayList<>();
 
-	private final Map<ReplicaId, Told> told = new HashMap<>();
-
 	private final Map<String, Tally> tallies = new HashMap<>();
 
 	private double price;
@@ -89,15 +78,9 @@
 		this.time = time;
 		this.random = new Random(seed);
 		this.shape = shapes.get(0);
-		for (int i = 0; i < shapes.size(); i++) {
-			Replica replica = new Replica(new ReplicaId("engine-" + i), new ServiceName("engines"),
-					new Address("10.0.0." + (i + 1), 80), DATA_CENTER, "v1", this.shape.slots(), false, 1);
-			this.replicas.add(replica);
-			this.engines.put(replica.id(), new EngineModel(shapes.get(i), time));
-		}
+		this.rack = new EngineRack(time, shapes, REPORT_MILLIS);
 		for (int i = 0; i < nodes; i++) {
-			this.nodes
-				.add(new Node(new ReplicaPicker(new Place(DATA_CENTER, Map.of(DATA_CENTER, "r"))), new ModelChooser()));
+			this.nodes.add(new Node(new ReplicaPicker(EngineRack.PLACE), new ModelChooser()));
 		}
 	}
 
@@ -145,9 +128,6 @@
 	private record Node(ReplicaPicker picker, ModelChooser models) {
 	}
 
-	private record Told(double at, EngineReport report) {
-	}
-
 	/**
 	 * What answers of one kind earned, and could have.
 	 */
@@ -204,20 +184,12 @@
 		private Choice choose(int model) {
 			long now = Math.round(CascadeFleet.this.time.now());
 			Task task = task(model);
-			List<Replica> all = CascadeFleet.this.replicas;
-			this.node.picker.toAsk(now, all, Set.of(), task).forEach((replica) -> ask(now, replica));
+			List<Replica> all = CascadeFleet.this.rack.replicas();
+			this.node.picker.toAsk(now, all, Set.of(), task)
+				.forEach((replica) -> CascadeFleet.this.rack.tell(this.node.picker, replica));
 			return this.node.picker.pick(now, all, Set.of(), task).orElseThrow();
 		}
 
-		private void ask(long now, Replica replica) {
-			Told last = CascadeFleet.this.told.get(replica.id());
-			if (last == null || now - last.at >= REPORT_MILLIS) {
-				last = new Told(now, CascadeFleet.this.engines.get(replica.id()).report());
-				CascadeFleet.this.told.put(replica.id(), last);
-			}
-			this.node.picker.report(now, replica, last.report);
-		}
-
 		private int opinion(int model) {
 			double sure = EVEN + PERCENT * (MODELS.get(model).quality - this.hardness);
 			return (int) Math.clamp(sure + OPINION_NOISE * CascadeFleet.this.random.nextGaussian(), 0, PERCENT);
@@ -297,7 +269,7 @@
 		}
 
 		private EngineModel engine() {
-			return CascadeFleet.this.engines.get(this.choice.replica().id());
+			return CascadeFleet.this.rack.engine(this.choice.replica());
 		}
 
 		@Override
--- a/measure/src/main/java/org/gullsaddle/measure/EngineFleet.java
+++ b/measure/src/main/java/org/gullsaddle/measure/EngineFleet.java
@@ -1,6 +1,7 @@
 package org.gullsaddle.measure;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -12,17 +13,13 @@
 
 import org.HdrHistogram.Histogram;
 
-import org.gullsaddle.base.Address;
 import org.gullsaddle.base.LoadReport;
 import org.gullsaddle.fleet.Replica;
 import org.gullsaddle.fleet.ReplicaId;
-import org.gullsaddle.fleet.ServiceName;
 import org.gullsaddle.serve.AttemptEnd;
 import org.gullsaddle.serve.Choice;
-import org.gullsaddle.serve.EngineReport;
 import org.gullsaddle.serve.Loss;
 import org.gullsaddle.serve.ModelScale;
-import org.gullsaddle.serve.Place;
 import org.gullsaddle.serve.Prompt;
 import org.gullsaddle.serve.ReplicaPicker;
 import org.gullsaddle.serve.Task;
@@ -33,8 +30,6 @@
  */
 final class EngineFleet {
 
-	private static final String DATA_CENTER = "a";
-
 	private static final int NODES = 4;
 
 	/** How many engines are asked where all of the best are. */
@@ -56,9 +51,7 @@
 
 	private final Random random;
 
-	private final List<EngineModel> engines = new ArrayList<>();
-
-	private final List<Replica> replicas = new ArrayList<>();
+	private final EngineRack rack;
 
 	private final Map<ReplicaId, Integer> numbers = new HashMap<>();
 
@@ -70,8 +63,6 @@
 
 	private final Histogram first = new Histogram(3_600_000, 3);
 
-	private final Map<ReplicaId, Told> told = new HashMap<>();
-
 	private int asked;
 
 	private int largePrompts;
@@ -108,16 +99,13 @@
 		this.policy = policy;
 		this.shape = shape;
 		this.random = new Random(seed);
-		for (int i = 0; i < count; i++) {
-			Replica replica = new Replica(new ReplicaId("engine-" + i), new ServiceName("engines"),
-					new Address("10.0.0." + (i + 1), 80), DATA_CENTER, "v1", shape.slots(), false, 1);
-			this.engines.add(new EngineModel(shape, time));
-			this.replicas.add(replica);
-			this.numbers.put(replica.id(), i);
+		this.rack = new EngineRack(time, Collections.nCopies(count, shape), REPORT_MILLIS);
+		for (Replica replica : this.rack.replicas()) {
+			this.numbers.put(replica.id(), this.numbers.size());
 			this.reports.put(replica.id(), new LoadReport(0, 0, shape.slots()));
 		}
 		for (int i = 0; i < nodes; i++) {
-			this.nodes.add(new ReplicaPicker(new Place(DATA_CENTER, Map.of(DATA_CENTER, "r")), losses));
+			this.nodes.add(new ReplicaPicker(EngineRack.PLACE, losses));
 			this.outstanding.add(new int[count]);
 		}
 	}
@@ -140,7 +128,7 @@
 			ask(this.nodes.get(node), task);
 		}
 		Choice choice = this.nodes.get(node)
-			.pick(Math.round(this.time.now()), this.replicas, Set.of(), task)
+			.pick(Math.round(this.time.now()), this.rack.replicas(), Set.of(), task)
 			.orElseThrow();
 		Sent sent = new Sent(node, choice, task, this.time.now(), objective);
 		EngineJob job = new EngineJob(model.name(), model.pace(), prompt.parts(), output, sent);
@@ -149,7 +137,7 @@
 			this.nodes.get(node).sent(Math.round(this.time.now()), choice, task);
 		}
 		this.outstanding.get(node)[sent.engine]++;
-		this.engines.get(sent.engine).take(job);
+		this.rack.engine(sent.engine).take(job);
 	}
 
 	/**
@@ -158,15 +146,10 @@
 	private void ask(ReplicaPicker picker, Task task) {
 		long now = Math.round(this.time.now());
 		List<Replica> asking = (this.policy == Policy.ASKING)
-				? picker.best(now, this.replicas, Set.of(), task, ASKED).stream().map(Choice::replica).toList()
-				: picker.toAsk(now, this.replicas, Set.of(), task);
+				? picker.best(now, this.rack.replicas(), Set.of(), task, ASKED).stream().map(Choice::replica).toList()
+				: picker.toAsk(now, this.rack.replicas(), Set.of(), task);
 		for (Replica each : asking) {
-			Told told = this.told.get(each.id());
-			if (told == null || now - told.at >= REPORT_MILLIS) {
-				told = new Told(now, this.engines.get(this.numbers.get(each.id())).report());
-				this.told.put(each.id(), told);
-			}
-			picker.report(now, each, told.report);
+			this.rack.tell(picker, each);
 			this.asked++;
 		}
 	}
@@ -175,14 +158,14 @@
 		int[] own = this.outstanding.get(sent.node);
 		return switch (this.policy) {
 			case GULLSADDLE, ASKING, ASKING_IF_OLD -> this.numbers.get(sent.choice.replica().id());
-			case RANDOM -> this.random.nextInt(this.engines.size());
+			case RANDOM -> this.random.nextInt(this.rack.replicas().size());
 			case LEAST_REQUESTS -> least((i) -> own[i]);
-			case ORACLE -> least((i) -> this.engines.get(i).expectedFirstMillis(job));
+			case ORACLE -> least((i) -> this.rack.engine(i).expectedFirstMillis(job));
 		};
 	}
 
 	private int least(IntToDoubleFunction cost) {
-		return IntStream.range(0, this.engines.size())
+		return IntStream.range(0, this.rack.replicas().size())
 			.boxed()
 			.min(Comparator.comparingDouble(cost::applyAsDouble))
 			.orElseThrow();
@@ -229,7 +212,7 @@
 	}
 
 	long readTokens() {
-		return this.engines.stream().mapToLong(EngineModel::readTokens).sum();
+		return this.rack.readTokens();
 	}
 
 	/**
@@ -265,12 +248,6 @@
 
 	}
 
-	/**
-	 * What an engine told, and when.
-	 */
-	private record Told(long at, EngineReport report) {
-	}
-
 	/**
 	 * One request under way.
 	 */
@@ -311,7 +288,7 @@
 				picker.began(this.choice, this.task, Math.round(now - this.arrivedAt), true);
 				picker.report(Math.round(now), this.choice.replica(),
 						EngineFleet.this.reports.get(this.choice.replica().id()));
-				int requests = EngineFleet.this.engines.get(this.engine).requests();
+				int requests = EngineFleet.this.rack.engine(this.engine).requests();
 				EngineFleet.this.time.at(now + REPORT_MILLIS, () -> EngineFleet.this.reports
 					.put(this.choice.replica().id(), new LoadReport(requests, 0, EngineFleet.this.shape.slots())));
 			}
