What a replica says of its rate limit is logged and counted

Each node now writes when a replica names a limit, another one, or none any more, and shows how many replicas are limited. Answers with status 421 are left out: they come from another replica than the one that was asked. Of several values the lowest counts; one that cannot be read changes nothing.

GatewayTests, KvStoreTests and LoadProbeTests pass.

--- a/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
@@ -1,5 +1,7 @@
 package org.gullsaddle.gateway;
 
+import java.util.OptionalDouble;
+
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.slf4j.spi.LoggingEventBuilder;
@@ -156,6 +158,15 @@
 		}
 	}
 
+	void limited(ReplicaId replica, OptionalDouble perSecond) {
+		if (allowed(true)) {
+			LOG.atInfo()
+				.addKeyValue("replica", replica.value())
+				.addKeyValue("perSecond", perSecond.orElse(-1))
+				.log(perSecond.isPresent() ? "replica names a rate limit" : "replica's rate limit ended");
+		}
+	}
+
 	void stalled(long millis, int open) {
 		LOG.atWarn().addKeyValue("millis", millis).addKeyValue("open", open).log("stood still");
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -77,6 +77,8 @@
 
 	private final CrashController crashes;
 
+	private final BackpressureController backpressure;
+
 	private final StallWatch stalls = new StallWatch();
 
 	private final Set<Serving> open = new LinkedHashSet<>();
@@ -94,7 +96,8 @@
 		this.decisions = new Decisions(this.settings.place(), this.settings.retryShare());
 		this.coldPace = new ColdPace(this.settings.node());
 		this.pool = new ChannelPool(vertx);
-		this.probe = new LoadProbe(vertx, this.pool, this.codec, this.decisions.picker(), this.log);
+		this.backpressure = new BackpressureController(this.log, this.telemetry);
+		this.probe = new LoadProbe(vertx, this.pool, this.codec, this.decisions.picker(), this.backpressure, this.log);
 		this.nodes = new NodeRegister(vertx, builder.store, this.settings.node());
 		this.rules = new ReplicaRules(this.fleet.directory(), this.settings.place(), this.coldPace);
 		this.rollouts = new RolloutController(vertx, builder.board, builder.store, this.settings.node(), this.fleet,
@@ -273,6 +276,7 @@
 		this.pool.tidy(this.fleet.directory().known());
 		this.decisions.picker().retain(this.fleet.directory().known());
 		this.coldPace.retain(this.fleet.directory().known());
+		this.backpressure.retain(this.fleet.directory().known());
 	}
 
 	boolean stopping() {
@@ -311,6 +315,10 @@
 		return this.crashes;
 	}
 
+	BackpressureController backpressure() {
+		return this.backpressure;
+	}
+
 	DecisionLog log() {
 		return this.log;
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/LoadProbe.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/LoadProbe.java
@@ -10,7 +10,6 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
-import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 
@@ -39,18 +38,22 @@
 
 	private final ReplicaPicker picker;
 
+	private final BackpressureController backpressure;
+
 	private final DecisionLog log;
 
 	private int asked;
 
 	private int failed;
 
-	LoadProbe(Vertx vertx, ChannelPool pool, HeaderCodec codec, ReplicaPicker picker, DecisionLog log) {
+	LoadProbe(Vertx vertx, ChannelPool pool, HeaderCodec codec, ReplicaPicker picker,
+			BackpressureController backpressure, DecisionLog log) {
 		this.vertx = vertx;
 		this.log = log;
 		this.pool = pool;
 		this.codec = codec;
 		this.picker = picker;
+		this.backpressure = backpressure;
 	}
 
 	/**
@@ -98,7 +101,7 @@
 			}
 			answer.future().onFailure((failure) -> channel.close());
 			if (!answer.future().isComplete()) {
-				read(channel).onComplete(answer::tryComplete, answer::tryFail);
+				read(replica, channel).onComplete(answer::tryComplete, answer::tryFail);
 			}
 		});
 		return answer.future()
@@ -117,21 +120,20 @@
 		return false;
 	}
 
-	private Future<EngineReport> read(ChannelPool.Channel channel) {
+	private Future<EngineReport> read(Replica replica, ChannelPool.Channel channel) {
 		RequestOptions options = new RequestOptions().setMethod(HttpMethod.GET).setURI(this.codec.reportPath());
-		return channel.connection()
-			.request(options)
-			.compose(HttpClientRequest::send)
-			.compose((response) -> response.body().compose((body) -> report(channel, response, body)));
+		return channel.connection().request(options).compose(HttpClientRequest::send).compose((response) -> {
+			ReplicaAnswer answer = this.codec.read(response);
+			this.backpressure.heard(replica, answer);
+			return response.body().compose((body) -> report(channel, answer, body));
+		});
 	}
 
-	private Future<EngineReport> report(ChannelPool.Channel channel, HttpClientResponse response, Buffer body) {
-		Optional<EngineReport> report = Statuses.success(response.statusCode()) ? this.codec.readReport(body)
-				: Optional.empty();
+	private Future<EngineReport> report(ChannelPool.Channel channel, ReplicaAnswer answer, Buffer body) {
+		Optional<EngineReport> report = answer.success() ? this.codec.readReport(body) : Optional.empty();
 		if (report.isEmpty()) {
-			return Future.failedFuture("no report, but status " + response.statusCode());
+			return Future.failedFuture("no report, but status " + answer.status());
 		}
-		ReplicaAnswer answer = this.codec.read(response);
 		this.pool.giveBack(channel, answer.closes() ? 0 : answer.keepMillis());
 		return Future.succeededFuture(report.get());
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/ReplicaAnswer.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/ReplicaAnswer.java
@@ -4,6 +4,7 @@
 import java.util.OptionalInt;
 
 import org.gullsaddle.base.LoadReport;
+import org.gullsaddle.serve.Backpressure;
 
 /**
  * What the head of a replica's answer says, in the product's terms.
@@ -17,9 +18,11 @@
  * @param closes whether the connection ends with the answer
  * @param keepMillis how long the replica keeps the connection when idle, in milliseconds
  * @param encoded whether the body is encoded, so that it is not the replica's own
+ * @param backpressure how the replica asks for fewer requests
  */
 public record ReplicaAnswer(int status, Optional<String> attemptId, boolean signed, boolean notRun,
-		Optional<LoadReport> load, OptionalInt confidence, boolean closes, long keepMillis, boolean encoded) {
+		Optional<LoadReport> load, OptionalInt confidence, boolean closes, long keepMillis, boolean encoded,
+		Backpressure backpressure) {
 
 	/**
 	 * Says whether the status is one of success.
--- a/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
@@ -162,6 +162,7 @@
 	@Override
 	public void head(Attempt from, ReplicaAnswer answer, MultiMap headers) {
 		readPrompt(from);
+		this.gateway.backpressure().heard(from.choice().replica(), answer);
 		if (answer.success()) {
 			this.gateway.decisions().picker().began(from.choice(), this.task, from.headAt() - from.startedAt(), true);
 		}
