A replica's rate limit is kept by all nodes together

Cause: the limit that a replica names in its answers had no reader. It belongs to the faults in which a word of a replica about itself reaches the node and ends there.

The fix: nodes know each other by their notes in the store, on every deployment now, and work out the same shares without a counter: as many nodes as the replica takes requests in two seconds, and two more, those nearest to it, have equal parts of the limit; the others have none, and a turn now and then, to hear when it ends. In any 4 s all nodes with a part send at most 4 s of the limit and one burst each, which is 6 times the limit and 2, of 6 times the limit and 5 allowed; the rest is for turns. There is one gate, asked when a replica is chosen and again when the connection is open, for first attempts, retries, larger models and streams that go on elsewhere alike. Engines that name a limit are not asked for their load. During a roll-out a request whose new release is limited goes to the old one; never the other way round, which would expose more callers to a release that may be bad.

Where all replicas are limited a request is refused at once, and callers are told times as far apart as the requests that the node may send.

--- a/core/src/main/java/org/gullsaddle/fleet/ReplicaDirectory.java
+++ b/core/src/main/java/org/gullsaddle/fleet/ReplicaDirectory.java
@@ -154,6 +154,14 @@
 		this.away = isAway;
 	}
 
+	/**
+	 * Says whether the store cannot be reached.
+	 * @return true until it answers again
+	 */
+	public boolean storeAway() {
+		return this.away;
+	}
+
 	/**
 	 * Says whether the registry was ever read.
 	 * @return true once it was
--- a/core/src/main/java/org/gullsaddle/serve/BackpressureBook.java
+++ b/core/src/main/java/org/gullsaddle/serve/BackpressureBook.java
@@ -1,41 +1,83 @@
 package org.gullsaddle.serve;
 
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
 
+import org.gullsaddle.base.NodeId;
 import org.gullsaddle.fleet.Replica;
 import org.gullsaddle.fleet.ReplicaId;
+import org.gullsaddle.fleet.ServiceName;
 
 /**
- * How replicas asked this node for fewer requests. What one process asked does not bind
- * the next one under its id. Confined to one thread.
+ * How replicas asked for fewer requests, and what this node may send them. What one
+ * process asked does not bind the next one under its id. Confined to one thread.
  */
 public final class BackpressureBook {
 
-	private final Map<ReplicaId, Entry> entries = new HashMap<>();
+	/** The latest time at which a refused caller is told to come back. */
+	private static final long LATEST_BACK_MILLIS = 10_000;
+
+	private static final double SECOND_MILLIS = 1000;
+
+	private final NodeId self;
+
+	private final Place place;
+
+	private final Supplier<Optional<List<Peer>>> peers;
+
+	private final RandomGenerator random;
+
+	private final Map<ReplicaId, LimitedReplica> limited = new HashMap<>();
+
+	/** Until when the parts of limits are promised to callers that were refused. */
+	private final Map<ServiceName, Long> promised = new HashMap<>();
+
+	/**
+	 * Makes an empty book.
+	 * @param self this node
+	 * @param place where it is
+	 * @param peers tells all nodes, or empty while others may not know this one
+	 * @param random draws when this node has its turns
+	 */
+	public BackpressureBook(NodeId self, Place place, Supplier<Optional<List<Peer>>> peers, RandomGenerator random) {
+		this.self = self;
+		this.place = place;
+		this.peers = peers;
+		this.random = random;
+	}
 
 	/**
 	 * Takes in what an answer says.
+	 * @param now the time in milliseconds
 	 * @param replica the replica that answered
 	 * @param asked what it asks for
 	 * @return whether its limit is another one than before
 	 */
-	public boolean heard(Replica replica, Backpressure asked) {
+	public boolean heard(long now, Replica replica, Backpressure asked) {
 		OptionalDouble before = limit(replica);
-		OptionalDouble now = switch (asked.limit()) {
-			case RateLimit.Named named -> OptionalDouble.of(named.perSecond());
-			case RateLimit.None none -> OptionalDouble.empty();
-			case RateLimit.Unreadable unreadable -> before;
-		};
-		if (now.isEmpty()) {
-			this.entries.remove(replica.id());
+		switch (asked.limit()) {
+			case RateLimit.Named named -> limit(now, replica, named.perSecond());
+			case RateLimit.None none -> this.limited.remove(replica.id());
+			case RateLimit.Unreadable unreadable -> {
+			}
 		}
-		else {
-			this.entries.put(replica.id(), new Entry(replica, now.getAsDouble()));
+		return !limit(replica).equals(before);
+	}
+
+	private void limit(long now, Replica replica, double perSecond) {
+		LimitedReplica known = this.limited.get(replica.id());
+		if (known == null || !known.replica().sameProcess(replica)) {
+			known = new LimitedReplica(now, replica, this.self, this.place, this.random);
+			this.limited.put(replica.id(), known);
 		}
-		return !now.equals(before);
+		known.limit(now, perSecond);
 	}
 
 	/**
@@ -44,17 +86,95 @@
 	 * @return the requests a second that it takes from all nodes, or empty for no limit
 	 */
 	public OptionalDouble limit(Replica replica) {
-		Entry entry = this.entries.get(replica.id());
-		return (entry != null && entry.replica.sameProcess(replica)) ? OptionalDouble.of(entry.perSecond)
+		LimitedReplica known = this.limited.get(replica.id());
+		return (known != null && known.replica().sameProcess(replica)) ? OptionalDouble.of(known.perSecond())
 				: OptionalDouble.empty();
 	}
 
+	/**
+	 * Says whether a replica may be given one more request now.
+	 * @param now the time in milliseconds
+	 * @param replica the replica
+	 * @return true if it names no limit, or this node has a part of it left
+	 */
+	public boolean takes(long now, Replica replica) {
+		return limited(now, replica).map((each) -> each.room(now)).orElse(true);
+	}
+
+	/**
+	 * Says whether a replica may be asked for its load. That is work too, and what a
+	 * replica in need takes is kept for requests.
+	 * @param replica the replica
+	 * @return true if it names no limit
+	 */
+	public boolean mayAsk(Replica replica) {
+		return limit(replica).isEmpty();
+	}
+
+	/**
+	 * Gives a request to a replica.
+	 * @param now the time in milliseconds
+	 * @param replica the replica
+	 * @return whether it may be sent
+	 */
+	public Admission admit(long now, Replica replica) {
+		return limited(now, replica).map((each) -> {
+			if (!each.room(now)) {
+				return Admission.DENIED;
+			}
+			each.take(now);
+			return Admission.COUNTED;
+		}).orElse(Admission.FREE);
+	}
+
+	/**
+	 * Says whether a request may be sent now that there is a connection: the replica may
+	 * have named a limit since the request was given to it.
+	 * @param now the time in milliseconds
+	 * @param replica the replica
+	 * @param before what was said when the request was given to it
+	 * @return true if it may be sent
+	 */
+	public boolean mayStillSend(long now, Replica replica, Admission before) {
+		return switch (before) {
+			case FREE -> admit(now, replica) != Admission.DENIED;
+			case COUNTED -> true;
+			case DENIED -> false;
+		};
+	}
+
+	/**
+	 * Returns when a caller is to come back for whom no replica of a service has room.
+	 * Callers that are refused one after the other are told times as far apart as the
+	 * requests that this node may send.
+	 * @param now the time in milliseconds
+	 * @param service the service
+	 * @param replicas its replicas, one or more, all limited
+	 * @return the time from now, in milliseconds
+	 */
+	public long backMillis(long now, ServiceName service, Collection<Replica> replicas) {
+		double perSecond = 0;
+		long soonest = LATEST_BACK_MILLIS;
+		for (Replica replica : replicas) {
+			LimitedReplica known = limited(now, replica).orElse(null);
+			if (known != null) {
+				perSecond += known.currentShare().perSecond();
+				soonest = Math.min(soonest, known.waitMillis(now));
+			}
+		}
+		long apart = (perSecond > 0) ? Math.round(SECOND_MILLIS / perSecond) : 0;
+		long next = Math.max(now + soonest, this.promised.getOrDefault(service, now) + apart);
+		long at = Math.min(next, now + LATEST_BACK_MILLIS);
+		this.promised.put(service, at);
+		return at - now;
+	}
+
 	/**
 	 * Returns how many replicas name a limit.
 	 * @return their number
 	 */
 	public int countLimited() {
-		return this.entries.size();
+		return this.limited.size();
 	}
 
 	/**
@@ -62,10 +182,16 @@
 	 * @param known those to remember
 	 */
 	public void retain(Set<ReplicaId> known) {
-		this.entries.keySet().retainAll(known);
+		this.limited.keySet().retainAll(known);
 	}
 
-	private record Entry(Replica replica, double perSecond) {
+	private Optional<LimitedReplica> limited(long now, Replica replica) {
+		LimitedReplica known = this.limited.get(replica.id());
+		if (known == null || !known.replica().sameProcess(replica)) {
+			return Optional.empty();
+		}
+		known.peers(now, this.peers.get());
+		return Optional.of(known);
 	}
 
 }
--- a/core/src/main/java/org/gullsaddle/serve/Place.java
+++ b/core/src/main/java/org/gullsaddle/serve/Place.java
@@ -20,10 +20,21 @@
 	 * @return its distance
 	 */
 	public Reach reach(String other) {
-		if (other.equals(this.dataCenter)) {
+		return reach(this.dataCenter, other);
+	}
+
+	/**
+	 * Says how far apart two data centers are.
+	 * @param one the one
+	 * @param other the other
+	 * @return the distance
+	 */
+	public Reach reach(String one, String other) {
+		if (other.equals(one)) {
 			return Reach.DATA_CENTER;
 		}
-		return sameRegion(other) ? Reach.REGION : Reach.FAR;
+		String region = this.regions.get(one);
+		return (region != null && region.equals(this.regions.get(other))) ? Reach.REGION : Reach.FAR;
 	}
 
 	/**
@@ -41,8 +52,7 @@
 	 * @return true if both have the same region
 	 */
 	public boolean sameRegion(String other) {
-		String region = this.regions.get(this.dataCenter);
-		return region != null && region.equals(this.regions.get(other));
+		return reach(other) != Reach.FAR;
 	}
 
 }
--- a/core/src/main/java/org/gullsaddle/serve/ReplicaRules.java
+++ b/core/src/main/java/org/gullsaddle/serve/ReplicaRules.java
@@ -14,8 +14,9 @@
 
 /**
  * Which replicas a request may go to at all, whatever it would lose there: those that
- * take new work, in a region that is allowed, of the release that is its own. Cold ones
- * come last, and only as many requests go there as they bear. Confined to one thread.
+ * take new work, in a region that is allowed, of the release that is its own, and within
+ * the rate that they ask for. Cold ones come last, and only as many requests go there as
+ * they bear. Confined to one thread.
  */
 public final class ReplicaRules {
 
@@ -25,16 +26,20 @@
 
 	private final ColdPace pace;
 
+	private final BackpressureBook backpressure;
+
 	/**
 	 * Makes the rules of a node.
 	 * @param directory the replicas
 	 * @param place where the node is
 	 * @param pace what the node may send to cold replicas
+	 * @param backpressure what it may send to replicas that ask for fewer requests
 	 */
-	public ReplicaRules(ReplicaDirectory directory, Place place, ColdPace pace) {
+	public ReplicaRules(ReplicaDirectory directory, Place place, ColdPace pace, BackpressureBook backpressure) {
 		this.directory = directory;
 		this.place = place;
 		this.pace = pace;
+		this.backpressure = backpressure;
 	}
 
 	/**
@@ -62,8 +67,7 @@
 	public NoReplica whyNone(long now, Wanted wanted) {
 		List<Replica> open = open(now, wanted);
 		if (!open.isEmpty()) {
-			boolean allCold = open.stream().allMatch((replica) -> cold(now, wanted, replica));
-			return allCold ? NoReplica.COLD : NoReplica.TRIED;
+			return whyNoneOf(now, wanted, open);
 		}
 		if (this.directory.evacuated().stream().anyMatch((each) -> wanted.limit().allows(this.place.region(each)))) {
 			return NoReplica.EVACUATED;
@@ -72,6 +76,24 @@
 		return elsewhere ? NoReplica.OTHER_REGION : NoReplica.NONE;
 	}
 
+	private NoReplica whyNoneOf(long now, Wanted wanted, List<Replica> open) {
+		if (open.stream().allMatch((replica) -> cold(now, wanted, replica))) {
+			return NoReplica.COLD;
+		}
+		boolean noRoom = taking(now, ofRelease(now, wanted, open)).isEmpty();
+		return noRoom ? NoReplica.LIMITED : NoReplica.TRIED;
+	}
+
+	/**
+	 * Returns when a caller is to come back for whom all replicas are limited.
+	 * @param now the time in milliseconds
+	 * @param wanted what the request asked of them
+	 * @return the time from now, in milliseconds
+	 */
+	public long backMillis(long now, Wanted wanted) {
+		return this.backpressure.backMillis(now, wanted.service(), open(now, wanted));
+	}
+
 	/**
 	 * Notes that a request was sent.
 	 * @param now the time in milliseconds
@@ -105,11 +127,25 @@
 				(dataCenter) -> wanted.limit().allows(this.place.region(dataCenter)));
 	}
 
-	private static List<Replica> allowed(long now, Wanted wanted, List<Replica> open, Predicate<Replica> bears) {
+	private List<Replica> allowed(long now, Wanted wanted, List<Replica> open, Predicate<Replica> bears) {
 		List<Replica> able = open.stream().filter(bears).toList();
+		List<Replica> allowed = taking(now, ofRelease(now, wanted, able));
+		if (!allowed.isEmpty() || wanted.rollout().isEmpty() || wanted.key().session()) {
+			return allowed;
+		}
+		// The old release is known to be sound, while more requests for a new one would
+		// expose more callers to it.
+		return taking(now, wanted.rollout().get().former(able));
+	}
+
+	private static List<Replica> ofRelease(long now, Wanted wanted, List<Replica> able) {
 		return wanted.rollout().map((rollout) -> rollout.allowed(now, able, wanted.key())).orElse(able);
 	}
 
+	private List<Replica> taking(long now, List<Replica> replicas) {
+		return replicas.stream().filter((replica) -> this.backpressure.takes(now, replica)).toList();
+	}
+
 	/**
 	 * What a request asks of replicas.
 	 *
@@ -138,6 +174,9 @@
 		/** All that are open are cold, and get as much as they bear. */
 		COLD("all replicas are cold"),
 
+		/** All that are open name rate limits, and this node's parts of them are used. */
+		LIMITED("all replicas are at their rate limits"),
+
 		/** All are in data centers that are to be emptied. */
 		EVACUATED("data centers are being emptied"),
 
--- a/core/src/main/java/org/gullsaddle/serve/Rollout.java
+++ b/core/src/main/java/org/gullsaddle/serve/Rollout.java
@@ -269,6 +269,15 @@
 		return chosen;
 	}
 
+	/**
+	 * Returns the replicas of the release that the roll-out replaces.
+	 * @param replicas the replicas to choose from
+	 * @return those that are not of its target
+	 */
+	List<Replica> former(List<Replica> replicas) {
+		return release(replicas, false);
+	}
+
 	private double share(long now, ReleaseKey key) {
 		boolean early = part(now) < SESSIONS_AT && this.state != RolloutState.COMPLETED;
 		return (early && key.session()) ? 0 : share(now);
--- a/core/src/test/java/org/gullsaddle/serve/ReplicaRulesTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/ReplicaRulesTests.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
 import java.util.stream.Collectors;
 
@@ -14,6 +15,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 import org.gullsaddle.base.Address;
+import org.gullsaddle.base.NodeId;
 import org.gullsaddle.fleet.ColdStart;
 import org.gullsaddle.fleet.RegionLimit;
 import org.gullsaddle.fleet.Replica;
@@ -28,6 +30,8 @@
 
 class ReplicaRulesTests {
 
+	private static final NodeId NODE = new NodeId("node");
+
 	private static final ServiceName ENGINES = new ServiceName("engines");
 
 	private static final ColdStart COLD_START = new ColdStart(20);
@@ -38,7 +42,8 @@
 
 	private final Place place = new Place("a", Map.of("a", "north", "b", "north", "c", "south"));
 
-	private final ReplicaRules rules = new ReplicaRules(this.directory, this.place, new ColdPace("node"));
+	private final ReplicaRules rules = new ReplicaRules(this.directory, this.place, new ColdPace("node"),
+			new BackpressureBook(NODE, this.place, () -> Optional.of(List.of(new Peer(NODE, "a"))), new Random(1)));
 
 	private static Replica replica(String dataCenter, String release) {
 		return new Replica(new ReplicaId(dataCenter + '-' + release), ENGINES, new Address("10.0.0.1", 80), dataCenter,
--- a/daemon/src/main/java/org/gullsaddle/gateway/Attempt.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Attempt.java
@@ -7,6 +7,7 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 
+import org.gullsaddle.serve.Admission;
 import org.gullsaddle.serve.AttemptEnd;
 import org.gullsaddle.serve.Choice;
 
@@ -18,6 +19,8 @@
 
 	private final Choice choice;
 
+	private final Admission admission;
+
 	private final long coldMillis;
 
 	private final ChannelPool pool;
@@ -44,8 +47,10 @@
 
 	private long headAt = this.startedAt;
 
-	Attempt(Choice choice, long coldMillis, String attemptId, ChannelPool pool, HeaderCodec codec, Listener listener) {
+	Attempt(Choice choice, Admission admission, long coldMillis, String attemptId, ChannelPool pool, HeaderCodec codec,
+			Listener listener) {
 		this.choice = choice;
+		this.admission = admission;
 		this.coldMillis = coldMillis;
 		this.attemptId = attemptId;
 		this.pool = pool;
@@ -70,7 +75,7 @@
 			}
 			if (!this.listener.stillOpen(this)) {
 				taken.close();
-				end(new AttemptEnd.NotRun(false, "replica closed before sending"));
+				end(new AttemptEnd.NotRun(false, "replica takes no more before sending"));
 				return;
 			}
 			RequestOptions options = new RequestOptions().setMethod(method).setURI(uri);
@@ -213,6 +218,13 @@
 		return this.choice;
 	}
 
+	/**
+	 * Returns whether it might be sent when the replica was chosen.
+	 */
+	Admission admission() {
+		return this.admission;
+	}
+
 	/**
 	 * Returns how long the replica was to stay cold when it was chosen, 0 if it was warm.
 	 */
@@ -256,7 +268,7 @@
 
 		/**
 		 * Says whether the replica may still be sent the request: a new connection takes
-		 * a while, and it may be about to stop by then.
+		 * a while, and by then it may be about to stop, or ask for fewer requests.
 		 */
 		boolean stillOpen(Attempt attempt);
 
--- a/daemon/src/main/java/org/gullsaddle/gateway/Decisions.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Decisions.java
@@ -81,13 +81,21 @@
 		return COME_BACK_MILLIS + this.random.nextLong(COME_BACK_MILLIS);
 	}
 
+	/**
+	 * Returns when a caller is to come back that may be served after some time, spread
+	 * out likewise.
+	 */
+	long comeBackMillis(long soonest) {
+		return Math.max(COME_BACK_MILLIS, soonest) + this.random.nextLong(COME_BACK_MILLIS);
+	}
+
 	/**
 	 * Returns when a caller is to come back for whom there is no replica: when there may
 	 * be one again, spread out likewise.
 	 */
 	long comeBackMillis(ReplicaRules.NoReplica why) {
 		long soonest = switch (why) {
-			case NONE, TRIED -> COME_BACK_MILLIS;
+			case NONE, TRIED, LIMITED -> COME_BACK_MILLIS;
 			case COLD -> COLD_BACK_MILLIS;
 			case EVACUATED, OTHER_REGION -> REOPENED_BACK_MILLIS;
 		};
--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.random.RandomGenerator;
 
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -10,12 +11,14 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 
+import org.gullsaddle.base.NodeId;
 import org.gullsaddle.fleet.FleetChange;
 import org.gullsaddle.fleet.FleetConfig;
 import org.gullsaddle.fleet.ReplicaId;
 import org.gullsaddle.fleet.RouteKind;
 import org.gullsaddle.serve.AnswerKind;
 import org.gullsaddle.serve.AttemptEnd;
+import org.gullsaddle.serve.BackpressureBook;
 import org.gullsaddle.serve.ColdPace;
 import org.gullsaddle.serve.ReplicaRules;
 import org.gullsaddle.store.Store;
@@ -96,10 +99,12 @@
 		this.decisions = new Decisions(this.settings.place(), this.settings.retryShare());
 		this.coldPace = new ColdPace(this.settings.node());
 		this.pool = new ChannelPool(vertx);
-		this.backpressure = new BackpressureController(this.log, this.telemetry);
+		this.nodes = new NodeRegister(vertx, builder.store, this.settings, () -> this.fleet.directory().storeAway());
+		this.backpressure = new BackpressureController(new BackpressureBook(new NodeId(this.settings.node()),
+				this.settings.place(), this.nodes::peers, RandomGenerator.getDefault()), this.log, this.telemetry);
 		this.probe = new LoadProbe(vertx, this.pool, this.codec, this.decisions.picker(), this.backpressure, this.log);
-		this.nodes = new NodeRegister(vertx, builder.store, this.settings.node());
-		this.rules = new ReplicaRules(this.fleet.directory(), this.settings.place(), this.coldPace);
+		this.rules = new ReplicaRules(this.fleet.directory(), this.settings.place(), this.coldPace,
+				this.backpressure.book());
 		this.rollouts = new RolloutController(vertx, builder.board, builder.store, this.settings.node(), this.fleet,
 				this.log);
 		this.crashes = new CrashController(vertx, builder.store, this.settings.node(), this.log);
--- a/daemon/src/main/java/org/gullsaddle/gateway/LoadProbe.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/LoadProbe.java
@@ -100,7 +100,11 @@
 				return;
 			}
 			answer.future().onFailure((failure) -> channel.close());
-			if (!answer.future().isComplete()) {
+			if (!this.backpressure.mayAsk(replica)) {
+				this.pool.giveBack(channel, ChannelPool.MAX_IDLE_MILLIS);
+				answer.tryFail("asks for fewer requests");
+			}
+			else if (!answer.future().isComplete()) {
 				read(replica, channel).onComplete(answer::tryComplete, answer::tryFail);
 			}
 		});
--- a/daemon/src/main/java/org/gullsaddle/gateway/NodeRegister.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/NodeRegister.java
@@ -1,19 +1,28 @@
 package org.gullsaddle.gateway;
 
+import java.io.IOException;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
 
 import io.vertx.core.Vertx;
 
+import org.gullsaddle.base.Json;
+import org.gullsaddle.base.NodeId;
 import org.gullsaddle.fleet.FleetChange;
-import org.gullsaddle.fleet.FleetConfig;
+import org.gullsaddle.serve.Peer;
 import org.gullsaddle.store.Store;
 
 /**
- * Counts the nodes of this deployment by a note of each in the store. A note stays when
- * its node is gone: what nodes share out by their number is then shared too thinly, never
- * too thickly.
+ * Knows the nodes of this deployment by a note of each in the store, which each writes
+ * again from time to time. A node is forgotten when its note was not written for some
+ * times, while the store could be reached: what nodes share out by their number is then
+ * shared too thinly for a while, never too thickly. Confined to the event loop.
  */
 final class NodeRegister {
 
@@ -22,20 +31,45 @@
 	/** When a note is written again that the store may not have, in milliseconds. */
 	private static final long AGAIN_MILLIS = 1000;
 
+	/** How often a note is written, in milliseconds. */
+	private static final long REFRESH_MILLIS = 600_000;
+
+	/** How many times a note may be missed. */
+	private static final int MOST_MISSED = 3;
+
+	/**
+	 * How long nodes may take to read each other's notes, in milliseconds: those that
+	 * start together do not know each other at once.
+	 */
+	private static final long SETTLE_MILLIS = 2000;
+
 	private final Vertx vertx;
 
-	private final String key;
+	private final NodeId self;
+
+	private final String place;
 
 	private final NodeNote note;
 
-	private final Set<String> nodes = new HashSet<>();
+	private final BooleanSupplier storeAway;
+
+	private final Map<NodeId, Peer> nodes = new TreeMap<>();
+
+	private final Map<NodeId, Integer> missed = new HashMap<>();
 
-	private boolean needed;
+	/** The nodes, in a list that stays the same until they change. */
+	private List<Peer> peers = List.of();
 
-	NodeRegister(Vertx vertx, Store store, String node) {
+	private long registeredAt;
+
+	private boolean started;
+
+	NodeRegister(Vertx vertx, Store store, GatewaySettings settings, BooleanSupplier storeAway) {
 		this.vertx = vertx;
-		this.key = NOTES + node;
-		this.note = new NodeNote(store, this.key);
+		this.self = new NodeId(settings.node());
+		this.place = settings.place().dataCenter();
+		this.note = new NodeNote(store, NOTES + this.self);
+		this.storeAway = storeAway;
 	}
 
 	/**
@@ -43,28 +77,72 @@
 	 */
 	void learned(FleetChange change) {
 		if (change instanceof FleetChange.Noted noted && noted.key().startsWith(NOTES)) {
-			this.nodes.add(noted.key());
+			read(noted).ifPresent(this::seen);
 		}
-		if (change instanceof FleetChange.Configured configured && !this.needed && counts(configured.config())) {
-			this.needed = true;
+		if (change instanceof FleetChange.Configured && !this.started) {
+			this.started = true;
 			// What was read together with the configuration is taken in first.
-			this.vertx.runOnContext((nothing) -> write());
+			this.vertx.runOnContext((nothing) -> register());
+			this.vertx.setPeriodic(REFRESH_MILLIS, (timer) -> refresh());
 		}
 	}
 
 	/**
-	 * Each note is a call to the store that is paid for, so that nodes are only counted
-	 * where they share something out.
+	 * Reads a note. One that says nothing of the node's place, or cannot be read, still
+	 * names a node that takes its share.
 	 */
-	private static boolean counts(FleetConfig config) {
-		return config.services().stream().anyMatch((service) -> service.coldStart().limited());
+	private static Optional<Peer> read(FleetChange.Noted noted) {
+		try {
+			NodeId node = new NodeId(noted.key().substring(NOTES.length()));
+			return Optional.of(new Peer(node, Json.tree(noted.value()).path("dataCenter").asText("")));
+		}
+		catch (IllegalArgumentException ex) {
+			return Optional.empty();
+		}
+		catch (IOException ex) {
+			return Optional.of(new Peer(new NodeId(noted.key().substring(NOTES.length())), ""));
+		}
 	}
 
-	private void write() {
-		if (registered() || this.note.busy()) {
+	private void seen(Peer peer) {
+		this.missed.put(peer.node(), 0);
+		if (peer.node().equals(this.self) && !registered()) {
+			this.registeredAt = Clock.millis();
+		}
+		if (!peer.equals(this.nodes.put(peer.node(), peer))) {
+			this.peers = List.copyOf(this.nodes.values());
+		}
+	}
+
+	private void register() {
+		if (!new Peer(this.self, this.place).equals(this.nodes.get(this.self))) {
+			write();
+		}
+	}
+
+	private void refresh() {
+		if (this.storeAway.getAsBoolean()) {
 			return;
 		}
-		this.note.write("{}", () -> this.vertx.setTimer(AGAIN_MILLIS, (timer) -> write()));
+		Set<NodeId> gone = new HashSet<>();
+		this.missed.replaceAll((node, times) -> times + 1);
+		this.missed.forEach((node, times) -> {
+			if (times > MOST_MISSED && !node.equals(this.self)) {
+				gone.add(node);
+			}
+		});
+		this.missed.keySet().removeAll(gone);
+		if (this.nodes.keySet().removeAll(gone)) {
+			this.peers = List.copyOf(this.nodes.values());
+		}
+		write();
+	}
+
+	private void write() {
+		if (!this.note.busy()) {
+			String value = Json.write(Map.of("dataCenter", this.place));
+			this.note.write(value, () -> this.vertx.setTimer(AGAIN_MILLIS, (timer) -> write()));
+		}
 	}
 
 	/**
@@ -75,8 +153,16 @@
 		return registered() ? Optional.of(this.nodes.size()) : Optional.empty();
 	}
 
+	/**
+	 * Returns the nodes, or empty while they may not all know each other.
+	 */
+	Optional<List<Peer>> peers() {
+		boolean settled = registered() && Clock.millis() - this.registeredAt >= SETTLE_MILLIS;
+		return settled ? Optional.of(this.peers) : Optional.empty();
+	}
+
 	private boolean registered() {
-		return this.nodes.contains(this.key);
+		return this.nodes.containsKey(this.self);
 	}
 
 }
--- a/daemon/src/main/java/org/gullsaddle/gateway/ReplicaChooser.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/ReplicaChooser.java
@@ -8,6 +8,7 @@
 
 import org.gullsaddle.fleet.Replica;
 import org.gullsaddle.fleet.ReplicaId;
+import org.gullsaddle.serve.Admission;
 import org.gullsaddle.serve.Choice;
 import org.gullsaddle.serve.ReplicaPicker;
 import org.gullsaddle.serve.ReplicaRules;
@@ -42,10 +43,28 @@
 	}
 
 	/**
-	 * Says whether a replica that was chosen before may still be sent the request.
+	 * Returns when the caller is to come back, as there is no replica for the request.
 	 */
-	boolean stillOpen(Replica chosen) {
-		return this.gateway.fleet().directory().stillTakes(Clock.millis(), chosen);
+	long comeBackMillis(ReplicaRules.NoReplica why) {
+		if (why == ReplicaRules.NoReplica.LIMITED) {
+			return this.gateway.decisions().comeBackMillis(rules().backMillis(Clock.millis(), wanted()));
+		}
+		return this.gateway.decisions().comeBackMillis(why);
+	}
+
+	/**
+	 * Gives the request to a replica.
+	 */
+	Admission admit(Replica replica) {
+		return this.gateway.backpressure().book().admit(Clock.millis(), replica);
+	}
+
+	/**
+	 * Says whether a replica that was given the request may still be sent it.
+	 */
+	boolean stillOpen(Replica chosen, Admission admission) {
+		return this.gateway.fleet().directory().stillTakes(Clock.millis(), chosen)
+				&& this.gateway.backpressure().book().mayStillSend(Clock.millis(), chosen, admission);
 	}
 
 	/**
@@ -93,7 +112,8 @@
 	}
 
 	/**
-	 * A question is work too, and what cold replicas bear is kept for requests.
+	 * A question is work too, and what cold or limited replicas bear is kept for
+	 * requests.
 	 */
 	private List<Replica> toAsk(List<Replica> usable, Task task, Set<ReplicaId> without) {
 		long now = Clock.millis();
@@ -101,6 +121,7 @@
 		return picker().toAsk(now, usable, without, task)
 			.stream()
 			.filter((replica) -> !rules().cold(now, wanted, replica))
+			.filter(this.gateway.backpressure()::mayAsk)
 			.toList();
 	}
 
--- a/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
@@ -17,6 +17,7 @@
 import org.gullsaddle.fleet.Route;
 import org.gullsaddle.fleet.RouteKind;
 import org.gullsaddle.fleet.ServiceName;
+import org.gullsaddle.serve.Admission;
 import org.gullsaddle.serve.AttemptEnd;
 import org.gullsaddle.serve.Choice;
 import org.gullsaddle.serve.ReplicaRules;
@@ -132,7 +133,7 @@
 	private void refuseForNone() {
 		ReplicaRules.NoReplica why = this.replicas.whyNone();
 		this.gateway.telemetry().count("no.replica." + why.name().toLowerCase(Locale.ROOT));
-		refuse(why.reason(), this.gateway.decisions().comeBackMillis(why));
+		refuse(why.reason(), this.replicas.comeBackMillis(why));
 	}
 
 	private void send(Choice choice, long left) {
@@ -142,21 +143,22 @@
 		this.clock.begin(Clock.millis());
 		this.gateway.decisions().picker().sent(Clock.millis(), choice, this.task);
 		this.replicas.sent(choice.replica());
+		Admission admission = this.replicas.admit(choice.replica());
 		Optional<String> lastEvent = this.relay.lastEvent().or(this.request.caller()::lastEvent);
 		OptionalInt urgency = this.request.engine().isPresent()
 				? OptionalInt.of(Decisions.urgency(this.request.rank(), this.overShare)) : OptionalInt.empty();
 		Handover handover = new Handover(choice.replica().id(), left, this.request.team(),
 				route().models().isEmpty() ? "" : model(), urgency, lastEvent);
 		MultiMap headers = this.gateway.codec().toReplica(this.request.http().headers(), handover);
-		this.attempt = new Attempt(choice, this.replicas.coldMillis(choice.replica()), id(), this.gateway.pool(),
-				this.gateway.codec(), this);
+		this.attempt = new Attempt(choice, admission, this.replicas.coldMillis(choice.replica()), id(),
+				this.gateway.pool(), this.gateway.codec(), this);
 		this.attempt.send(this.request.http().method(), this.request.http().uri(), headers, this.request.body(),
 				route().kind() == RouteKind.ONCE);
 	}
 
 	@Override
 	public boolean stillOpen(Attempt from) {
-		return this.replicas.stillOpen(from.choice().replica());
+		return this.replicas.stillOpen(from.choice().replica(), from.admission());
 	}
 
 	@Override
@@ -292,7 +294,7 @@
 			case AttemptEnd.Dropped dropped -> "dropped";
 			case AttemptEnd.Answered answered -> "answered";
 		};
-		refuse(reason, this.gateway.decisions().comeBackMillis(this.replicas.whyNone()));
+		refuse(reason, this.replicas.comeBackMillis(this.replicas.whyNone()));
 	}
 
 	/**
