Nodes tell each other of rate limits by a note of each replica

Cause: a node without a share of a limit sends nothing to the replica, so that no answer tells it of the limit's end; with 340 nodes it would have its turn once in 57 minutes. Nodes that the replica has not told yet went on sending to a replica in need.

Now a node that hears something else from a replica than its note says writes the note anew: those with a share within 0.3 s, the others only if none of them did.

SharedLimitFuzzTests: all nodes send as before within 15 s of the end (1 to 340 nodes), and fewer notes are written than four for each node with a share.

Left as it is: where a replica takes nothing at all, its end is heard in some node's turn, after 10 s on the mean.

--- a/core/src/main/java/org/gullsaddle/serve/BackpressureBook.java
+++ b/core/src/main/java/org/gullsaddle/serve/BackpressureBook.java
@@ -91,6 +91,13 @@
 				: OptionalDouble.empty();
 	}
 
+	/**
+	 * Says whether this node has a share of a replica's limit.
+	 */
+	boolean hasShare(long now, Replica replica) {
+		return limited(now, replica).map((each) -> each.currentShare().perSecond() > 0).orElse(false);
+	}
+
 	/**
 	 * Says whether a replica may be given one more request now.
 	 * @param now the time in milliseconds
--- a/core/src/main/java/org/gullsaddle/serve/LimitShare.java
+++ b/core/src/main/java/org/gullsaddle/serve/LimitShare.java
@@ -2,6 +2,8 @@
 
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
 
 import org.gullsaddle.base.NodeId;
 import org.gullsaddle.base.Spread;
@@ -35,20 +37,31 @@
 	private static final double BURST_SECONDS = 1;
 
 	/**
-	 * Works out a node's share.
-	 * @param perSecond the replica's limit
+	 * Returns how many nodes come before a node for a replica: those nearer to it first.
 	 * @param replica the replica
 	 * @param self the node
-	 * @param peers all nodes, itself among them
+	 * @param peers all nodes
 	 * @param place says which data centers are near each other
+	 * @return their number, or empty if the node is not among them
+	 */
+	static OptionalInt rank(Replica replica, NodeId self, List<Peer> peers, Place place) {
+		Optional<Peer> own = peers.stream().filter((peer) -> peer.node().equals(self)).findFirst();
+		if (own.isEmpty()) {
+			return OptionalInt.empty();
+		}
+		Comparator<Peer> nearest = nearest(replica, place);
+		return OptionalInt.of((int) peers.stream().filter((peer) -> nearest.compare(peer, own.get()) < 0).count());
+	}
+
+	/**
+	 * Works out a node's share.
+	 * @param perSecond the replica's limit
+	 * @param rank how many nodes come before it for the replica
+	 * @param nodes how many nodes there are
 	 */
-	static LimitShare of(double perSecond, Replica replica, NodeId self, List<Peer> peers, Place place) {
-		long parts = Math.min(peers.size(), (long) Math.floor(NODES_SECONDS * perSecond) + MORE_NODES);
-		boolean among = peers.stream()
-			.sorted(nearest(replica, place))
-			.limit(parts)
-			.anyMatch((peer) -> peer.node().equals(self));
-		if (!among) {
+	static LimitShare of(double perSecond, int rank, int nodes) {
+		long parts = Math.min(nodes, (long) Math.floor(NODES_SECONDS * perSecond) + MORE_NODES);
+		if (rank >= parts) {
 			return NONE;
 		}
 		double share = perSecond / parts;
--- a/core/src/main/java/org/gullsaddle/serve/LimitedReplica.java
+++ b/core/src/main/java/org/gullsaddle/serve/LimitedReplica.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.random.RandomGenerator;
 
 import org.gullsaddle.base.NodeId;
@@ -39,6 +40,8 @@
 
 	private Optional<List<Peer>> peers = Optional.empty();
 
+	private OptionalInt rank = OptionalInt.empty();
+
 	private LimitShare share = LimitShare.NONE;
 
 	private double tokens;
@@ -67,9 +70,11 @@
 	 * Takes in the limit that the replica names now.
 	 */
 	void limit(long now, double newPerSecond) {
-		refill(now);
-		this.perSecond = newPerSecond;
-		share();
+		if (this.perSecond != newPerSecond) {
+			refill(now);
+			this.perSecond = newPerSecond;
+			share();
+		}
 	}
 
 	/**
@@ -79,14 +84,16 @@
 		if (!this.peers.equals(newPeers)) {
 			refill(now);
 			this.peers = newPeers;
+			this.rank = newPeers.map((known) -> LimitShare.rank(this.replica, this.self, known, this.place))
+				.orElse(OptionalInt.empty());
 			share();
 		}
 	}
 
 	private void share() {
-		this.share = this.peers
-			.map((known) -> LimitShare.of(this.perSecond, this.replica, this.self, known, this.place))
-			.orElse(LimitShare.NONE);
+		this.share = this.rank.isPresent()
+				? LimitShare.of(this.perSecond, this.rank.getAsInt(), this.peers.map(List::size).orElse(0))
+				: LimitShare.NONE;
 		this.tokens = Math.min(this.tokens, this.share.burst());
 	}
 
--- a/core/src/test/java/org/gullsaddle/serve/LimitShareTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/LimitShareTests.java
@@ -33,7 +33,8 @@
 	}
 
 	private static LimitShare share(double perSecond, int node, List<Peer> peers) {
-		return LimitShare.of(perSecond, REPLICA, new NodeId("node-" + node), peers, PLACE);
+		int rank = LimitShare.rank(REPLICA, new NodeId("node-" + node), peers, PLACE).orElseThrow();
+		return LimitShare.of(perSecond, rank, peers.size());
 	}
 
 	/** Guards against a limit that a replica gets more or less of than all of. */
@@ -61,8 +62,8 @@
 	}
 
 	@Test
-	void nodeThatTheOthersDoNotKnowHasNoShare() {
-		assertThat(share(1, 4, peers(4))).isEqualTo(LimitShare.NONE);
+	void nodeThatTheOthersDoNotKnowHasNoRank() {
+		assertThat(LimitShare.rank(REPLICA, new NodeId("node-4"), peers(4), PLACE)).isEmpty();
 	}
 
 	@Test
--- a/core/src/test/java/org/gullsaddle/serve/SharedLimitFuzzTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/SharedLimitFuzzTests.java
@@ -20,9 +20,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Many nodes that always have requests for one replica, which names a limit. They hear of
- * it by its answers only; requests and answers take their time, some wait for a
- * connection, nodes start again, and their clocks are apart.
+ * Many nodes that always have requests for one replica, which names a limit. Requests,
+ * answers and notes take their time, some requests wait for a connection, nodes start
+ * again, and their clocks are apart.
  */
 class SharedLimitFuzzTests {
 
@@ -37,6 +37,9 @@
 
 	private static final long END_MILLIS = 31_000;
 
+	/** How long nodes have to hear that the limit has ended. */
+	private static final long FREE_MILLIS = 15_000;
+
 	/** One and a half times the limit, and five requests. */
 	private static double allowed(double perSecond) {
 		return 1.5 * perSecond * SPAN_MILLIS / 1000 + 5;
@@ -77,6 +80,31 @@
 		}
 	}
 
+	/** Guards against nodes that never hear that a replica is as before. */
+	@ParameterizedTest
+	@CsvSource({ "1, 0", "4, 1.8", "31, 0.5", "340, 0.5", "340, 1.8" })
+	void allNodesSendAsBeforeSoonAfterTheLimitHasEnded(int nodes, double perSecond) {
+		for (int seed = 0; seed < SEEDS; seed++) {
+			World world = new World(nodes, seed);
+			world.namedUntil = END_MILLIS - FREE_MILLIS;
+			world.play(perSecond, perSecond);
+			assertThat(world.bound()).as("seed " + seed).isZero();
+		}
+	}
+
+	/** Guards against a store that drowns in notes when a limit is named. */
+	@ParameterizedTest
+	@CsvSource({ "4, 1.8", "340, 1.8", "340, 50" })
+	void fewNotesAreWrittenOfALimit(int nodes, double perSecond) {
+		for (int seed = 0; seed < SEEDS; seed++) {
+			World world = new World(nodes, seed);
+			world.namedUntil = END_MILLIS - FREE_MILLIS;
+			world.play(perSecond, perSecond);
+			int parts = (int) (2 * perSecond) + 2;
+			assertThat(world.notes).as("seed " + seed).isLessThan(4 * Math.min(nodes, parts));
+		}
+	}
+
 	/**
 	 * The nodes and their replica.
 	 */
@@ -91,6 +119,9 @@
 
 		private static final long TOLD_MILLIS = 500;
 
+		/** How long notes take at least, and half of how long they take at most. */
+		private static final long READ_MILLIS = 750;
+
 		private final Random random;
 
 		private final List<Node> nodes = new ArrayList<>();
@@ -102,6 +133,13 @@
 		/** When requests came from nodes that had been told. */
 		private final List<Long> arrivals = new ArrayList<>();
 
+		private long namedUntil = Long.MAX_VALUE;
+
+		private int notes;
+
+		/** What a node reads of the replica as it starts. */
+		private Optional<LimitNote> lastNote = Optional.empty();
+
 		private double lowest;
 
 		private double highest;
@@ -133,7 +171,7 @@
 		}
 
 		private Backpressure answer() {
-			if (this.now < NAMED_MILLIS) {
+			if (this.now < NAMED_MILLIS || this.now >= this.namedUntil) {
 				return Backpressure.NONE;
 			}
 			double perSecond = this.lowest + (this.highest - this.lowest) * this.random.nextDouble();
@@ -141,7 +179,8 @@
 		}
 
 		private void arrived(Node from) {
-			if (this.now >= from.toldAt + TOLD_MILLIS && this.now >= NAMED_MILLIS + CONTACT_MILLIS) {
+			boolean binds = this.now >= NAMED_MILLIS + CONTACT_MILLIS && this.now < this.namedUntil;
+			if (binds && this.now >= from.toldAt + TOLD_MILLIS) {
 				this.arrivals.add(this.now);
 			}
 		}
@@ -158,6 +197,21 @@
 			return most;
 		}
 
+		/**
+		 * Returns how many nodes still take the replica as limited.
+		 */
+		long bound() {
+			return this.nodes.stream().filter((node) -> node.book.limit(REPLICA).isPresent()).count();
+		}
+
+		private void write(LimitNote note) {
+			this.notes++;
+			this.lastNote = Optional.of(note);
+			for (Node node : this.nodes) {
+				in(READ_MILLIS + this.random.nextLong(READ_MILLIS), () -> node.learned(note));
+			}
+		}
+
 		int counted() {
 			return this.arrivals.size();
 		}
@@ -175,6 +229,10 @@
 
 			private BackpressureBook book;
 
+			private LimitNews news;
+
+			private boolean due;
+
 			private long toldAt = NEVER;
 
 			private int life;
@@ -189,6 +247,19 @@
 				this.toldAt = NEVER;
 				this.book = new BackpressureBook(this.id, PLACE, () -> Optional.of(World.this.peers),
 						World.this.random);
+				this.news = new LimitNews(this.book, World.this.random);
+				World.this.lastNote.ifPresent(this::learned);
+			}
+
+			private void tell(int ownLife) {
+				this.due = false;
+				if (ownLife == this.life) {
+					this.news.toTell(REPLICA.id()).ifPresent(World.this::write);
+				}
+			}
+
+			void learned(LimitNote note) {
+				this.news.learned(clock(), REPLICA.id(), note, Optional.of(REPLICA));
 			}
 
 			private long clock() {
@@ -200,7 +271,7 @@
 					start();
 				}
 				// Without a limit it sends less, as the replica is one of many.
-				boolean wants = this.toldAt != NEVER || World.this.random.nextInt(50) == 0;
+				boolean wants = this.book.limit(REPLICA).isPresent() || World.this.random.nextInt(200) == 0;
 				if (wants && this.book.takes(clock(), REPLICA)) {
 					Admission admission = this.book.admit(clock(), REPLICA);
 					int ownLife = this.life;
@@ -227,7 +298,12 @@
 				if (ownLife != this.life) {
 					return;
 				}
-				this.book.heard(clock(), REPLICA, answer);
+				this.news.heard(clock(), REPLICA, answer).ifPresent((millis) -> {
+					if (!this.due) {
+						this.due = true;
+						in(millis, () -> tell(ownLife));
+					}
+				});
 				if (answer.limit() instanceof RateLimit.Named && this.toldAt == NEVER) {
 					this.toldAt = World.this.now;
 				}
--- a/daemon/src/main/java/org/gullsaddle/gateway/BackpressureController.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/BackpressureController.java
@@ -1,27 +1,66 @@
 package org.gullsaddle.gateway;
 
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.random.RandomGenerator;
 
+import io.vertx.core.Vertx;
+
+import org.gullsaddle.base.Json;
+import org.gullsaddle.fleet.FleetChange;
 import org.gullsaddle.fleet.Replica;
 import org.gullsaddle.fleet.ReplicaId;
 import org.gullsaddle.serve.BackpressureBook;
+import org.gullsaddle.serve.LimitNews;
+import org.gullsaddle.serve.LimitNote;
+import org.gullsaddle.store.Store;
 import org.gullsaddle.telemetry.Telemetry;
 
 /**
- * Takes in how replicas ask for fewer requests, and tells operators of it. Confined to
- * the event loop.
+ * Takes in how replicas ask for fewer requests, tells the other nodes by notes in the
+ * store, and operators by the log. Confined to the event loop.
  */
 final class BackpressureController {
 
+	static final String NOTES = "gullsaddle/limits/";
+
+	/**
+	 * When a note is written again that the store may not have, in milliseconds: what
+	 * another node wrote instead is known by then.
+	 */
+	private static final long AGAIN_MILLIS = 2000;
+
+	private final Vertx vertx;
+
+	private final Store store;
+
+	private final FleetState fleet;
+
 	private final BackpressureBook book;
 
+	private final LimitNews news;
+
 	private final DecisionLog log;
 
 	private final Telemetry telemetry;
 
-	BackpressureController(BackpressureBook book, DecisionLog log, Telemetry telemetry) {
+	private final Map<ReplicaId, NodeNote> notes = new HashMap<>();
+
+	/** Replicas of which something is to be told soon. */
+	private final Set<ReplicaId> due = new HashSet<>();
+
+	BackpressureController(Vertx vertx, Store store, FleetState fleet, BackpressureBook book, DecisionLog log,
+			Telemetry telemetry) {
+		this.vertx = vertx;
+		this.store = store;
+		this.fleet = fleet;
 		this.book = book;
+		this.news = new LimitNews(book, RandomGenerator.getDefault());
 		this.log = log;
 		this.telemetry = telemetry;
 		telemetry.gauge("replicas.limited", this.book::countLimited);
@@ -36,14 +75,67 @@
 	 * tells nothing of the replica that was asked.
 	 */
 	void heard(Replica replica, ReplicaAnswer answer) {
-		if (answer.status() == Statuses.MISDIRECTED) {
-			return;
+		if (answer.status() != Statuses.MISDIRECTED) {
+			noting(replica, "answer", () -> this.news.heard(Clock.millis(), replica, answer.backpressure())
+				.ifPresent((millis) -> tellIn(millis, replica.id())));
+		}
+	}
+
+	/**
+	 * Takes in a change of the deployment, or another node's note.
+	 */
+	void learned(FleetChange change) {
+		if (change instanceof FleetChange.Listed listed) {
+			noting(listed.replica(), "note", () -> this.news.listed(Clock.millis(), listed.replica()));
 		}
-		if (this.book.heard(Clock.millis(), replica, answer.backpressure())) {
-			OptionalDouble limit = this.book.limit(replica);
-			this.log.limited(replica.id(), limit);
-			this.telemetry.count(limit.isPresent() ? "replica.limits.named" : "replica.limits.ended");
+		else if (change instanceof FleetChange.Noted noted && noted.key().startsWith(NOTES)) {
+			learn(noted);
+		}
+	}
+
+	private void learn(FleetChange.Noted noted) {
+		ReplicaId id = new ReplicaId(noted.key().substring(NOTES.length()));
+		Optional<Replica> listed = this.fleet.directory().find(id);
+		try {
+			LimitNote note = Json.read(noted.value(), LimitNote.class);
+			Runnable learn = () -> this.news.learned(Clock.millis(), id, note, listed);
+			listed.ifPresentOrElse((replica) -> noting(replica, "note", learn), learn);
+		}
+		catch (IOException ex) {
+			this.log.learned(new FleetChange.Unreadable(noted.key(), ex.getMessage()), 0);
+		}
+	}
+
+	/**
+	 * Does something by which a replica's limit may change, and logs the change.
+	 */
+	private void noting(Replica replica, String source, Runnable change) {
+		OptionalDouble before = this.book.limit(replica);
+		change.run();
+		OptionalDouble now = this.book.limit(replica);
+		if (!now.equals(before)) {
+			this.log.limited(replica.id(), now, source);
+			this.telemetry.count(now.isPresent() ? "replica.limits.named" : "replica.limits.ended");
+		}
+	}
+
+	private void tellIn(long millis, ReplicaId id) {
+		if (this.due.add(id)) {
+			this.vertx.setTimer(Math.max(1, millis), (timer) -> tell(id));
+		}
+	}
+
+	private void tell(ReplicaId id) {
+		this.due.remove(id);
+		NodeNote note = this.notes.computeIfAbsent(id, (key) -> new NodeNote(this.store, NOTES + key));
+		if (note.busy()) {
+			tellIn(AGAIN_MILLIS, id);
+			return;
 		}
+		this.news.toTell(id).ifPresent((told) -> note.write(Json.write(told), () -> {
+			this.news.notWritten(id);
+			tellIn(AGAIN_MILLIS, id);
+		}));
 	}
 
 	/**
@@ -58,6 +150,8 @@
 	 */
 	void retain(Set<ReplicaId> known) {
 		this.book.retain(known);
+		this.news.retain(known);
+		this.notes.keySet().retainAll(known);
 	}
 
 }
--- a/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
@@ -158,11 +158,12 @@
 		}
 	}
 
-	void limited(ReplicaId replica, OptionalDouble perSecond) {
+	void limited(ReplicaId replica, OptionalDouble perSecond, String source) {
 		if (allowed(true)) {
 			LOG.atInfo()
 				.addKeyValue("replica", replica.value())
 				.addKeyValue("perSecond", perSecond.orElse(-1))
+				.addKeyValue("source", source)
 				.log(perSecond.isPresent() ? "replica names a rate limit" : "replica's rate limit ended");
 		}
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -100,11 +100,12 @@
 		this.coldPace = new ColdPace(this.settings.node());
 		this.pool = new ChannelPool(vertx);
 		this.nodes = new NodeRegister(vertx, builder.store, this.settings, () -> this.fleet.directory().storeAway());
-		this.backpressure = new BackpressureController(new BackpressureBook(new NodeId(this.settings.node()),
-				this.settings.place(), this.nodes::peers, RandomGenerator.getDefault()), this.log, this.telemetry);
+		BackpressureBook book = new BackpressureBook(new NodeId(this.settings.node()), this.settings.place(),
+				this.nodes::peers, RandomGenerator.getDefault());
+		this.backpressure = new BackpressureController(vertx, builder.store, this.fleet, book, this.log,
+				this.telemetry);
 		this.probe = new LoadProbe(vertx, this.pool, this.codec, this.decisions.picker(), this.backpressure, this.log);
-		this.rules = new ReplicaRules(this.fleet.directory(), this.settings.place(), this.coldPace,
-				this.backpressure.book());
+		this.rules = new ReplicaRules(this.fleet.directory(), this.settings.place(), this.coldPace, book);
 		this.rollouts = new RolloutController(vertx, builder.board, builder.store, this.settings.node(), this.fleet,
 				this.log);
 		this.crashes = new CrashController(vertx, builder.store, this.settings.node(), this.log);
@@ -264,6 +265,7 @@
 		this.nodes.learned(change);
 		this.rollouts.learned(change);
 		this.crashes.learned(change);
+		this.backpressure.learned(change);
 	}
 
 	private void tick() {
