Limits that all nodes hear themselves are not written as notes

All four nodes have shares of such limits and wrote the same note at once: one write, and for each of the others a refused write and a read, at each change.

Now nothing is written where every node has a share; elsewhere the nearest node writes after 0.5 s and the next ones 1.6 s later each, by when they have mostly read it.

A note that stands 2.5 s after the answer now counts, and takes the answer's place.

--- a/core/src/main/java/org/gullsaddle/serve/BackpressureBook.java
+++ b/core/src/main/java/org/gullsaddle/serve/BackpressureBook.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -92,10 +93,18 @@
 	}
 
 	/**
-	 * Says whether this node has a share of a replica's limit.
+	 * Returns how many nodes come before this one for a limited replica, or empty if that
+	 * is not known.
 	 */
-	boolean hasShare(long now, Replica replica) {
-		return limited(now, replica).map((each) -> each.currentShare().perSecond() > 0).orElse(false);
+	OptionalInt rank(long now, Replica replica) {
+		return limited(now, replica).map(LimitedReplica::rank).orElse(OptionalInt.empty());
+	}
+
+	/**
+	 * Says whether every node has a share of a replica's limit.
+	 */
+	boolean sharedByAll(long now, Replica replica) {
+		return limited(now, replica).map(LimitedReplica::sharedByAll).orElse(false);
 	}
 
 	/**
--- a/core/src/main/java/org/gullsaddle/serve/LimitNews.java
+++ b/core/src/main/java/org/gullsaddle/serve/LimitNews.java
@@ -16,7 +16,8 @@
  * Decides what nodes tell each other of rate limits: that a replica names one, another
  * one, or none any more. Nodes that send nothing there hear it from no answer. There is
  * one note for each replica; who heard something else from the replica itself writes it
- * anew. Confined to one thread.
+ * anew. Where every node has a share of the limit, all hear it themselves, and nothing is
+ * written. Confined to one thread.
  */
 public final class LimitNews {
 
@@ -27,15 +28,19 @@
 	private static final long FRESH_MILLIS = 2500;
 
 	/**
-	 * Within which time a node with a share of the limit writes, in milliseconds.
+	 * How much later than the node before it a node writes, in milliseconds: by then it
+	 * has mostly read what that one wrote.
 	 */
-	private static final long SOON_MILLIS = 300;
+	private static final long TURN_MILLIS = 1600;
 
-	/**
-	 * When a node without a share writes at the earliest, in milliseconds: by then it has
-	 * read what one with a share wrote.
-	 */
-	private static final long LATER_MILLIS = 3000;
+	/** When the first node writes, in milliseconds, so that few changes are one note. */
+	private static final long GATHER_MILLIS = 500;
+
+	/** How many nodes write one after the other; all others share one time after them. */
+	private static final int TURNS = 3;
+
+	/** The time in which nodes write that have the same turn, in milliseconds. */
+	private static final long SPREAD_MILLIS = 3000;
 
 	/** The part by which a limit must change to be told. */
 	private static final double TOLD_CHANGE = 0.25;
@@ -70,7 +75,7 @@
 	 * there is nothing to tell
 	 */
 	public OptionalLong heard(long now, Replica replica, Backpressure asked) {
-		boolean soon = this.book.hasShare(now, replica);
+		int rank = this.book.rank(now, replica).orElse(TURNS);
 		this.book.heard(now, replica, asked);
 		OptionalDouble limit = this.book.limit(replica);
 		if (asked.limit() instanceof RateLimit.Unreadable) {
@@ -81,14 +86,23 @@
 			return OptionalLong.empty();
 		}
 		this.firstHand.put(replica.id(), new FirstHand(replica, limit, now));
-		if (!isNews(replica, limit)) {
+		if (!isNews(replica, limit) || (!stands(replica) && this.book.sharedByAll(now, replica))) {
 			return OptionalLong.empty();
 		}
-		return OptionalLong.of(delay(soon || this.book.hasShare(now, replica)));
+		return OptionalLong.of(delay(Math.min(rank, this.book.rank(now, replica).orElse(TURNS))));
 	}
 
-	private long delay(boolean soon) {
-		return soon ? this.random.nextLong(SOON_MILLIS) : LATER_MILLIS + this.random.nextLong(LATER_MILLIS);
+	private long delay(int rank) {
+		long turn = GATHER_MILLIS + Math.min(rank, TURNS) * TURN_MILLIS;
+		return (rank < TURNS) ? turn : turn + this.random.nextLong(SPREAD_MILLIS);
+	}
+
+	/**
+	 * Says whether there is a note by which a replica is limited.
+	 */
+	private boolean stands(Replica replica) {
+		LimitNote note = this.notes.get(replica.id());
+		return note != null && note.limited() && note.startedAt() == replica.startedAt();
 	}
 
 	/**
@@ -97,11 +111,13 @@
 	 * @param id the replica
 	 * @param note what is told of it
 	 * @param listed the replica as it is listed, or empty if it is not
+	 * @return when {@link #listed} is to be told of the replica again, in milliseconds
+	 * from now, or empty if it need not be
 	 */
-	public void learned(long now, ReplicaId id, LimitNote note, Optional<Replica> listed) {
+	public OptionalLong learned(long now, ReplicaId id, LimitNote note, Optional<Replica> listed) {
 		this.notes.put(id, note);
 		this.unsure.remove(id);
-		listed.ifPresent((replica) -> apply(now, replica, note));
+		return listed.map((replica) -> apply(now, replica, note)).orElse(OptionalLong.empty());
 	}
 
 	/**
@@ -116,12 +132,21 @@
 		}
 	}
 
-	private void apply(long now, Replica replica, LimitNote note) {
+	/**
+	 * Has a note count, unless the replica itself has just said something. If a note
+	 * stands that long against it, nodes that hear the replica agree with the note.
+	 */
+	private OptionalLong apply(long now, Replica replica, LimitNote note) {
+		if (note.startedAt() != replica.startedAt()) {
+			return OptionalLong.empty();
+		}
 		FirstHand known = this.firstHand.get(replica.id());
-		boolean fresh = known != null && known.replica.sameProcess(replica) && now - known.at < FRESH_MILLIS;
-		if (!fresh && note.startedAt() == replica.startedAt()) {
-			this.book.heard(now, replica, new Backpressure(note.limit()));
+		if (known != null && known.replica.sameProcess(replica) && now - known.at < FRESH_MILLIS) {
+			return OptionalLong.of(known.at + FRESH_MILLIS - now);
 		}
+		this.firstHand.remove(replica.id());
+		this.book.heard(now, replica, new Backpressure(note.limit()));
+		return OptionalLong.empty();
 	}
 
 	/**
@@ -161,11 +186,11 @@
 		if (this.unsure.contains(replica.id())) {
 			return true;
 		}
-		LimitNote note = this.notes.get(replica.id());
-		boolean told = note != null && note.limited() && note.startedAt() == replica.startedAt();
+		boolean told = stands(replica);
 		if (!told || limit.isEmpty()) {
 			return told || limit.isPresent();
 		}
+		LimitNote note = this.notes.get(replica.id());
 		return Math.abs(limit.getAsDouble() - note.perSecond()) > TOLD_CHANGE * note.perSecond();
 	}
 
--- a/core/src/main/java/org/gullsaddle/serve/LimitShare.java
+++ b/core/src/main/java/org/gullsaddle/serve/LimitShare.java
@@ -60,7 +60,7 @@
 	 * @param nodes how many nodes there are
 	 */
 	static LimitShare of(double perSecond, int rank, int nodes) {
-		long parts = Math.min(nodes, (long) Math.floor(NODES_SECONDS * perSecond) + MORE_NODES);
+		long parts = parts(perSecond, nodes);
 		if (rank >= parts) {
 			return NONE;
 		}
@@ -68,6 +68,15 @@
 		return new LimitShare(share, Math.max(1, BURST_SECONDS * share));
 	}
 
+	/**
+	 * Returns how many nodes have a share.
+	 * @param perSecond the replica's limit
+	 * @param nodes how many nodes there are
+	 */
+	static long parts(double perSecond, int nodes) {
+		return Math.min(nodes, (long) Math.floor(NODES_SECONDS * perSecond) + MORE_NODES);
+	}
+
 	private static Comparator<Peer> nearest(Replica replica, Place place) {
 		return Comparator.comparing((Peer peer) -> place.reach(peer.dataCenter(), replica.dataCenter()))
 			.thenComparing((peer) -> Spread.unit(peer.node() + "/" + replica.id()))
--- a/core/src/main/java/org/gullsaddle/serve/LimitedReplica.java
+++ b/core/src/main/java/org/gullsaddle/serve/LimitedReplica.java
@@ -134,6 +134,15 @@
 		return Math.min(untilToken, untilTurn);
 	}
 
+	OptionalInt rank() {
+		return this.rank;
+	}
+
+	boolean sharedByAll() {
+		return this.perSecond > 0 && this.peers.isPresent()
+				&& LimitShare.parts(this.perSecond, this.peers.get().size()) == this.peers.get().size();
+	}
+
 	LimitShare currentShare() {
 		return this.share;
 	}
--- a/core/src/test/java/org/gullsaddle/serve/SharedLimitFuzzTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/SharedLimitFuzzTests.java
@@ -100,8 +100,7 @@
 			World world = new World(nodes, seed);
 			world.namedUntil = END_MILLIS - FREE_MILLIS;
 			world.play(perSecond, perSecond);
-			int parts = (int) (2 * perSecond) + 2;
-			assertThat(world.notes).as("seed " + seed).isLessThan(4 * Math.min(nodes, parts));
+			assertThat(world.notes).as("seed " + seed).isLessThanOrEqualTo(nodes / 4);
 		}
 	}
 
@@ -259,7 +258,13 @@
 			}
 
 			void learned(LimitNote note) {
-				this.news.learned(clock(), REPLICA.id(), note, Optional.of(REPLICA));
+				int ownLife = this.life;
+				this.news.learned(clock(), REPLICA.id(), note, Optional.of(REPLICA))
+					.ifPresent((millis) -> in(millis, () -> {
+						if (ownLife == this.life) {
+							this.news.listed(clock(), REPLICA);
+						}
+					}));
 			}
 
 			private long clock() {
--- a/daemon/src/main/java/org/gullsaddle/gateway/BackpressureController.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/BackpressureController.java
@@ -86,19 +86,25 @@
 	 */
 	void learned(FleetChange change) {
 		if (change instanceof FleetChange.Listed listed) {
-			noting(listed.replica(), "note", () -> this.news.listed(Clock.millis(), listed.replica()));
+			listed(listed.replica());
 		}
 		else if (change instanceof FleetChange.Noted noted && noted.key().startsWith(NOTES)) {
 			learn(noted);
 		}
 	}
 
+	private void listed(Replica replica) {
+		noting(replica, "note", () -> this.news.listed(Clock.millis(), replica));
+	}
+
 	private void learn(FleetChange.Noted noted) {
 		ReplicaId id = new ReplicaId(noted.key().substring(NOTES.length()));
 		Optional<Replica> listed = this.fleet.directory().find(id);
 		try {
 			LimitNote note = Json.read(noted.value(), LimitNote.class);
-			Runnable learn = () -> this.news.learned(Clock.millis(), id, note, listed);
+			Runnable learn = () -> this.news.learned(Clock.millis(), id, note, listed)
+				.ifPresent((millis) -> this.vertx.setTimer(millis,
+						(timer) -> this.fleet.directory().find(id).ifPresent(this::listed)));
 			listed.ifPresentOrElse((replica) -> noting(replica, "note", learn), learn);
 		}
 		catch (IOException ex) {
