What a replica asks of rest is logged and counted

The logs could not tell whether and for how long a replica asked for rest when it turned a request away.

BackpressureTests, LoadProbeTests pass.

--- a/core/src/main/java/org/gullsaddle/serve/LimitNews.java
+++ b/core/src/main/java/org/gullsaddle/serve/LimitNews.java
@@ -145,7 +145,7 @@
 			return OptionalLong.of(known.at + FRESH_MILLIS - now);
 		}
 		this.firstHand.remove(replica.id());
-		this.book.heard(now, replica, new Backpressure(note.limit()));
+		this.book.heard(now, replica, Backpressure.of(note.limit()));
 		return OptionalLong.empty();
 	}
 
--- a/core/src/test/java/org/gullsaddle/serve/BackpressureBookTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/BackpressureBookTests.java
@@ -39,7 +39,7 @@
 	}
 
 	private static Backpressure limit(double perSecond) {
-		return new Backpressure(new RateLimit.Named(perSecond));
+		return Backpressure.of(new RateLimit.Named(perSecond));
 	}
 
 	/**
@@ -94,7 +94,7 @@
 		void oneThatCannotBeReadChangesNothing() {
 			BackpressureBook book = BackpressureBookTests.this.book;
 			book.heard(0, BackpressureBookTests.this.replica, limit(5));
-			assertThat(book.heard(0, BackpressureBookTests.this.replica, new Backpressure(new RateLimit.Unreadable())))
+			assertThat(book.heard(0, BackpressureBookTests.this.replica, Backpressure.of(new RateLimit.Unreadable())))
 				.isFalse();
 			assertThat(book.limit(BackpressureBookTests.this.replica)).isEqualTo(OptionalDouble.of(5));
 		}
--- a/core/src/test/java/org/gullsaddle/serve/SharedLimitFuzzTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/SharedLimitFuzzTests.java
@@ -174,7 +174,7 @@
 				return Backpressure.NONE;
 			}
 			double perSecond = this.lowest + (this.highest - this.lowest) * this.random.nextDouble();
-			return new Backpressure(new RateLimit.Named(perSecond));
+			return Backpressure.of(new RateLimit.Named(perSecond));
 		}
 
 		private void arrived(Node from) {
--- a/daemon/src/main/java/org/gullsaddle/gateway/BackpressureController.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/BackpressureController.java
@@ -76,6 +76,10 @@
 	 */
 	void heard(Replica replica, ReplicaAnswer answer) {
 		if (answer.status() != Statuses.MISDIRECTED) {
+			if (answer.backpressure().restMillis() > 0) {
+				this.log.rest(replica.id(), answer.backpressure().restMillis());
+				this.telemetry.count("replica.rests.asked");
+			}
 			noting(replica, "answer", () -> this.news.heard(Clock.millis(), replica, answer.backpressure())
 				.ifPresent((millis) -> tellIn(millis, replica.id())));
 		}
--- a/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
@@ -168,6 +168,15 @@
 		}
 	}
 
+	void rest(ReplicaId replica, long millis) {
+		if (allowed(true)) {
+			LOG.atInfo()
+				.addKeyValue("replica", replica.value())
+				.addKeyValue("millis", millis)
+				.log("replica asks for rest");
+		}
+	}
+
 	void stalled(long millis, int open) {
 		LOG.atWarn().addKeyValue("millis", millis).addKeyValue("open", open).log("stood still");
 	}
