Limits named in refusals are heard

Cause: a replica's answer by which a request did not run ended the attempt before what it says of the replica was read. Such answers are the ones that a replica in need gives most.

itIsHeardFromRefusalsToo fails without this: the limit is never known. What refusals say of the replica's load is still not read; that is left as it is until its effect on the choice is measured.

--- a/daemon/src/main/java/org/gullsaddle/gateway/Attempt.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Attempt.java
@@ -124,6 +124,7 @@
 			fail("answer to another request");
 			return;
 		}
+		this.listener.heard(this, this.answer);
 		if (this.answer.success() && (!this.answer.signed() || this.answer.encoded())) {
 			fail("answer is not the replica's");
 			return;
@@ -272,6 +273,11 @@
 		 */
 		boolean stillOpen(Attempt attempt);
 
+		/**
+		 * Is told of every answer to the request, also of one by which it did not run.
+		 */
+		void heard(Attempt attempt, ReplicaAnswer answer);
+
 		void head(Attempt attempt, ReplicaAnswer answer, MultiMap headers);
 
 		void data(Attempt attempt, Buffer bytes);
--- a/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
@@ -161,10 +161,14 @@
 		return this.replicas.stillOpen(from.choice().replica(), from.admission());
 	}
 
+	@Override
+	public void heard(Attempt from, ReplicaAnswer answer) {
+		this.gateway.backpressure().heard(from.choice().replica(), answer);
+	}
+
 	@Override
 	public void head(Attempt from, ReplicaAnswer answer, MultiMap headers) {
 		readPrompt(from);
-		this.gateway.backpressure().heard(from.choice().replica(), answer);
 		if (answer.success()) {
 			this.gateway.decisions().picker().began(from.choice(), this.task, from.headAt() - from.startedAt(), true);
 		}
