A replica that asks for rest gets none of a node's requests in that time

What callers saw: requests went to a replica that had just turned the node away, and took a round trip more; one was refused itself, as its retries were spent.

Cause: the time that a replica names as it turns a request away had no reader. A refusal counted for its one request. As the replica answers at once and holds no work, it looked best to the next request.

The fix: the time binds this node for every kind of attempt and for questions for a load, from the answer on; the longest of several counts, at most 5 minutes of one answer, and only for that process. It is looked at in the same gate as rate limits: when a replica is chosen, and again when the connection is open. Where all replicas rest, requests are refused at once, and callers are told when the first rest is over.

--- a/core/src/main/java/org/gullsaddle/serve/Admission.java
+++ b/core/src/main/java/org/gullsaddle/serve/Admission.java
@@ -5,13 +5,13 @@
  */
 public enum Admission {
 
-	/** The replica had named no limit. */
+	/** The replica had asked for nothing. */
 	FREE,
 
 	/** The request has a part of the replica's limit. */
 	COUNTED,
 
-	/** This node had no more of the replica's limit to give. */
+	/** The replica had asked for rest, or this node had no more of its limit to give. */
 	DENIED
 
 }
--- a/core/src/main/java/org/gullsaddle/serve/BackpressureBook.java
+++ b/core/src/main/java/org/gullsaddle/serve/BackpressureBook.java
@@ -25,6 +25,9 @@
 	/** The latest time at which a refused caller is told to come back. */
 	private static final long LATEST_BACK_MILLIS = 10_000;
 
+	/** The longest rest that a replica is given by one answer. */
+	private static final long LONGEST_REST_MILLIS = 300_000;
+
 	private static final double SECOND_MILLIS = 1000;
 
 	private final NodeId self;
@@ -37,6 +40,8 @@
 
 	private final Map<ReplicaId, LimitedReplica> limited = new HashMap<>();
 
+	private final Map<ReplicaId, Rest> rests = new HashMap<>();
+
 	/** Until when the parts of limits are promised to callers that were refused. */
 	private final Map<ServiceName, Long> promised = new HashMap<>();
 
@@ -62,6 +67,9 @@
 	 * @return whether its limit is another one than before
 	 */
 	public boolean heard(long now, Replica replica, Backpressure asked) {
+		if (asked.restMillis() > 0) {
+			rest(replica, now + Math.min(asked.restMillis(), LONGEST_REST_MILLIS));
+		}
 		OptionalDouble before = limit(replica);
 		switch (asked.limit()) {
 			case RateLimit.Named named -> limit(now, replica, named.perSecond());
@@ -72,12 +80,24 @@
 		return !limit(replica).equals(before);
 	}
 
+	/**
+	 * An answer to a request that was sent before may ask for a rest that ends sooner.
+	 */
+	private void rest(Replica replica, long until) {
+		Rest known = this.rests.get(replica.id());
+		boolean later = known == null || !known.replica.sameProcess(replica) || known.until < until;
+		if (later) {
+			this.rests.put(replica.id(), new Rest(replica, until));
+		}
+	}
+
 	private void limit(long now, Replica replica, double perSecond) {
 		LimitedReplica known = this.limited.get(replica.id());
 		if (known == null || !known.replica().sameProcess(replica)) {
 			known = new LimitedReplica(now, replica, this.self, this.place, this.random);
 			this.limited.put(replica.id(), known);
 		}
+		known.peers(now, this.peers.get());
 		known.limit(now, perSecond);
 	}
 
@@ -111,20 +131,36 @@
 	 * Says whether a replica may be given one more request now.
 	 * @param now the time in milliseconds
 	 * @param replica the replica
-	 * @return true if it names no limit, or this node has a part of it left
+	 * @return true if it has not asked for rest, and names no limit or this node has a
+	 * part of it left
 	 */
 	public boolean takes(long now, Replica replica) {
+		if (restMillis(now, replica) > 0) {
+			return false;
+		}
 		return limited(now, replica).map((each) -> each.room(now)).orElse(true);
 	}
 
+	/**
+	 * Returns how long a replica is still to get nothing from this node.
+	 * @param now the time in milliseconds
+	 * @param replica the replica
+	 * @return the time from now, in milliseconds, 0 if it has not asked for rest
+	 */
+	public long restMillis(long now, Replica replica) {
+		Rest known = this.rests.get(replica.id());
+		return (known != null && known.replica.sameProcess(replica)) ? Math.max(0, known.until - now) : 0;
+	}
+
 	/**
 	 * Says whether a replica may be asked for its load. That is work too, and what a
 	 * replica in need takes is kept for requests.
+	 * @param now the time in milliseconds
 	 * @param replica the replica
-	 * @return true if it names no limit
+	 * @return true if it names no limit and has not asked for rest
 	 */
-	public boolean mayAsk(Replica replica) {
-		return limit(replica).isEmpty();
+	public boolean mayAsk(long now, Replica replica) {
+		return limit(replica).isEmpty() && restMillis(now, replica) == 0;
 	}
 
 	/**
@@ -134,6 +170,9 @@
 	 * @return whether it may be sent
 	 */
 	public Admission admit(long now, Replica replica) {
+		if (restMillis(now, replica) > 0) {
+			return Admission.DENIED;
+		}
 		return limited(now, replica).map((each) -> {
 			if (!each.room(now)) {
 				return Admission.DENIED;
@@ -145,7 +184,7 @@
 
 	/**
 	 * Says whether a request may be sent now that there is a connection: the replica may
-	 * have named a limit since the request was given to it.
+	 * have asked for rest or named a limit since the request was given to it.
 	 * @param now the time in milliseconds
 	 * @param replica the replica
 	 * @param before what was said when the request was given to it
@@ -154,7 +193,7 @@
 	public boolean mayStillSend(long now, Replica replica, Admission before) {
 		return switch (before) {
 			case FREE -> admit(now, replica) != Admission.DENIED;
-			case COUNTED -> true;
+			case COUNTED -> restMillis(now, replica) == 0;
 			case DENIED -> false;
 		};
 	}
@@ -165,18 +204,17 @@
 	 * requests that this node may send.
 	 * @param now the time in milliseconds
 	 * @param service the service
-	 * @param replicas its replicas, one or more, all limited
+	 * @param replicas its replicas, one or more, all limited or resting
 	 * @return the time from now, in milliseconds
 	 */
 	public long backMillis(long now, ServiceName service, Collection<Replica> replicas) {
 		double perSecond = 0;
 		long soonest = LATEST_BACK_MILLIS;
 		for (Replica replica : replicas) {
-			LimitedReplica known = limited(now, replica).orElse(null);
-			if (known != null) {
-				perSecond += known.currentShare().perSecond();
-				soonest = Math.min(soonest, known.waitMillis(now));
-			}
+			long rest = restMillis(now, replica);
+			Optional<LimitedReplica> known = limited(now, replica);
+			perSecond += known.map((each) -> each.currentShare().perSecond()).orElse(0.0);
+			soonest = Math.min(soonest, Math.max(rest, known.map((each) -> each.waitMillis(now)).orElse(rest)));
 		}
 		long apart = (perSecond > 0) ? Math.round(SECOND_MILLIS / perSecond) : 0;
 		long next = Math.max(now + soonest, this.promised.getOrDefault(service, now) + apart);
@@ -193,12 +231,22 @@
 		return this.limited.size();
 	}
 
+	/**
+	 * Returns how many replicas have asked this node for rest.
+	 * @param now the time in milliseconds
+	 * @return their number
+	 */
+	public long countResting(long now) {
+		return this.rests.values().stream().filter((rest) -> rest.until > now).count();
+	}
+
 	/**
 	 * Forgets replicas that are gone.
 	 * @param known those to remember
 	 */
 	public void retain(Set<ReplicaId> known) {
 		this.limited.keySet().retainAll(known);
+		this.rests.keySet().retainAll(known);
 	}
 
 	private Optional<LimitedReplica> limited(long now, Replica replica) {
@@ -210,4 +258,7 @@
 		return Optional.of(known);
 	}
 
+	private record Rest(Replica replica, long until) {
+	}
+
 }
--- a/core/src/main/java/org/gullsaddle/serve/ReplicaRules.java
+++ b/core/src/main/java/org/gullsaddle/serve/ReplicaRules.java
@@ -80,12 +80,16 @@
 		if (open.stream().allMatch((replica) -> cold(now, wanted, replica))) {
 			return NoReplica.COLD;
 		}
-		boolean noRoom = taking(now, ofRelease(now, wanted, open)).isEmpty();
-		return noRoom ? NoReplica.LIMITED : NoReplica.TRIED;
+		List<Replica> allowed = ofRelease(now, wanted, open);
+		if (!taking(now, allowed).isEmpty()) {
+			return NoReplica.TRIED;
+		}
+		boolean resting = allowed.stream().allMatch((replica) -> this.backpressure.restMillis(now, replica) > 0);
+		return resting ? NoReplica.RESTING : NoReplica.LIMITED;
 	}
 
 	/**
-	 * Returns when a caller is to come back for whom all replicas are limited.
+	 * Returns when a caller is to come back for whom all replicas are limited or resting.
 	 * @param now the time in milliseconds
 	 * @param wanted what the request asked of them
 	 * @return the time from now, in milliseconds
@@ -177,6 +181,9 @@
 		/** All that are open name rate limits, and this node's parts of them are used. */
 		LIMITED("all replicas are at their rate limits"),
 
+		/** All that are open have asked this node for rest. */
+		RESTING("all replicas ask for rest"),
+
 		/** All are in data centers that are to be emptied. */
 		EVACUATED("data centers are being emptied"),
 
--- a/core/src/test/java/org/gullsaddle/serve/BackpressureBookTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/BackpressureBookTests.java
@@ -105,7 +105,7 @@
 			book.heard(0, BackpressureBookTests.this.replica, limit(0));
 			assertThat(book.heard(0, BackpressureBookTests.this.replica, Backpressure.NONE)).isTrue();
 			assertThat(book.admit(0, BackpressureBookTests.this.replica)).isEqualTo(Admission.FREE);
-			assertThat(book.mayAsk(BackpressureBookTests.this.replica)).isTrue();
+			assertThat(book.mayAsk(0, BackpressureBookTests.this.replica)).isTrue();
 		}
 
 		/** Guards against a new process that is bound by what the one before it asked. */
@@ -125,7 +125,7 @@
 		@Test
 		void itIsNotAskedForItsLoad() {
 			BackpressureBookTests.this.book.heard(0, BackpressureBookTests.this.replica, limit(100));
-			assertThat(BackpressureBookTests.this.book.mayAsk(BackpressureBookTests.this.replica)).isFalse();
+			assertThat(BackpressureBookTests.this.book.mayAsk(0, BackpressureBookTests.this.replica)).isFalse();
 		}
 
 	}
@@ -181,4 +181,77 @@
 
 	}
 
+	@Nested
+	class WhereAReplicaAsksForRest {
+
+		private static Backpressure rest(long millis) {
+			return new Backpressure(new RateLimit.None(), millis);
+		}
+
+		private boolean takes(long now) {
+			return BackpressureBookTests.this.book.takes(now, BackpressureBookTests.this.replica);
+		}
+
+		private void heard(long now, Backpressure asked) {
+			BackpressureBookTests.this.book.heard(now, BackpressureBookTests.this.replica, asked);
+		}
+
+		@Test
+		void itGetsNothingUntilThatTimeIsOver() {
+			heard(0, rest(3000));
+			assertThat(takes(2999)).isFalse();
+			assertThat(BackpressureBookTests.this.book.mayAsk(2999, BackpressureBookTests.this.replica)).isFalse();
+			assertThat(takes(3000)).isTrue();
+			assertThat(BackpressureBookTests.this.book.mayAsk(3000, BackpressureBookTests.this.replica)).isTrue();
+		}
+
+		/**
+		 * Guards against a rest that is cut short by an answer to a request sent before.
+		 */
+		@Test
+		void neitherAShorterRestNorAnAnswerWithoutOneEndsIt() {
+			heard(0, rest(3000));
+			heard(100, rest(200));
+			heard(200, Backpressure.NONE);
+			assertThat(takes(2999)).isFalse();
+		}
+
+		/** Guards against a replica that is left out for days by one wrong answer. */
+		@Test
+		void noOneRestLastsLongerThanFiveMinutes() {
+			heard(0, rest(Long.MAX_VALUE));
+			assertThat(takes(299_999)).isFalse();
+			assertThat(takes(300_000)).isTrue();
+		}
+
+		/** Guards against requests that wait for a connection and then disturb it. */
+		@Test
+		void requestThatWaitsForAConnectionIsNotSent() {
+			BackpressureBook book = BackpressureBookTests.this.book;
+			Admission free = book.admit(0, BackpressureBookTests.this.replica);
+			heard(10, new Backpressure(new RateLimit.Named(50), 0));
+			Admission counted = book.admit(1000, BackpressureBookTests.this.replica);
+			heard(1010, new Backpressure(new RateLimit.Named(50), 3000));
+			assertThat(counted).isEqualTo(Admission.COUNTED);
+			assertThat(book.mayStillSend(1020, BackpressureBookTests.this.replica, free)).isFalse();
+			assertThat(book.mayStillSend(1020, BackpressureBookTests.this.replica, counted)).isFalse();
+		}
+
+		@Test
+		void anotherProcessUnderItsIdNeedsNone() {
+			heard(0, rest(3000));
+			assertThat(BackpressureBookTests.this.book.takes(1, replica(2))).isTrue();
+		}
+
+		/** Guards against callers that are sent away for longer than the rest lasts. */
+		@Test
+		void callersAreToldToComeBackWhenItIsOver() {
+			heard(0, rest(3000));
+			assertThat(BackpressureBookTests.this.book.backMillis(1000, ENGINES,
+					List.of(BackpressureBookTests.this.replica)))
+				.isEqualTo(2000);
+		}
+
+	}
+
 }
--- a/daemon/src/main/java/org/gullsaddle/gateway/BackpressureController.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/BackpressureController.java
@@ -64,6 +64,7 @@
 		this.log = log;
 		this.telemetry = telemetry;
 		telemetry.gauge("replicas.limited", this.book::countLimited);
+		telemetry.gauge("replicas.resting", () -> this.book.countResting(Clock.millis()));
 	}
 
 	BackpressureBook book() {
@@ -152,7 +153,7 @@
 	 * Says whether a replica may be asked for its load.
 	 */
 	boolean mayAsk(Replica replica) {
-		return this.book.mayAsk(replica);
+		return this.book.mayAsk(Clock.millis(), replica);
 	}
 
 	/**
--- a/daemon/src/main/java/org/gullsaddle/gateway/ReplicaChooser.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/ReplicaChooser.java
@@ -46,7 +46,7 @@
 	 * Returns when the caller is to come back, as there is no replica for the request.
 	 */
 	long comeBackMillis(ReplicaRules.NoReplica why) {
-		if (why == ReplicaRules.NoReplica.LIMITED) {
+		if (why == ReplicaRules.NoReplica.LIMITED || why == ReplicaRules.NoReplica.RESTING) {
 			return this.gateway.decisions().comeBackMillis(rules().backMillis(Clock.millis(), wanted()));
 		}
 		return this.gateway.decisions().comeBackMillis(why);
@@ -112,8 +112,8 @@
 	}
 
 	/**
-	 * A question is work too, and what cold or limited replicas bear is kept for
-	 * requests.
+	 * A question is work too: what cold or limited replicas bear is kept for requests,
+	 * and one that asks for rest is not asked.
 	 */
 	private List<Replica> toAsk(List<Replica> usable, Task task, Set<ReplicaId> without) {
 		long now = Clock.millis();
