A replica that says it leaves gets no more requests

Cause: the word by which a replica says in its answers that it leaves had no reader; only its entry in the registry counted, which a node may read late, or not at all while the store is away.

The fix: the directory of replicas takes it in as if the entry said draining, for that process, whatever its entry says later, and remembers it for 10 minutes after the entry is gone, as an entry may lapse in an outage of the store and come back. It binds wherever draining does: for the choice, again when a connection is open, and for questions for a load.

--- a/core/src/main/java/org/gullsaddle/fleet/ReplicaDirectory.java
+++ b/core/src/main/java/org/gullsaddle/fleet/ReplicaDirectory.java
@@ -27,6 +27,12 @@
 	 */
 	static final long LAPSED_MILLIS = 2200;
 
+	/**
+	 * How long a replica that says that it leaves, and is not listed, is remembered, in
+	 * milliseconds: its entry may come back after an outage of the store.
+	 */
+	static final long LEAVING_MILLIS = 600_000;
+
 	/** How long a replica is taken as cold by one word of it, in milliseconds. */
 	static final long MOST_COLD_MILLIS = 60_000;
 
@@ -38,6 +44,9 @@
 
 	private final Map<ReplicaId, Cold> cold = new HashMap<>();
 
+	/** Replicas that have said themselves that they leave. */
+	private final Map<ReplicaId, Leaving> leaving = new HashMap<>();
+
 	private boolean away;
 
 	private boolean told;
@@ -115,6 +124,34 @@
 		return this.listed.keySet().stream().filter((id) -> coldMillis(now, id) > 0).count();
 	}
 
+	/**
+	 * Takes in that a replica has said itself that it leaves, which holds for that
+	 * process whatever its entry says.
+	 * @param now the time
+	 * @param replica the replica
+	 * @return whether that is new
+	 */
+	public boolean leave(long now, Replica replica) {
+		if (leaving(replica)) {
+			return false;
+		}
+		this.leaving.entrySet()
+			.removeIf(
+					(entry) -> now - entry.getValue().at > LEAVING_MILLIS && !this.listed.containsKey(entry.getKey()));
+		this.leaving.put(replica.id(), new Leaving(replica, now));
+		return true;
+	}
+
+	/**
+	 * Says whether a replica has said itself that it leaves.
+	 * @param replica the replica
+	 * @return true if its process has
+	 */
+	public boolean leaving(Replica replica) {
+		Leaving told = this.leaving.get(replica.id());
+		return told != null && told.replica.sameProcess(replica);
+	}
+
 	/**
 	 * Takes in that a data center is to be emptied.
 	 * @param dataCenter the data center
@@ -227,7 +264,7 @@
 	}
 
 	private boolean takesWork(Replica replica) {
-		return !replica.draining() && !this.evacuated.contains(replica.dataCenter());
+		return !replica.draining() && !leaving(replica) && !this.evacuated.contains(replica.dataCenter());
 	}
 
 	private void missing(long now, Replica replica) {
@@ -240,6 +277,9 @@
 		return this.away || (this.everAway && now - this.backAt <= LAPSED_MILLIS);
 	}
 
+	private record Leaving(Replica replica, long at) {
+	}
+
 	private record Cold(Replica replica, long toldMillis, long until) {
 	}
 
--- a/core/src/test/java/org/gullsaddle/fleet/ReplicaDirectoryTests.java
+++ b/core/src/test/java/org/gullsaddle/fleet/ReplicaDirectoryTests.java
@@ -55,6 +55,48 @@
 		assertThat(usable(5)).containsExactly("two");
 	}
 
+	@Nested
+	class WhereAReplicaSaysThatItLeaves {
+
+		private final ReplicaId id = new ReplicaId("one");
+
+		@BeforeEach
+		void tell() {
+			ReplicaDirectoryTests.this.directory.put(replica("one", false));
+			ReplicaDirectoryTests.this.directory.leave(0, replica("one", false));
+		}
+
+		@Test
+		void itGetsNoNewWorkThoughItsEntrySaysOtherwise() {
+			assertThat(usable(0)).isEmpty();
+			ReplicaDirectoryTests.this.directory.put(replica("one", false));
+			assertThat(usable(1)).isEmpty();
+			assertThat(ReplicaDirectoryTests.this.directory.stillTakes(1, replica("one", false))).isFalse();
+		}
+
+		/** Guards against an entry that lapses in an outage and brings it back. */
+		@Test
+		void itIsRememberedWhileItsEntryIsAway() {
+			ReplicaDirectoryTests.this.directory.remove(1000, this.id);
+			ReplicaDirectoryTests.this.directory.leave(2000, replica("two", false));
+			ReplicaDirectoryTests.this.directory.put(replica("one", false));
+			assertThat(usable(3000)).isEmpty();
+		}
+
+		@Test
+		void anotherProcessUnderItsIdIsUsed() {
+			ReplicaDirectoryTests.this.directory
+				.put(new Replica(this.id, DESK, new Address("10.0.0.1", 80), "a", "v1", 8, false, 2));
+			assertThat(usable(0)).containsExactly("one");
+		}
+
+		@Test
+		void itIsToldOnce() {
+			assertThat(ReplicaDirectoryTests.this.directory.leave(5, replica("one", false))).isFalse();
+		}
+
+	}
+
 	@Nested
 	class AroundAnOutageOfTheStore {
 
--- a/daemon/src/main/java/org/gullsaddle/gateway/BackpressureController.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/BackpressureController.java
@@ -22,8 +22,9 @@
 import org.gullsaddle.telemetry.Telemetry;
 
 /**
- * Takes in how replicas ask for fewer requests, tells the other nodes by notes in the
- * store, and operators by the log. Confined to the event loop.
+ * Takes in how replicas ask for fewer requests, or for none as they leave, tells the
+ * other nodes of limits by notes in the store, and operators by the log. Confined to the
+ * event loop.
  */
 final class BackpressureController {
 
@@ -77,6 +78,10 @@
 	 */
 	void heard(Replica replica, ReplicaAnswer answer) {
 		if (answer.status() != Statuses.MISDIRECTED) {
+			if (answer.leaving() && this.fleet.directory().leave(Clock.millis(), replica)) {
+				this.log.leaving(replica.id());
+				this.telemetry.count("replica.leavings.told");
+			}
 			if (answer.backpressure().restMillis() > 0) {
 				this.log.rest(replica.id(), answer.backpressure().restMillis());
 				this.telemetry.count("replica.rests.asked");
@@ -153,7 +158,7 @@
 	 * Says whether a replica may be asked for its load.
 	 */
 	boolean mayAsk(Replica replica) {
-		return this.book.mayAsk(Clock.millis(), replica);
+		return this.book.mayAsk(Clock.millis(), replica) && !this.fleet.directory().leaving(replica);
 	}
 
 	/**
--- a/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
@@ -168,6 +168,12 @@
 		}
 	}
 
+	void leaving(ReplicaId replica) {
+		if (allowed(true)) {
+			LOG.atInfo().addKeyValue("replica", replica.value()).log("replica says that it leaves");
+		}
+	}
+
 	void rest(ReplicaId replica, long millis) {
 		if (allowed(true)) {
 			LOG.atInfo()
