Homes of models stay where they are when a replica has no room for a moment

Cause, found by reading: replicas that asked for fewer requests were taken out of the set among which the sizes of models are given their homes. A replica with a share of one request in two seconds would leave and join that set with each request, and move the home of another one, whose kept prompt parts are then read again.

They stay in the set now and are left out of the choice only, as replicas are that the request was sent to before. During a roll-out only requests without a session go to the old release for it, and none once the roll-out is completed, when old replicas stop.

ReplicaRulesTests: left out but still in the set; reasons; cold replicas while all warm ones rest; releases.

--- a/core/src/main/java/org/gullsaddle/serve/ReplicaRules.java
+++ b/core/src/main/java/org/gullsaddle/serve/ReplicaRules.java
@@ -1,9 +1,9 @@
 package org.gullsaddle.serve;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Predicate;
 
 import org.gullsaddle.fleet.ColdStart;
 import org.gullsaddle.fleet.RegionLimit;
@@ -43,19 +43,40 @@
 	}
 
 	/**
-	 * Returns the replicas that a request may go to now.
+	 * Returns the replicas that a request may not be sent to now: those that it was sent
+	 * to already, and those that have asked for fewer requests.
+	 * @param now the time in milliseconds
+	 * @param wanted what the request asks of replicas
+	 * @param tried replicas that it was sent to already
+	 * @return their ids
+	 */
+	public Set<ReplicaId> leftOut(long now, Wanted wanted, Set<ReplicaId> tried) {
+		Set<ReplicaId> all = new HashSet<>(tried);
+		open(now, wanted).stream()
+			.filter((replica) -> !this.backpressure.takes(now, replica))
+			.forEach((replica) -> all.add(replica.id()));
+		return all;
+	}
+
+	/**
+	 * Returns the replicas that a request belongs to now. What is kept where is decided
+	 * among all of them, so those that are left out for a moment are among them too.
 	 * @param now the time in milliseconds
 	 * @param wanted what the request asks of them
-	 * @param without replicas that it was sent to already
-	 * @return the replicas, some of which may be among those left out
+	 * @param leftOut replicas that it may not be sent to, see {@link #leftOut}
+	 * @return the replicas
 	 */
-	public List<Replica> usable(long now, Wanted wanted, Set<ReplicaId> without) {
+	public List<Replica> usable(long now, Wanted wanted, Set<ReplicaId> leftOut) {
 		List<Replica> open = open(now, wanted);
-		List<Replica> warm = allowed(now, wanted, open, (replica) -> !cold(now, wanted, replica));
-		if (!without.containsAll(warm.stream().map(Replica::id).toList())) {
-			return warm;
+		List<Replica> warm = open.stream().filter((replica) -> !cold(now, wanted, replica)).toList();
+		List<Replica> allowed = ofRelease(now, wanted, warm, leftOut);
+		if (!allLeftOut(allowed, leftOut)) {
+			return allowed;
 		}
-		return allowed(now, wanted, open, (replica) -> !cold(now, wanted, replica) || room(now, wanted, replica));
+		List<Replica> bearing = open.stream()
+			.filter((replica) -> !cold(now, wanted, replica) || room(now, wanted, replica))
+			.toList();
+		return ofRelease(now, wanted, bearing, leftOut);
 	}
 
 	/**
@@ -80,8 +101,9 @@
 		if (open.stream().allMatch((replica) -> cold(now, wanted, replica))) {
 			return NoReplica.COLD;
 		}
-		List<Replica> allowed = ofRelease(now, wanted, open);
-		if (!taking(now, allowed).isEmpty()) {
+		Set<ReplicaId> leftOut = leftOut(now, wanted, Set.of());
+		List<Replica> allowed = ofRelease(now, wanted, open, leftOut);
+		if (!allLeftOut(allowed, leftOut)) {
 			return NoReplica.TRIED;
 		}
 		boolean resting = allowed.stream().allMatch((replica) -> this.backpressure.restMillis(now, replica) > 0);
@@ -131,23 +153,26 @@
 				(dataCenter) -> wanted.limit().allows(this.place.region(dataCenter)));
 	}
 
-	private List<Replica> allowed(long now, Wanted wanted, List<Replica> open, Predicate<Replica> bears) {
-		List<Replica> able = open.stream().filter(bears).toList();
-		List<Replica> allowed = taking(now, ofRelease(now, wanted, able));
-		if (!allowed.isEmpty() || wanted.rollout().isEmpty() || wanted.key().session()) {
+	/**
+	 * Of a roll-out's releases the old one is known to be sound: a request for a new one
+	 * whose replicas ask for fewer goes there, unless it belongs to a session. More
+	 * requests for a new one would expose more callers to it.
+	 */
+	private List<Replica> ofRelease(long now, Wanted wanted, List<Replica> able, Set<ReplicaId> leftOut) {
+		if (wanted.rollout().isEmpty()) {
+			return able;
+		}
+		List<Replica> allowed = wanted.rollout().get().allowed(now, able, wanted.key());
+		boolean asked = allowed.stream().anyMatch((replica) -> !this.backpressure.takes(now, replica));
+		if (!asked || !allLeftOut(allowed, leftOut) || wanted.key().session()) {
 			return allowed;
 		}
-		// The old release is known to be sound, while more requests for a new one would
-		// expose more callers to it.
-		return taking(now, wanted.rollout().get().former(able));
-	}
-
-	private static List<Replica> ofRelease(long now, Wanted wanted, List<Replica> able) {
-		return wanted.rollout().map((rollout) -> rollout.allowed(now, able, wanted.key())).orElse(able);
+		List<Replica> former = wanted.rollout().get().former(able);
+		return former.isEmpty() ? allowed : former;
 	}
 
-	private List<Replica> taking(long now, List<Replica> replicas) {
-		return replicas.stream().filter((replica) -> this.backpressure.takes(now, replica)).toList();
+	private static boolean allLeftOut(List<Replica> replicas, Set<ReplicaId> leftOut) {
+		return leftOut.containsAll(replicas.stream().map(Replica::id).toList());
 	}
 
 	/**
--- a/core/src/main/java/org/gullsaddle/serve/Rollout.java
+++ b/core/src/main/java/org/gullsaddle/serve/Rollout.java
@@ -272,10 +272,10 @@
 	/**
 	 * Returns the replicas of the release that the roll-out replaces.
 	 * @param replicas the replicas to choose from
-	 * @return those that are not of its target
+	 * @return those that are not of its target, none once it is completed
 	 */
 	List<Replica> former(List<Replica> replicas) {
-		return release(replicas, false);
+		return (this.state == RolloutState.COMPLETED) ? List.of() : release(replicas, false);
 	}
 
 	private double share(long now, ReleaseKey key) {
--- a/core/src/test/java/org/gullsaddle/serve/ReplicaRulesTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/ReplicaRulesTests.java
@@ -42,8 +42,10 @@
 
 	private final Place place = new Place("a", Map.of("a", "north", "b", "north", "c", "south"));
 
-	private final ReplicaRules rules = new ReplicaRules(this.directory, this.place, new ColdPace("node"),
-			new BackpressureBook(NODE, this.place, () -> Optional.of(List.of(new Peer(NODE, "a"))), new Random(1)));
+	private final BackpressureBook book = new BackpressureBook(NODE, this.place,
+			() -> Optional.of(List.of(new Peer(NODE, "a"))), new Random(1));
+
+	private final ReplicaRules rules = new ReplicaRules(this.directory, this.place, new ColdPace("node"), this.book);
 
 	private static Replica replica(String dataCenter, String release) {
 		return new Replica(new ReplicaId(dataCenter + '-' + release), ENGINES, new Address("10.0.0.1", 80), dataCenter,
@@ -163,6 +165,80 @@
 
 	}
 
+	@Nested
+	class WhereReplicasAskForFewerRequests {
+
+		private final Wanted north = wanted(limit("north"));
+
+		private Set<ReplicaId> leftOut(Wanted wanted) {
+			return ReplicaRulesTests.this.rules.leftOut(0, wanted, Set.of());
+		}
+
+		private void rest(String dataCenter, String release) {
+			ReplicaRulesTests.this.book.heard(0, replica(dataCenter, release),
+					new Backpressure(new RateLimit.None(), 3000));
+		}
+
+		/**
+		 * Guards against models whose homes move each time that a replica has no room.
+		 */
+		@Test
+		void theyAreLeftOutButStillBelongToTheRequest() {
+			rest("a", "v1");
+			assertThat(leftOut(this.north)).containsExactly(replica("a", "v1").id());
+			assertThat(usable(this.north)).isEqualTo("a-v1 b-v1");
+		}
+
+		@Test
+		void theReasonIsToldIfAllDo() {
+			rest("a", "v1");
+			assertThat(ReplicaRulesTests.this.rules.whyNone(0, this.north)).isEqualTo(NoReplica.TRIED);
+			rest("b", "v1");
+			assertThat(ReplicaRulesTests.this.rules.whyNone(0, this.north)).isEqualTo(NoReplica.RESTING);
+			ReplicaRulesTests.this.book.heard(3000, replica("a", "v1"), Backpressure.of(new RateLimit.Named(0)));
+			assertThat(ReplicaRulesTests.this.rules.whyNone(2000, this.north)).isEqualTo(NoReplica.RESTING);
+		}
+
+		/** Guards against cold replicas that stand idle while all warm ones rest. */
+		@Test
+		void coldReplicasGetAFewRequestsIfAllWarmOnesDo() {
+			ReplicaRulesTests.this.directory.cold(0, replica("b", "v1"), 1000);
+			rest("a", "v1");
+			assertThat(ReplicaRulesTests.this.rules.usable(0, this.north, leftOut(this.north)))
+				.contains(replica("b", "v1"));
+		}
+
+		/**
+		 * Guards against callers who are exposed to a new release as the old one rests.
+		 */
+		@Test
+		void requestsOfTheOldReleaseNeverGoToTheNewOneForIt() {
+			List.of("a", "b", "c").forEach((dataCenter) -> {
+				ReplicaRulesTests.this.directory.put(replica(dataCenter, "v2"));
+				rest(dataCenter, "v1");
+			});
+			Rollout justBegun = new Rollout(0, new RolloutOrder(ENGINES, "v2", 10_000), 1);
+			ReleaseKey session = new ReleaseKey("session", true);
+			Wanted wanted = new Wanted(ENGINES, RegionLimit.ANYWHERE, COLD_START, Optional.of(1),
+					Optional.of(justBegun), session);
+			Set<ReplicaId> leftOut = leftOut(wanted);
+			assertThat(ReplicaRulesTests.this.rules.usable(0, wanted, leftOut))
+				.allMatch((replica) -> leftOut.contains(replica.id()));
+		}
+
+		@Test
+		void requestsOfTheNewReleaseGoToTheOldOneForIt() {
+			ReplicaRulesTests.this.directory.put(replica("a", "v2"));
+			rest("a", "v2");
+			Rollout done = new Rollout(-9900, new RolloutOrder(ENGINES, "v2", 10_000), 1);
+			Wanted wanted = new Wanted(ENGINES, RegionLimit.ANYWHERE, COLD_START, Optional.of(1), Optional.of(done),
+					KEY);
+			assertThat(ReplicaRulesTests.this.rules.usable(0, wanted, leftOut(wanted))).extracting(Replica::release)
+				.containsOnly("v1");
+		}
+
+	}
+
 	@Nested
 	class DuringARollout {
 
--- a/daemon/src/main/java/org/gullsaddle/gateway/ReplicaChooser.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/ReplicaChooser.java
@@ -32,7 +32,8 @@
 	 * Says whether there is a replica that the request was not sent to yet.
 	 */
 	boolean another(Set<ReplicaId> tried) {
-		return usable(tried).stream().anyMatch((replica) -> !tried.contains(replica.id()));
+		Set<ReplicaId> leftOut = leftOut(tried);
+		return usable(leftOut).stream().anyMatch((replica) -> !leftOut.contains(replica.id()));
 	}
 
 	/**
@@ -81,8 +82,12 @@
 		rules().sent(Clock.millis(), wanted(), replica);
 	}
 
-	private List<Replica> usable(Set<ReplicaId> without) {
-		return rules().usable(Clock.millis(), wanted(), without);
+	private Set<ReplicaId> leftOut(Set<ReplicaId> tried) {
+		return rules().leftOut(Clock.millis(), wanted(), tried);
+	}
+
+	private List<Replica> usable(Set<ReplicaId> leftOut) {
+		return rules().usable(Clock.millis(), wanted(), leftOut);
 	}
 
 	private ReplicaRules.Wanted wanted() {
@@ -94,20 +99,22 @@
 	/**
 	 * Chooses a replica for a task, after some were asked for their load where too little
 	 * is known of it.
-	 * @param without replicas that are left out
+	 * @param tried replicas that are left out
 	 * @param then is given the choice, at once or when the replicas have told
 	 */
-	void choose(Task task, Set<ReplicaId> without, Consumer<Optional<Choice>> then) {
-		List<Replica> usable = usable(without);
-		List<Replica> asked = toAsk(usable, task, without);
+	void choose(Task task, Set<ReplicaId> tried, Consumer<Optional<Choice>> then) {
+		Set<ReplicaId> leftOut = leftOut(tried);
+		List<Replica> usable = usable(leftOut);
+		List<Replica> asked = toAsk(usable, task, leftOut);
 		if (asked.isEmpty()) {
-			then.accept(picker().pick(Clock.millis(), usable, without, task));
+			then.accept(picker().pick(Clock.millis(), usable, leftOut, task));
 			return;
 		}
 		this.gateway.probe().ask(asked, (told) -> {
-			List<Replica> stillUsable = usable(without);
+			Set<ReplicaId> leftOutNow = leftOut(tried);
+			List<Replica> stillUsable = usable(leftOutNow);
 			List<Replica> left = withoutSilent(stillUsable, asked, told);
-			then.accept(picker().pick(Clock.millis(), left.isEmpty() ? stillUsable : left, without, task));
+			then.accept(picker().pick(Clock.millis(), left.isEmpty() ? stillUsable : left, leftOutNow, task));
 		});
 	}
 
@@ -115,10 +122,10 @@
 	 * A question is work too: what cold or limited replicas bear is kept for requests,
 	 * and one that asks for rest is not asked.
 	 */
-	private List<Replica> toAsk(List<Replica> usable, Task task, Set<ReplicaId> without) {
+	private List<Replica> toAsk(List<Replica> usable, Task task, Set<ReplicaId> leftOut) {
 		long now = Clock.millis();
 		ReplicaRules.Wanted wanted = wanted();
-		return picker().toAsk(now, usable, without, task)
+		return picker().toAsk(now, usable, leftOut, task)
 			.stream()
 			.filter((replica) -> !rules().cold(now, wanted, replica))
 			.filter(this.gateway.backpressure()::mayAsk)
