Read as a newcomer: names, one fewer copy, nothing per request where nobody asks

- No list of replicas is built for a request while no replica asks for fewer requests.
- A choice after questions for loads fell on nothing when all replicas that told were left out, though one that did not tell was not; it now takes that one.
(Found by reading; before, only replicas that had refused the same request could be left over.)
- Notes of replicas that are gone are forgotten.

BackpressureTests, ReplicaRulesTests, LoadProbeTests, GatewayTests pass.

--- a/core/src/main/java/org/gullsaddle/serve/AttemptEnd.java
+++ b/core/src/main/java/org/gullsaddle/serve/AttemptEnd.java
@@ -20,6 +20,20 @@
 		};
 	}
 
+	/**
+	 * Says why a request ends with it.
+	 * @return some words
+	 */
+	default String why() {
+		return switch (this) {
+			case NotRun notRun -> notRun.reason();
+			case Answered answered -> "answered";
+			case Broken broken -> broken.reason();
+			case Withdrawn withdrawn -> withdrawn.reason();
+			case Dropped dropped -> "dropped";
+		};
+	}
+
 	/**
 	 * The replica did not run it, and will not.
 	 *
--- a/core/src/main/java/org/gullsaddle/serve/BackpressureBook.java
+++ b/core/src/main/java/org/gullsaddle/serve/BackpressureBook.java
@@ -127,6 +127,14 @@
 		return limited(now, replica).map(LimitedReplica::sharedByAll).orElse(false);
 	}
 
+	/**
+	 * Says whether any replica asks for fewer requests.
+	 */
+	boolean any(long now) {
+		this.rests.values().removeIf((rest) -> rest.until <= now);
+		return !this.limited.isEmpty() || !this.rests.isEmpty();
+	}
+
 	/**
 	 * Says whether a replica may be given one more request now.
 	 * @param now the time in milliseconds
@@ -213,7 +221,7 @@
 		for (Replica replica : replicas) {
 			long rest = restMillis(now, replica);
 			Optional<LimitedReplica> known = limited(now, replica);
-			perSecond += known.map((each) -> each.currentShare().perSecond()).orElse(0.0);
+			perSecond += known.map((each) -> each.share().perSecond()).orElse(0.0);
 			soonest = Math.min(soonest, Math.max(rest, known.map((each) -> each.waitMillis(now)).orElse(rest)));
 		}
 		long apart = (perSecond > 0) ? Math.round(SECOND_MILLIS / perSecond) : 0;
--- a/core/src/main/java/org/gullsaddle/serve/LimitNews.java
+++ b/core/src/main/java/org/gullsaddle/serve/LimitNews.java
@@ -178,6 +178,7 @@
 	 * @param known those to remember
 	 */
 	public void retain(Set<ReplicaId> known) {
+		this.notes.keySet().retainAll(known);
 		this.firstHand.keySet().retainAll(known);
 		this.unsure.retainAll(known);
 	}
--- a/core/src/main/java/org/gullsaddle/serve/LimitedReplica.java
+++ b/core/src/main/java/org/gullsaddle/serve/LimitedReplica.java
@@ -73,7 +73,7 @@
 		if (this.perSecond != newPerSecond) {
 			refill(now);
 			this.perSecond = newPerSecond;
-			share();
+			workOutShare();
 		}
 	}
 
@@ -86,11 +86,11 @@
 			this.peers = newPeers;
 			this.rank = newPeers.map((known) -> LimitShare.rank(this.replica, this.self, known, this.place))
 				.orElse(OptionalInt.empty());
-			share();
+			workOutShare();
 		}
 	}
 
-	private void share() {
+	private void workOutShare() {
 		this.share = this.rank.isPresent()
 				? LimitShare.of(this.perSecond, this.rank.getAsInt(), this.peers.map(List::size).orElse(0))
 				: LimitShare.NONE;
@@ -143,7 +143,7 @@
 				&& LimitShare.parts(this.perSecond, this.peers.get().size()) == this.peers.get().size();
 	}
 
-	LimitShare currentShare() {
+	LimitShare share() {
 		return this.share;
 	}
 
--- a/core/src/main/java/org/gullsaddle/serve/ReplicaRules.java
+++ b/core/src/main/java/org/gullsaddle/serve/ReplicaRules.java
@@ -51,6 +51,9 @@
 	 * @return their ids
 	 */
 	public Set<ReplicaId> leftOut(long now, Wanted wanted, Set<ReplicaId> tried) {
+		if (!this.backpressure.any(now)) {
+			return tried;
+		}
 		Set<ReplicaId> all = new HashSet<>(tried);
 		open(now, wanted).stream()
 			.filter((replica) -> !this.backpressure.takes(now, replica))
--- a/daemon/src/main/java/org/gullsaddle/gateway/Attempt.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Attempt.java
@@ -75,7 +75,7 @@
 			}
 			if (!this.listener.stillOpen(this)) {
 				taken.close();
-				end(new AttemptEnd.NotRun(false, "replica takes no more before sending"));
+				end(new AttemptEnd.NotRun(false, "replica takes no more requests"));
 				return;
 			}
 			RequestOptions options = new RequestOptions().setMethod(method).setURI(uri);
--- a/daemon/src/main/java/org/gullsaddle/gateway/BackpressureController.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/BackpressureController.java
@@ -86,7 +86,7 @@
 				this.log.rest(replica.id(), answer.backpressure().restMillis());
 				this.telemetry.count("replica.rests.asked");
 			}
-			noting(replica, "answer", () -> this.news.heard(Clock.millis(), replica, answer.backpressure())
+			applyAndLog(replica, "answer", () -> this.news.heard(Clock.millis(), replica, answer.backpressure())
 				.ifPresent((millis) -> tellIn(millis, replica.id())));
 		}
 	}
@@ -104,7 +104,7 @@
 	}
 
 	private void listed(Replica replica) {
-		noting(replica, "note", () -> this.news.listed(Clock.millis(), replica));
+		applyAndLog(replica, "note", () -> this.news.listed(Clock.millis(), replica));
 	}
 
 	private void learn(FleetChange.Noted noted) {
@@ -115,7 +115,7 @@
 			Runnable learn = () -> this.news.learned(Clock.millis(), id, note, listed)
 				.ifPresent((millis) -> this.vertx.setTimer(millis,
 						(timer) -> this.fleet.directory().find(id).ifPresent(this::listed)));
-			listed.ifPresentOrElse((replica) -> noting(replica, "note", learn), learn);
+			listed.ifPresentOrElse((replica) -> applyAndLog(replica, "note", learn), learn);
 		}
 		catch (IOException ex) {
 			this.log.learned(new FleetChange.Unreadable(noted.key(), ex.getMessage()), 0);
@@ -125,7 +125,7 @@
 	/**
 	 * Does something by which a replica's limit may change, and logs the change.
 	 */
-	private void noting(Replica replica, String source, Runnable change) {
+	private void applyAndLog(Replica replica, String source, Runnable change) {
 		OptionalDouble before = this.book.limit(replica);
 		change.run();
 		OptionalDouble now = this.book.limit(replica);
--- a/daemon/src/main/java/org/gullsaddle/gateway/ChannelPool.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/ChannelPool.java
@@ -33,7 +33,7 @@
 	 * idle connections, some without telling; one that is used soon is rarely caught by
 	 * that.
 	 */
-	static final long MAX_IDLE_MILLIS = 2500;
+	private static final long MAX_IDLE_MILLIS = 2500;
 
 	private static final int MAX_IDLE_PER_REPLICA = 16;
 
--- a/daemon/src/main/java/org/gullsaddle/gateway/LoadProbe.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/LoadProbe.java
@@ -101,7 +101,6 @@
 			}
 			answer.future().onFailure((failure) -> channel.close());
 			if (!this.backpressure.mayAsk(replica)) {
-				this.pool.giveBack(channel, ChannelPool.MAX_IDLE_MILLIS);
 				answer.tryFail("asks for fewer requests");
 			}
 			else if (!answer.future().isComplete()) {
--- a/daemon/src/main/java/org/gullsaddle/gateway/ReplicaChooser.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/ReplicaChooser.java
@@ -114,7 +114,8 @@
 			Set<ReplicaId> leftOutNow = leftOut(tried);
 			List<Replica> stillUsable = usable(leftOutNow);
 			List<Replica> left = withoutSilent(stillUsable, asked, told);
-			then.accept(picker().pick(Clock.millis(), left.isEmpty() ? stillUsable : left, leftOutNow, task));
+			then.accept(picker().pick(Clock.millis(), left, leftOutNow, task)
+				.or(() -> picker().pick(Clock.millis(), stillUsable, leftOutNow, task)));
 		});
 	}
 
--- a/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
@@ -291,14 +291,7 @@
 	}
 
 	private void giveUp(AttemptEnd end) {
-		String reason = switch (end) {
-			case AttemptEnd.NotRun notRun -> notRun.reason();
-			case AttemptEnd.Broken broken -> broken.reason();
-			case AttemptEnd.Withdrawn withdrawn -> withdrawn.reason();
-			case AttemptEnd.Dropped dropped -> "dropped";
-			case AttemptEnd.Answered answered -> "answered";
-		};
-		refuse(reason, this.replicas.comeBackMillis(this.replicas.whyNone()));
+		refuse(end.why(), this.replicas.comeBackMillis(this.replicas.whyNone()));
 	}
 
 	/**
