Tests of who is counted among the nodes

Renamed and removed nodes are forgotten, nobody while the store is away, the node itself never; notes that cannot be read count. No logic changes.

--- a/daemon/src/main/java/org/gullsaddle/gateway/NodeRegister.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/NodeRegister.java
@@ -120,7 +120,10 @@
 		}
 	}
 
-	private void refresh() {
+	/**
+	 * Writes this node's note again, and forgets nodes that have stopped to.
+	 */
+	void refresh() {
 		if (this.storeAway.getAsBoolean()) {
 			return;
 		}
--- /dev/null
+++ b/daemon/src/test/java/org/gullsaddle/gateway/NodeRegisterTests.java
@@ -0,0 +1,173 @@
+package org.gullsaddle.gateway;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import io.reactivex.rxjava3.core.Flowable;
+import io.reactivex.rxjava3.core.Single;
+import io.vertx.core.Vertx;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import org.gullsaddle.base.Address;
+import org.gullsaddle.fleet.FleetChange;
+import org.gullsaddle.serve.Place;
+import org.gullsaddle.store.Store;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class NodeRegisterTests {
+
+	private static final String SELF = "self";
+
+	private static final String OTHER = "other";
+
+	/** After so many of its own notes a node forgets one that wrote none. */
+	private static final int ROUNDS = 4;
+
+	private final Vertx vertx = Vertx.vertx();
+
+	private final NotingStore store = new NotingStore();
+
+	private boolean storeAway;
+
+	private NodeRegister register;
+
+	@BeforeEach
+	void open() {
+		Address nowhere = new Address("127.0.0.1", 1);
+		GatewaySettings settings = new GatewaySettings(SELF, new Place("a", Map.of("a", "north")), nowhere, nowhere,
+				nowhere, 1, 1, 1);
+		this.register = new NodeRegister(this.vertx, this.store, settings, () -> this.storeAway);
+	}
+
+	@AfterEach
+	void close() {
+		this.vertx.close().await();
+	}
+
+	private void note(String node, String value) {
+		this.register.learned(new FleetChange.Noted(NodeRegister.NOTES + node, value));
+	}
+
+	private void note(String node) {
+		note(node, "{\"dataCenter\":\"a\"}");
+	}
+
+	/**
+	 * Has time pass in which this node alone writes its note.
+	 */
+	private void pass(int rounds) {
+		for (int i = 0; i < rounds; i++) {
+			note(SELF);
+			this.register.refresh();
+		}
+	}
+
+	@Test
+	void nodesAreNotKnownBeforeThisOneIsToTheOthers() {
+		note(OTHER);
+		assertThat(this.register.known()).isEmpty();
+		note(SELF);
+		assertThat(this.register.known()).contains(2);
+	}
+
+	/** Guards against nodes that take their shares before the others know them. */
+	@Test
+	void nodesAreNotPeersAtOnce() {
+		note(SELF);
+		assertThat(this.register.peers()).isEmpty();
+	}
+
+	/** Guards against shares that are kept for nodes that were renamed or taken away. */
+	@Test
+	void nodeThatWritesNoMoreIsForgotten() {
+		note(SELF);
+		note(OTHER);
+		pass(ROUNDS - 1);
+		assertThat(this.register.known()).contains(2);
+		pass(1);
+		assertThat(this.register.known()).contains(1);
+	}
+
+	@Test
+	void nodeThatWritesNowAndThenIsKept() {
+		note(SELF);
+		note(OTHER);
+		for (int i = 0; i < ROUNDS; i++) {
+			pass(ROUNDS - 1);
+			note(OTHER);
+		}
+		assertThat(this.register.known()).contains(2);
+	}
+
+	/** Guards against nodes that each take all as the store hides the others. */
+	@Test
+	void nobodyIsForgottenWhileTheStoreIsAway() {
+		note(SELF);
+		note(OTHER);
+		this.storeAway = true;
+		pass(10 * ROUNDS);
+		assertThat(this.register.known()).contains(2);
+	}
+
+	@Test
+	void thisNodeIsNeverForgotten() {
+		note(SELF);
+		for (int i = 0; i < 2 * ROUNDS; i++) {
+			this.register.refresh();
+		}
+		assertThat(this.register.known()).contains(1);
+	}
+
+	/** Guards against shares that are too large, as a node's note cannot be read. */
+	@Test
+	void nodeWhoseNoteCannotBeReadIsCounted() {
+		note(SELF);
+		note(OTHER, "no JSON");
+		note("older", "{}");
+		note("", "{}");
+		assertThat(this.register.known()).contains(3);
+	}
+
+	@Test
+	void noteTellsWhereTheNodeIs() {
+		note(SELF);
+		this.register.refresh();
+		assertThat(this.store.written).containsExactly("{\"dataCenter\":\"a\"}");
+	}
+
+	/**
+	 * Notes what is written, and does not answer.
+	 */
+	private static final class NotingStore implements Store {
+
+		private final List<String> written = new ArrayList<>();
+
+		@Override
+		public Single<Optional<StoredValue>> get(String key) {
+			return Single.never();
+		}
+
+		@Override
+		public Single<Listing> list(String prefix, String after, int limit) {
+			return Single.never();
+		}
+
+		@Override
+		public Single<Optional<Long>> write(String guard, long expectedRevision, List<Put> puts) {
+			puts.forEach((put) -> this.written.add(put.value()));
+			return Single.never();
+		}
+
+		@Override
+		public Flowable<StoredValue> watch(String prefix, long fromRevision) {
+			return Flowable.never();
+		}
+
+	}
+
+}
