Fuzz: nodes that join one after the other keep to a limit

31 and 100 nodes that start within 25 s, each known to the others 1.5 s after its start and with a share after 2 s. Passes; no logic changes.

--- a/core/src/test/java/org/gullsaddle/serve/SharedLimitFuzzTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/SharedLimitFuzzTests.java
@@ -40,6 +40,9 @@
 	/** How long nodes have to hear that the limit has ended. */
 	private static final long FREE_MILLIS = 15_000;
 
+	/** The time in which all nodes join, one after the other. */
+	private static final long JOINING_MILLIS = 25_000;
+
 	/** One and a half times the limit, and five requests. */
 	private static double allowed(double perSecond) {
 		return 1.5 * perSecond * SPAN_MILLIS / 1000 + 5;
@@ -92,6 +95,18 @@
 		}
 	}
 
+	/** Guards against shares that overlap while nodes do not know all others yet. */
+	@ParameterizedTest
+	@CsvSource({ "4, 0.5", "31, 1", "31, 1.8", "100, 1.8", "100, 50" })
+	void nodesThatJoinOneAfterTheOtherKeepToTheLimit(int nodes, double perSecond) {
+		for (int seed = 0; seed < SEEDS; seed++) {
+			World world = new World(nodes, seed);
+			world.join(JOINING_MILLIS);
+			world.play(perSecond, perSecond);
+			assertThat(world.most()).as("seed " + seed).isLessThanOrEqualTo((long) allowed(perSecond));
+		}
+	}
+
 	/** Guards against a store that drowns in notes when a limit is named. */
 	@ParameterizedTest
 	@CsvSource({ "4, 1.8", "340, 1.8", "340, 50" })
@@ -121,12 +136,17 @@
 		/** How long notes take at least, and half of how long they take at most. */
 		private static final long READ_MILLIS = 750;
 
+		/** How long a node waits until the others know it. */
+		private static final long SETTLE_MILLIS = 2000;
+
 		private final Random random;
 
 		private final List<Node> nodes = new ArrayList<>();
 
 		private final List<Peer> peers = new ArrayList<>();
 
+		private List<Peer> known = List.of();
+
 		private final PriorityQueue<Event> events = new PriorityQueue<>(Comparator.comparingLong(Event::at));
 
 		/** When requests came from nodes that had been told. */
@@ -154,6 +174,32 @@
 			}
 		}
 
+		/**
+		 * Has nodes start one after the other.
+		 */
+		void join(long millis) {
+			for (int i = 0; i < this.nodes.size(); i++) {
+				this.nodes.get(i).startsAt = i * millis / this.nodes.size();
+			}
+		}
+
+		/**
+		 * Returns the nodes that a node knows: itself, and those whose notes it has read.
+		 */
+		private Optional<List<Peer>> knownTo(Node node) {
+			if (this.now < node.startsAt + SETTLE_MILLIS) {
+				return Optional.empty();
+			}
+			int count = this.known.size();
+			while (count < this.nodes.size() && this.nodes.get(count).startsAt + 2 * READ_MILLIS <= this.now) {
+				count++;
+			}
+			if (this.known.size() != count) {
+				this.known = List.copyOf(this.peers.subList(0, count));
+			}
+			return Optional.of(this.known);
+		}
+
 		void play(double lowestLimit, double highestLimit) {
 			this.lowest = lowestLimit;
 			this.highest = highestLimit;
@@ -220,6 +266,8 @@
 
 		private final class Node {
 
+			private static final long LONG_AGO_MILLIS = 60_000;
+
 			private static final long NEVER = Long.MAX_VALUE / 2;
 
 			private final NodeId id;
@@ -236,6 +284,8 @@
 
 			private int life;
 
+			private long startsAt = -LONG_AGO_MILLIS;
+
 			Node(NodeId id) {
 				this.id = id;
 				start();
@@ -244,8 +294,7 @@
 			private void start() {
 				this.life++;
 				this.toldAt = NEVER;
-				this.book = new BackpressureBook(this.id, PLACE, () -> Optional.of(World.this.peers),
-						World.this.random);
+				this.book = new BackpressureBook(this.id, PLACE, () -> knownTo(this), World.this.random);
 				this.news = new LimitNews(this.book, World.this.random);
 				World.this.lastNote.ifPresent(this::learned);
 			}
@@ -272,6 +321,9 @@
 			}
 
 			void tick() {
+				if (World.this.now < this.startsAt) {
+					return;
+				}
 				if (World.this.random.nextInt(20_000) == 0) {
 					start();
 				}
