--- a/core/src/main/java/org/gullsaddle/serve/LimitNews.java
+++ b/core/src/main/java/org/gullsaddle/serve/LimitNews.java
@@ -31,15 +31,15 @@
 	 * How much later than the node before it a node writes, in milliseconds: by then it
 	 * has mostly read what that one wrote.
 	 */
-	private static final long TURN_MILLIS = 1600;
+	private static final long STEP_MILLIS = 1600;
 
 	/** When the first node writes, in milliseconds, so that few changes are one note. */
 	private static final long GATHER_MILLIS = 500;
 
-	/** How many nodes write one after the other; all others share one time after them. */
-	private static final int TURNS = 3;
+	/** How many nodes write one after the other, before all others. */
+	private static final int FIRST_WRITERS = 3;
 
-	/** The time in which nodes write that have the same turn, in milliseconds. */
+	/** The time over which the other nodes spread what they write, in milliseconds. */
 	private static final long SPREAD_MILLIS = 3000;
 
 	/** The part by which a limit must change to be told. */
@@ -75,7 +75,7 @@
 	 * there is nothing to tell
 	 */
 	public OptionalLong heard(long now, Replica replica, Backpressure asked) {
-		int rank = this.book.rank(now, replica).orElse(TURNS);
+		int rank = this.book.rank(now, replica).orElse(FIRST_WRITERS);
 		this.book.heard(now, replica, asked);
 		OptionalDouble limit = this.book.limit(replica);
 		if (asked.limit() instanceof RateLimit.Unreadable) {
@@ -89,12 +89,12 @@
 		if (!isNews(replica, limit) || (!stands(replica) && this.book.sharedByAll(now, replica))) {
 			return OptionalLong.empty();
 		}
-		return OptionalLong.of(delay(Math.min(rank, this.book.rank(now, replica).orElse(TURNS))));
+		return OptionalLong.of(delay(Math.min(rank, this.book.rank(now, replica).orElse(FIRST_WRITERS))));
 	}
 
 	private long delay(int rank) {
-		long turn = GATHER_MILLIS + Math.min(rank, TURNS) * TURN_MILLIS;
-		return (rank < TURNS) ? turn : turn + this.random.nextLong(SPREAD_MILLIS);
+		long earliest = GATHER_MILLIS + Math.min(rank, FIRST_WRITERS) * STEP_MILLIS;
+		return (rank < FIRST_WRITERS) ? earliest : earliest + this.random.nextLong(SPREAD_MILLIS);
 	}
 
 	/**
