--- a/daemon/src/main/java/org/gullsaddle/gateway/GatewaySettings.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/GatewaySettings.java
@@ -14,7 +14,8 @@
  * @param stopMillis how long a graceful stop may take
  * @param retryShare how many retries each request earns
  * @param newsMillis how soon what the platform tells must be in force
+ * @param load what the deployment says of its load
  */
 public record GatewaySettings(String node, Place place, Address callers, Address ready, Address metrics,
-		long stopMillis, double retryShare, long newsMillis) {
+		long stopMillis, double retryShare, long newsMillis, LoadSettings load) {
 }
