Where room is short, sizes are kept apart and larger models' queues bounded by rank

Cause: on load that competes for too little room (captions) nodes learn how many engines are for the small models, each by its own work and by prices; they disagree, engines that run both sizes read for neither at its own speed, and the homes of the smallest model are too few: 52 requests and 1.7 s at the median before a first event in a burst. Who gets the larger model is decided by the time that an answer has, so that the least urgent kind, with the longest objective, gets it most.

--- a/core/src/main/java/org/gullsaddle/fleet/FleetConfig.java
+++ b/core/src/main/java/org/gullsaddle/fleet/FleetConfig.java
@@ -71,6 +71,14 @@
 			.findFirst();
 	}
 
+	/**
+	 * Returns the routes.
+	 * @return all routes of all hosts
+	 */
+	public List<Route> routes() {
+		return this.routesByHost.values().stream().flatMap(List::stream).toList();
+	}
+
 	/**
 	 * Says whether requests need a key unless their route is open.
 	 * @return true if there are teams
--- a/core/src/main/java/org/gullsaddle/serve/Choice.java
+++ b/core/src/main/java/org/gullsaddle/serve/Choice.java
@@ -13,6 +13,15 @@
  */
 public record Choice(Replica replica, EngineLoad load, Delay delay, double readMillis, double loss) {
 
+	/**
+	 * Returns how long the request is expected to wait there until its own prompt is
+	 * read.
+	 * @return the time in milliseconds
+	 */
+	public double queueMillis() {
+		return Math.max(0, this.delay.expectedMillis() - this.readMillis);
+	}
+
 	/**
 	 * Returns how much of the prompt the replica must read.
 	 * @return the number of tokens
--- a/core/src/main/java/org/gullsaddle/serve/Homes.java
+++ b/core/src/main/java/org/gullsaddle/serve/Homes.java
@@ -19,6 +19,10 @@
  * A batch steps at the pace of its slowest model, so that sizes are kept apart. Under
  * load fewer answers are replaced by a larger model's, and the work moves to the small
  * ones; with homes fixed at a quarter they queued there for seconds beside idle replicas.
+ * <p>
+ * Where room is short, homes are kept apart: a fixed part of the replicas is for the
+ * small models, and no model goes elsewhere. Nodes that learn their homes disagree on
+ * some of them, and an engine that runs both sizes reads for neither at its own speed.
  */
 final class Homes {
 
@@ -37,6 +41,12 @@
 	 */
 	private static final double FIRST_WORK = 500_000;
 
+	/**
+	 * The part of the replicas that is for small models where sizes are kept apart. All
+	 * requests begin there, so that a burst must find room.
+	 */
+	private static final double APART_SMALL = 0.3;
+
 	/** The time until half of the work done is forgotten, in milliseconds. */
 	private static final double HALF_MILLIS = 5000;
 
@@ -48,10 +58,23 @@
 
 	private long at;
 
+	private boolean apart;
+
 	Homes(Place place) {
 		this.place = place;
 	}
 
+	/**
+	 * Keeps the sizes apart from now on.
+	 */
+	void keepApart() {
+		this.apart = true;
+	}
+
+	boolean keptApart() {
+		return this.apart;
+	}
+
 	/**
 	 * Notes work that a replica was given.
 	 * @param now the time in milliseconds
@@ -99,6 +122,9 @@
 		if (replicas < 2) {
 			return 0;
 		}
+		if (this.apart) {
+			return Math.clamp((long) Math.ceil(APART_SMALL * replicas), 1, replicas - 1);
+		}
 		double share = ROOM * this.small / (this.small + this.large);
 		return Math.clamp(Math.round(share * replicas), 1, replicas - 1);
 	}
--- a/core/src/main/java/org/gullsaddle/serve/ModelChooser.java
+++ b/core/src/main/java/org/gullsaddle/serve/ModelChooser.java
@@ -70,12 +70,43 @@
 	 */
 	private static final double LIKELY_ENOUGH = 52;
 
+	/**
+	 * The confidence that is enough where a queue's bound decides who gets a larger
+	 * model: an answer that is told with it is as likely good as not.
+	 */
+	private static final double BOUNDED_ENOUGH = 50;
+
+	/** The chance to begin before the deadline that a larger model must have there. */
+	private static final double BOUNDED_LIKELY = 0.5;
+
 	private final ConfidenceGains gains = new ConfidenceGains();
 
+	private final boolean bounded;
+
 	private double enough = FIRST;
 
 	private double likely = MOST_LIKELY;
 
+	/**
+	 * Makes a chooser that learns what is enough from answers that are late.
+	 */
+	public ModelChooser() {
+		this(false);
+	}
+
+	private ModelChooser(boolean bounded) {
+		this.bounded = bounded;
+	}
+
+	/**
+	 * Makes a chooser for load that competes for too little room: the larger model's
+	 * queue decides, and how urgent a request is.
+	 * @return the chooser
+	 */
+	public static ModelChooser bounded() {
+		return new ModelChooser(true);
+	}
+
 	/**
 	 * Returns the model to ask first.
 	 * @param route the route, with one model or more
@@ -97,7 +128,7 @@
 	public Optional<String> larger(Route route, String model, OptionalInt confidence, boolean last) {
 		List<String> models = route.models();
 		int asked = models.indexOf(model);
-		if (confidence.isEmpty() || confidence.getAsInt() >= this.enough || asked < 0 || asked == models.size() - 1) {
+		if (confidence.isEmpty() || confidence.getAsInt() >= enough() || asked < 0 || asked == models.size() - 1) {
 			return Optional.empty();
 		}
 		for (int i = asked + 1; i < models.size() - 1 && !last; i++) {
@@ -132,6 +163,26 @@
 		return inTime >= Math.max(this.likely, Math.min(MOST_LIKELY, Confidence.chanceGood(confidence) + GAIN));
 	}
 
+	/**
+	 * Says whether a request may join a larger model's queue.
+	 * @param bounds how long that queue may be
+	 * @param rank the request's rank
+	 * @param choice where the larger model would run
+	 * @param leftMillis the time left, in milliseconds
+	 * @return true if it may
+	 */
+	public boolean mayQueue(QueueBounds bounds, int rank, Choice choice, long leftMillis) {
+		return choice.queueMillis() <= bounds.millis(rank) && choice.delay().chanceWithin(leftMillis) >= BOUNDED_LIKELY;
+	}
+
+	/**
+	 * Says whether a queue's bound decides who gets a larger model.
+	 * @return true if it does
+	 */
+	public boolean isBounded() {
+		return this.bounded;
+	}
+
 	/**
 	 * Notes how a larger model kept to the objectives.
 	 * @param route the route
@@ -155,7 +206,7 @@
 	 * @return 0 to 100
 	 */
 	public double enough() {
-		return this.enough;
+		return this.bounded ? BOUNDED_ENOUGH : this.enough;
 	}
 
 	private static String largest(Route route) {
--- a/core/src/main/java/org/gullsaddle/serve/ReplicaPicker.java
+++ b/core/src/main/java/org/gullsaddle/serve/ReplicaPicker.java
@@ -75,6 +75,14 @@
 		this.losses = List.copyOf(losses);
 	}
 
+	/**
+	 * Keeps models of different size on engines of their own from now on, as room is
+	 * short.
+	 */
+	public void keepSizesApart() {
+		this.homes.keepApart();
+	}
+
 	/**
 	 * Picks a replica.
 	 * @param now the time in milliseconds
@@ -98,7 +106,7 @@
 	 * @return the replicas, none if what is known is enough
 	 */
 	public List<Replica> toAsk(long now, List<Replica> usable, Set<ReplicaId> tried, Task task) {
-		if (task.pace() <= 1) {
+		if (task.pace() <= 1 && (task.plain() || !this.homes.keptApart())) {
 			return List.of();
 		}
 		return best(now, usable, tried, task, MOST_ASKED).stream()
@@ -133,11 +141,24 @@
 			.mapToDouble((state) -> state.requests(now, others.at(state).requests()))
 			.average()
 			.orElse(0);
-		return (sound.isEmpty() ? able : sound).stream()
+		return eligible(able, sound, away).stream()
 			.map((state) -> candidate(now, state, task, others, meanRequests))
 			.map(this::choice);
 	}
 
+	/**
+	 * Returns the replicas to choose among: the sound ones, if there are any, and of
+	 * these the homes only where sizes are kept apart.
+	 */
+	private List<ReplicaState> eligible(List<ReplicaState> able, List<ReplicaState> sound, Set<ReplicaId> away) {
+		List<ReplicaState> usual = sound.isEmpty() ? able : sound;
+		if (!this.homes.keptApart()) {
+			return usual;
+		}
+		List<ReplicaState> home = usual.stream().filter((state) -> !away.contains(state.replica().id())).toList();
+		return home.isEmpty() ? usual : home;
+	}
+
 	private Candidate candidate(long now, ReplicaState state, Task task, Others others, double meanRequests) {
 		Usual usual = others.at(state);
 		Replica replica = state.replica();
--- a/core/src/test/java/org/gullsaddle/serve/HomesTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/HomesTests.java
@@ -123,4 +123,29 @@
 
 	}
 
+	/**
+	 * Room is short: nodes that see different work must agree on every home.
+	 */
+	@Nested
+	class WhereSizesAreKeptApart {
+
+		@Test
+		void workMovesNoHome() {
+			HomesTests.this.homes.keepApart();
+			int before = smallHomes(20);
+			for (int i = 0; i < 1000; i++) {
+				HomesTests.this.homes.sent(0, SMALL, 20_000);
+			}
+			assertThat(smallHomes(20)).isEqualTo(before);
+		}
+
+		@Test
+		void bothSizesHaveAHomeWhereTwoReplicasAreLeft() {
+			HomesTests.this.homes.keepApart();
+			assertThat(smallHomes(2)).isEqualTo(1);
+			assertThat(smallHomes(14)).isBetween(2, 7);
+		}
+
+	}
+
 }
--- /dev/null
+++ b/core/src/test/java/org/gullsaddle/serve/QueueBoundsTests.java
@@ -0,0 +1,131 @@
+package org.gullsaddle.serve;
+
+import java.util.Arrays;
+import java.util.List;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.gullsaddle.base.Address;
+import org.gullsaddle.fleet.Replica;
+import org.gullsaddle.fleet.ReplicaId;
+import org.gullsaddle.fleet.Route;
+import org.gullsaddle.fleet.RouteKind;
+import org.gullsaddle.fleet.ServiceName;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class QueueBoundsTests {
+
+	private static Route route(int rank, long objectiveMillis, String... models) {
+		return Route.named("rank-" + rank + "-" + objectiveMillis)
+			.at("host", "/" + rank + "/" + objectiveMillis + "/")
+			.kind(RouteKind.STREAM, true)
+			.models(List.of(models))
+			.within(10_000, objectiveMillis, 1000)
+			.maxAttempts(3)
+			.callers(true, rank)
+			.build();
+	}
+
+	private static QueueBounds bounds(Route... routes) {
+		return QueueBounds.of(Arrays.asList(routes));
+	}
+
+	private static Route choosing(int rank, long objectiveMillis) {
+		return route(rank, objectiveMillis, "small", "large");
+	}
+
+	@Test
+	void lessUrgentRanksMayJoinShorterQueuesOnly() {
+		QueueBounds bounds = bounds(choosing(0, 1000), choosing(1, 1000), choosing(2, 1000));
+		assertThat(bounds.millis(0)).isGreaterThan(bounds.millis(1));
+		assertThat(bounds.millis(1)).isGreaterThan(bounds.millis(2));
+		assertThat(bounds.millis(2)).isPositive();
+	}
+
+	/** Guards against patient callers that fill the queue of those who cannot wait. */
+	@Test
+	void longObjectiveOfALessUrgentRouteDoesNotLengthenItsQueue() {
+		QueueBounds bounds = bounds(choosing(0, 1000), choosing(2, 8000));
+		assertThat(bounds.millis(2)).isLessThan(bounds.millis(0));
+	}
+
+	@Test
+	void shortObjectiveOfALessUrgentRouteDoesNotShortenOthersQueue() {
+		assertThat(bounds(choosing(0, 4000), choosing(2, 500)).millis(0))
+			.isEqualTo(bounds(choosing(0, 4000)).millis(0));
+	}
+
+	@Test
+	void queueOfTheMostUrgentLeavesThemTimeToBeRead() {
+		assertThat(bounds(choosing(0, 1000)).millis(0)).isBetween(100.0, 900.0);
+	}
+
+	@Test
+	void routesThatChooseNoModelDoNotCount() {
+		QueueBounds bounds = bounds(choosing(1, 4000), route(0, 100), route(0, 100, "only"));
+		assertThat(bounds.millis(1)).isEqualTo(bounds(choosing(1, 4000)).millis(1));
+	}
+
+	/** Teams have ranks of their own, which no route needs to have. */
+	@Test
+	void rankBetweenThoseOfRoutesCountsAsTheNextMoreUrgent() {
+		QueueBounds bounds = bounds(choosing(1, 1000), choosing(5, 1000));
+		assertThat(bounds.millis(3)).isEqualTo(bounds.millis(1));
+		assertThat(bounds.millis(9)).isEqualTo(bounds.millis(5));
+		assertThat(bounds.millis(0)).isEqualTo(bounds.millis(1));
+	}
+
+	@Test
+	void withoutSuchRoutesNoQueueIsJoined() {
+		assertThat(bounds().millis(0)).isZero();
+	}
+
+	/**
+	 * A burst of one kind fills the larger model's queue.
+	 */
+	@Nested
+	class WhileAQueueGrowsAndShrinks {
+
+		private final ModelChooser chooser = ModelChooser.bounded();
+
+		private final QueueBounds bounds = bounds(choosing(0, 1500), choosing(1, 2000), choosing(2, 4000));
+
+		private boolean joins(int rank, double queueMillis) {
+			Replica replica = new Replica(new ReplicaId("engine"), new ServiceName("engines"),
+					new Address("10.0.0.1", 80), "a", "v1", 64, false, 1);
+			double readMillis = 300;
+			Choice choice = new Choice(replica, new EngineLoad(4000, 0, 1, false),
+					new Delay(queueMillis + readMillis, 100), readMillis, 0);
+			return this.chooser.mayQueue(this.bounds, rank, choice, 8000);
+		}
+
+		@Test
+		void leastUrgentStopJoiningFirstAndJoinAgainWhenItIsGone() {
+			assertThat(List.of(joins(0, 50), joins(1, 50), joins(2, 50))).containsOnly(true);
+			assertThat(List.of(joins(0, 500), joins(1, 500), joins(2, 500))).containsExactly(true, true, false);
+			assertThat(List.of(joins(0, 800), joins(1, 800), joins(2, 800))).containsExactly(true, false, false);
+			assertThat(List.of(joins(0, 2000), joins(1, 2000), joins(2, 2000))).containsOnly(false);
+			assertThat(joins(2, 50)).isTrue();
+		}
+
+		/** Guards against work for callers who will have left. */
+		@Test
+		void nobodyJoinsWithoutTimeLeft() {
+			Choice slow = new Choice(null, new EngineLoad(40_000, 0, 1, false), new Delay(5000, 100), 4900, 0);
+			assertThat(this.chooser.mayQueue(this.bounds, 0, slow, 3000)).isFalse();
+		}
+
+		@Test
+		void lateAnswersDoNotChangeWhatIsEnough() {
+			double before = this.chooser.enough();
+			for (int i = 0; i < 50; i++) {
+				this.chooser.answered(choosing(0, 1500), "large", 4000, 0);
+			}
+			assertThat(this.chooser.enough()).isEqualTo(before);
+		}
+
+	}
+
+}
--- a/core/src/test/java/org/gullsaddle/serve/ReplicaPickerTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/ReplicaPickerTests.java
@@ -190,6 +190,21 @@
 				.isEmpty();
 		}
 
+		/**
+		 * Guards against all nodes of many that send to the same small homes, of whose
+		 * queues they have heard nothing.
+		 */
+		@Test
+		void smallestModelsEnginesAreAskedWhereRoomIsShort() {
+			ReplicaPickerTests.this.picker.keepSizesApart();
+			assertThat(ReplicaPickerTests.this.picker.toAsk(0, ReplicaPickerTests.this.replicas, Set.of(),
+					task("small", 1, "x")))
+				.isNotEmpty();
+			assertThat(
+					ReplicaPickerTests.this.picker.toAsk(0, ReplicaPickerTests.this.replicas, Set.of(), Task.call(500)))
+				.isEmpty();
+		}
+
 		@Test
 		void replicaThatDidNotAnswerIsLeftOutForAWhile() {
 			Choice first = pick(this.task);
@@ -225,6 +240,35 @@
 			assertThat(small).doesNotContainAnyElementsOf(large);
 		}
 
+		/**
+		 * A burst of the small model's prompts spilled to the large one's engines, and
+		 * slowed all that was read there.
+		 */
+		@Test
+		void burstOfOneSizeStaysAtItsHomesWhereSizesAreKeptApart() {
+			ReplicaPickerTests.this.picker.keepSizesApart();
+			Set<ReplicaId> small = new HashSet<>();
+			for (int i = 0; i < 200; i++) {
+				small.add(send(task("small", 1, "x" + i)).replica().id());
+			}
+			assertThat(small).doesNotContain(pick(task("large", 15, "y")).replica().id());
+		}
+
+		/**
+		 * Guards against requests without a replica when all homes of a size are lost.
+		 */
+		@Test
+		void otherHomesServeWhenThoseOfASizeAreAllTried() {
+			ReplicaPickerTests.this.picker.keepSizesApart();
+			Set<ReplicaId> tried = new HashSet<>();
+			Task little = task("small", 1, "x");
+			for (int i = 0; i < ReplicaPickerTests.this.replicas.size(); i++) {
+				Choice choice = ReplicaPickerTests.this.picker.pick(0, ReplicaPickerTests.this.replicas, tried, little)
+					.orElseThrow();
+				assertThat(tried.add(choice.replica().id())).isTrue();
+			}
+		}
+
 		@Test
 		void onlyReplicaLeftRunsBoth() {
 			List<Replica> one = List.of(replica("near-0", "a"));
--- a/daemon/src/main/java/org/gullsaddle/gateway/Cascade.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Cascade.java
@@ -7,6 +7,7 @@
 import org.gullsaddle.serve.Choice;
 import org.gullsaddle.serve.Delay;
 import org.gullsaddle.serve.ModelChooser;
+import org.gullsaddle.serve.QueueBounds;
 import org.gullsaddle.serve.RetryRule;
 
 /**
@@ -19,12 +20,12 @@
 
 	private final DecisionLog log;
 
+	private final ServedRequest request;
+
 	private final Route route;
 
 	private final RetryRule rule;
 
-	private final String id;
-
 	private String model;
 
 	private String next = "";
@@ -36,13 +37,13 @@
 	/**
 	 * Begins with the model that the caller names, or with the first of the route's.
 	 */
-	Cascade(Decisions decisions, DecisionLog log, Route route, RetryRule rule, CallerRequest caller) {
+	Cascade(Decisions decisions, DecisionLog log, ServedRequest request, RetryRule rule) {
 		this.decisions = decisions;
 		this.log = log;
-		this.route = route;
+		this.request = request;
+		this.route = request.route();
 		this.rule = rule;
-		this.id = caller.attemptId().orElse("");
-		this.model = route.models().isEmpty() ? caller.model() : decisions.models().first(route);
+		this.model = this.route.models().isEmpty() ? request.caller().model() : decisions.models().first(this.route);
 	}
 
 	/**
@@ -76,7 +77,7 @@
 	 */
 	boolean drops(int confidence, String larger, Optional<Choice> choice, long left) {
 		String kept = whyKept(confidence, choice, left);
-		this.log.doubted(this.id, this.model, confidence, this.decisions.models().enough(), larger, kept);
+		this.log.doubted(this.request.id(), this.model, confidence, this.decisions.models().enough(), larger, kept);
 		if (kept.isEmpty()) {
 			this.doubted = this.model;
 			this.doubtedConfidence = confidence;
@@ -102,11 +103,24 @@
 		if (choice.isEmpty()) {
 			return "no replica";
 		}
-		Delay delay = choice.get().delay();
-		if (!this.decisions.models().worthAsking(this.route, confidence, delay, left)) {
-			return "in " + Math.round(delay.expectedMillis()) + " of " + left + " ms";
+		String tooLong = whyTooLong(confidence, choice.get(), left);
+		if (!tooLong.isEmpty()) {
+			return tooLong;
 		}
 		return this.decisions.spendRetry() ? "" : "no retry left";
 	}
 
+	private String whyTooLong(int confidence, Choice choice, long left) {
+		ModelChooser models = this.decisions.models();
+		if (models.isBounded()) {
+			QueueBounds bounds = this.decisions.bounds(this.request.config());
+			int rank = this.request.rank();
+			return models.mayQueue(bounds, rank, choice, left) ? "" : "queue of " + Math.round(choice.queueMillis())
+					+ " ms, " + Math.round(bounds.millis(rank)) + " ms for rank " + rank;
+		}
+		Delay delay = choice.delay();
+		return models.worthAsking(this.route, confidence, delay, left) ? ""
+				: "in " + Math.round(delay.expectedMillis()) + " of " + left + " ms";
+	}
+
 }
--- a/daemon/src/main/java/org/gullsaddle/gateway/Decisions.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Decisions.java
@@ -3,6 +3,7 @@
 import java.util.random.RandomGenerator;
 
 import org.gullsaddle.base.Spread;
+import org.gullsaddle.fleet.FleetConfig;
 import org.gullsaddle.fleet.Route;
 import org.gullsaddle.fleet.RouteKind;
 import org.gullsaddle.fleet.ServiceName;
@@ -10,6 +11,7 @@
 import org.gullsaddle.serve.FairShare;
 import org.gullsaddle.serve.ModelChooser;
 import org.gullsaddle.serve.Place;
+import org.gullsaddle.serve.QueueBounds;
 import org.gullsaddle.serve.ReplicaPicker;
 import org.gullsaddle.serve.ReplicaRules;
 import org.gullsaddle.serve.RetryBudget;
@@ -50,7 +52,11 @@
 
 	private final RetryBudget budget;
 
-	private final ModelChooser models = new ModelChooser();
+	private ModelChooser models = new ModelChooser();
+
+	private FleetConfig boundsOf;
+
+	private QueueBounds bounds;
 
 	private final FairShare shares = new FairShare();
 
@@ -61,6 +67,35 @@
 		this.budget = new RetryBudget(retryShare);
 	}
 
+	/**
+	 * Decides from now on as load asks that competes for too little room: sizes of models
+	 * are kept apart, and larger models' queues are bounded by rank.
+	 */
+	void roomIsShort() {
+		if (!this.models.isBounded()) {
+			this.models = ModelChooser.bounded();
+			this.picker.keepSizesApart();
+		}
+	}
+
+	/**
+	 * Says whether room is short.
+	 */
+	boolean isRoomShort() {
+		return this.models.isBounded();
+	}
+
+	/**
+	 * Returns how long larger models' queues may be under a configuration.
+	 */
+	QueueBounds bounds(FleetConfig config) {
+		if (config != this.boundsOf) {
+			this.boundsOf = config;
+			this.bounds = QueueBounds.of(config.routes());
+		}
+		return this.bounds;
+	}
+
 	ReplicaPicker picker() {
 		return this.picker;
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -97,6 +97,9 @@
 		this.settings = builder.settings;
 		this.codec = builder.codec;
 		this.decisions = new Decisions(this.settings.place(), this.settings.retryShare());
+		if (this.settings.load().pressure()) {
+			this.decisions.roomIsShort();
+		}
 		this.coldPace = new ColdPace(this.settings.node());
 		this.pool = new ChannelPool(vertx);
 		this.nodes = new NodeRegister(vertx, builder.store, this.settings, () -> this.fleet.directory().storeAway());
--- a/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
@@ -66,7 +66,7 @@
 		this.request = request;
 		this.rule = new RetryRule(request.route());
 		this.replicas = new ReplicaChooser(gateway, request);
-		this.cascade = new Cascade(gateway.decisions(), gateway.log(), request.route(), this.rule, request.caller());
+		this.cascade = new Cascade(gateway.decisions(), gateway.log(), request, this.rule);
 		this.relay = new AnswerRelay(request.http(), gateway);
 	}
 
--- a/measure/src/main/java/org/gullsaddle/measure/CascadeFleet.java
+++ b/measure/src/main/java/org/gullsaddle/measure/CascadeFleet.java
@@ -10,11 +10,13 @@
 
 import org.gullsaddle.fleet.ModelSize;
 import org.gullsaddle.fleet.Replica;
+import org.gullsaddle.fleet.Route;
 import org.gullsaddle.serve.AttemptEnd;
 import org.gullsaddle.serve.Choice;
 import org.gullsaddle.serve.ModelChooser;
 import org.gullsaddle.serve.ModelPace;
 import org.gullsaddle.serve.Prompt;
+import org.gullsaddle.serve.QueueBounds;
 import org.gullsaddle.serve.ReplicaPicker;
 import org.gullsaddle.serve.Task;
 
@@ -69,19 +71,47 @@
 
 	private final Map<String, Tally> tallies = new HashMap<>();
 
+	private final QueueBounds bounds;
+
 	private double price;
 
 	/**
-	 * Makes a fleet of engines behind some nodes.
+	 * Makes a fleet of engines behind some nodes, which take room for usual.
 	 */
 	CascadeFleet(Timeline time, int nodes, List<EngineShape> shapes, long seed) {
+		this(time, shapes, seed, List.of());
+		for (int i = 0; i < nodes; i++) {
+			this.nodes.add(new Node(new ReplicaPicker(EngineRack.PLACE), new ModelChooser()));
+		}
+	}
+
+	private CascadeFleet(Timeline time, List<EngineShape> shapes, long seed, List<PromptKind> kinds) {
 		this.time = time;
 		this.random = new Random(seed);
 		this.shape = shapes.get(0);
 		this.rack = new EngineRack(time, shapes, REPORT_MILLIS);
+		this.bounds = QueueBounds.of(kinds.stream().map(PromptKind::route).toList());
+	}
+
+	/**
+	 * Makes a fleet whose nodes know that kinds of prompts compete for too little room.
+	 */
+	static CascadeFleet withLittleRoom(Timeline time, int nodes, List<EngineShape> shapes, long seed,
+			List<PromptKind> kinds) {
+		CascadeFleet fleet = new CascadeFleet(time, shapes, seed, kinds);
 		for (int i = 0; i < nodes; i++) {
-			this.nodes.add(new Node(new ReplicaPicker(EngineRack.PLACE), new ModelChooser()));
+			ReplicaPicker picker = new ReplicaPicker(EngineRack.PLACE);
+			picker.keepSizesApart();
+			fleet.nodes.add(new Node(picker, ModelChooser.bounded()));
 		}
+		return fleet;
+	}
+
+	/**
+	 * Loses some engines now, with all that they run.
+	 */
+	void loseEngines(int count) {
+		this.rack.lose(count);
 	}
 
 	/**
@@ -111,6 +141,20 @@
 		return tally(kind).earned / tally(kind).owed;
 	}
 
+	/**
+	 * Returns the part of the answers to requests of some time that began in time.
+	 * @param kinds the kinds that count
+	 * @param from the time of the first requests, in milliseconds
+	 * @param to the time after the last ones, in milliseconds
+	 */
+	double inTime(List<PromptKind> kinds, double from, double to) {
+		List<Begun> begun = kinds.stream()
+			.flatMap((kind) -> tally(kind).begun.stream())
+			.filter((each) -> each.arrivedAt >= from && each.arrivedAt < to)
+			.toList();
+		return begun.stream().filter(Begun::inTime).count() / (double) begun.size();
+	}
+
 	/**
 	 * Returns what the use of models cost, as a part of what all answers could earn.
 	 */
@@ -137,6 +181,14 @@
 
 		private double owed;
 
+		private final List<Begun> begun = new ArrayList<>();
+
+	}
+
+	/**
+	 * When the request of an answer came, and whether the answer began in time.
+	 */
+	private record Begun(double arrivedAt, boolean inTime) {
 	}
 
 	/**
@@ -210,6 +262,14 @@
 				.orElse(-1);
 		}
 
+		private boolean worthAsking(int confidence, Choice larger, long left) {
+			ModelChooser models = this.node.models;
+			Route route = this.kind.route();
+			return models.isBounded()
+					? models.mayQueue(CascadeFleet.this.bounds, route.rank(OptionalInt.empty()), larger, left)
+					: models.worthAsking(route, confidence, larger.delay(), left);
+		}
+
 		private long left() {
 			return Math.round(this.kind.route().timeoutMillis() - (CascadeFleet.this.time.now() - this.arrivedAt));
 		}
@@ -219,6 +279,7 @@
 			if (waited > this.kind.route().timeoutMillis()) {
 				return;
 			}
+			tally(this.kind).begun.add(new Begun(this.arrivedAt, waited <= this.kind.route().targetMillis()));
 			double worth = this.kind.worth();
 			worth *= (waited <= this.kind.route().targetMillis()) ? 1 : LATE;
 			worth *= (this.hardness <= MODELS.get(model).quality) ? 1 : POOR;
@@ -289,7 +350,7 @@
 		private boolean replace(int confidence, int next) {
 			Choice larger = this.request.choose(next);
 			long left = this.request.left();
-			if (!this.request.node.models.worthAsking(this.request.kind.route(), confidence, larger.delay(), left)) {
+			if (!this.request.worthAsking(confidence, larger, left)) {
 				return false;
 			}
 			this.droppedAnswer = true;
--- a/measure/src/main/java/org/gullsaddle/measure/EngineModel.java
+++ b/measure/src/main/java/org/gullsaddle/measure/EngineModel.java
@@ -47,6 +47,13 @@
 		this.jobs.remove(job);
 	}
 
+	/**
+	 * Ends all requests without an answer.
+	 */
+	void crash() {
+		this.jobs.clear();
+	}
+
 	int requests() {
 		return this.jobs.size();
 	}
--- a/measure/src/main/java/org/gullsaddle/measure/EngineRack.java
+++ b/measure/src/main/java/org/gullsaddle/measure/EngineRack.java
@@ -47,10 +47,22 @@
 		}
 	}
 
+	/**
+	 * Returns the replicas that are left.
+	 */
 	List<Replica> replicas() {
 		return this.replicas;
 	}
 
+	/**
+	 * Loses the last replicas with all that they run.
+	 */
+	void lose(int count) {
+		for (int i = 0; i < count; i++) {
+			engine(this.replicas.remove(this.replicas.size() - 1)).crash();
+		}
+	}
+
 	EngineModel engine(Replica replica) {
 		return this.engines.get(replica.id());
 	}
--- a/measure/src/main/java/org/gullsaddle/measure/Measure.java
+++ b/measure/src/main/java/org/gullsaddle/measure/Measure.java
@@ -50,6 +50,7 @@
 		all.put("placement", new PlacementExperiment());
 		all.put("size", new SizeExperiment());
 		all.put("cascade", new CascadeExperiment());
+		all.put("burst", new BurstExperiment());
 		all.put("ablation", new AblationExperiment());
 		all.put("capacity", new CapacityExperiment());
 		return all;
--- a/measure/src/main/java/org/gullsaddle/measure/PromptKind.java
+++ b/measure/src/main/java/org/gullsaddle/measure/PromptKind.java
@@ -33,6 +33,18 @@
 			new PromptKind("middling", 0.37, 2.6, route("middling", 4000, 10_000, 0), 369, 2520, 3780, 2890, 50),
 			new PromptKind("short", 0.33, 0.41, route("short", 2000, 20_000, 2), 385, 210, 140, 1110, 170));
 
+	/**
+	 * Long, middling and short prompts that compete for too little room: the short ones
+	 * are the most urgent, the middling ones the least.
+	 */
+	static final List<PromptKind> COMPETING = List.of(
+			new PromptKind("competing-long", 0.3, 3.7, route("competing-long", 2000, 12_000, 1), 586, 0, 13_300, 3720,
+					120),
+			new PromptKind("competing-middling", 0.38, 1.5, route("competing-middling", 4000, 8000, 2), 437, 2520, 3780,
+					2890, 52),
+			new PromptKind("competing-short", 0.32, 0.98, route("competing-short", 1500, 15_000, 0), 1420, 210, 140,
+					1110, 172));
+
 	private static final int COMMON_PARTS = 4;
 
 	private static Route route(String name, long target, long timeout, int rank) {
