--- a/core/src/main/java/org/gullsaddle/serve/Homes.java
+++ b/core/src/main/java/org/gullsaddle/serve/Homes.java
@@ -45,7 +45,7 @@
 	 * The part of the replicas that is for small models where sizes are kept apart. All
 	 * requests begin there, so that a burst must find room.
 	 */
-	private static final double APART_SMALL = 0.3;
+	private static final double APART_SMALL = 0.35;
 
 	/** The time until half of the work done is forgotten, in milliseconds. */
 	private static final double HALF_MILLIS = 5000;
