A silent replica is left only when another attempt follows

Cause: an attempt was withdrawn for silence before it was known whether another one is allowed, paid for, and has a replica to go to. Where that was not so, the answer under way was ended for nothing: a stream of which the caller had a part was closed in the middle, a read ended with 502.

Change: Silence looks at the attempt under way. It chooses the other replica first, looks again whether the answer came meanwhile, takes the retry out of the budget, and only then withdraws; the choice and the payment are used by the next attempt, which asks neither again. What cannot follow is waited for until its time is over; the replica counts as failing all the same, so that a dark one is left out of new choices as before. RetryRule.mayMove: one attempt more is allowed, and one after it if the next replica refuses it. The decision is logged and counted.

Ruled out: keeping the silent attempt open beside the next one: two replicas would run one request.

Conclusion: a replica's silence alone ends no answer.

--- a/core/src/main/java/org/gullsaddle/serve/ReplicaPicker.java
+++ b/core/src/main/java/org/gullsaddle/serve/ReplicaPicker.java
@@ -298,6 +298,15 @@
 		state(replica).unreachable(now);
 	}
 
+	/**
+	 * Notes that a replica is silent for too long, though its request cannot leave it.
+	 * @param now the time in milliseconds
+	 * @param replica the replica
+	 */
+	public void silent(long now, Replica replica) {
+		state(replica).failed(now);
+	}
+
 	/**
 	 * Forgets replicas that are gone.
 	 * @param known those to remember
--- a/core/src/main/java/org/gullsaddle/serve/RetryRule.java
+++ b/core/src/main/java/org/gullsaddle/serve/RetryRule.java
@@ -69,6 +69,16 @@
 		return leftMillis >= WORTH_MILLIS && this.runs + 1 < this.route.maxAttempts() && this.route.repeatable();
 	}
 
+	/**
+	 * Says whether an attempt that brings nothing may be given up for another one.
+	 * @param leftMillis the time left in milliseconds
+	 * @return true if one more attempt is allowed after it, and one after that if the
+	 * next replica refuses it
+	 */
+	public boolean mayMove(long leftMillis) {
+		return mayDrop(leftMillis) && this.refusals < MAX_REFUSALS;
+	}
+
 	/**
 	 * Says whether the attempt after the one under way would be the last that is allowed.
 	 * @return true if it would
--- a/core/src/test/java/org/gullsaddle/serve/ReplicaPickerTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/ReplicaPickerTests.java
@@ -90,6 +90,17 @@
 		assertThat(pick(task("small", 1, "x")).replica()).isNotEqualTo(first.replica());
 	}
 
+	/** Guards against a dark replica that draws requests as none can leave it. */
+	@Test
+	void replicaThatIsSilentGetsNoNewRequestsThoughItsOwnStay() {
+		Replica dark = pick(task("small", 1, "x")).replica();
+		assertThat(pick(task("small", 1, "x")).replica()).isEqualTo(dark);
+		for (int i = 0; i < 3; i++) {
+			this.picker.silent(0, dark);
+		}
+		assertThat(pick(task("small", 1, "x")).replica()).isNotEqualTo(dark);
+	}
+
 	/**
 	 * Long prompts arrive faster than the near replicas read them. Sent on and on to the
 	 * nearest, they would queue there while the other region is idle.
--- a/core/src/test/java/org/gullsaddle/serve/RetryRuleTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/RetryRuleTests.java
@@ -80,4 +80,22 @@
 		assertThat(rule.mayTryAgain(5000)).isFalse();
 	}
 
+	/** Guards against an answer that is given up when the next refusal would end it. */
+	@Test
+	void answerIsNotMovedOnceSeveralReplicasHaveRefused() {
+		RetryRule rule = rule(RouteKind.STREAM, true, 3);
+		rule.ended(new AttemptEnd.NotRun(false, "refused with 503"));
+		assertThat(rule.mayMove(5000)).isTrue();
+		rule.ended(new AttemptEnd.NotRun(false, "refused with 503"));
+		assertThat(rule.mayMove(5000)).isFalse();
+	}
+
+	@Test
+	void answerIsNotMovedWhenItsRouteAllowsNoMoreAttempts() {
+		RetryRule rule = rule(RouteKind.STREAM, true, 2);
+		assertThat(rule.mayMove(5000)).isTrue();
+		rule.ended(new AttemptEnd.Broken("reset"));
+		assertThat(rule.mayMove(5000)).isFalse();
+	}
+
 }
--- a/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
@@ -158,6 +158,17 @@
 		}
 	}
 
+	void silent(String id, ReplicaId replica, String outcome, String reason) {
+		if (allowed(false)) {
+			LOG.atInfo()
+				.addKeyValue("id", id)
+				.addKeyValue("replica", replica.value())
+				.addKeyValue("outcome", outcome)
+				.addKeyValue("reason", reason)
+				.log("replica silent");
+		}
+	}
+
 	void limited(ReplicaId replica, OptionalDouble perSecond, String source) {
 		if (allowed(true)) {
 			LOG.atInfo()
--- a/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
@@ -45,6 +45,8 @@
 
 	private final Cascade cascade;
 
+	private final Silence silence;
+
 	/** What the attempt under way, or the next one, is to do. */
 	private Task task;
 
@@ -68,6 +70,7 @@
 		this.replicas = new ReplicaChooser(gateway, request);
 		this.cascade = new Cascade(gateway.decisions(), gateway.log(), request.route(), this.rule, request.caller());
 		this.relay = new AnswerRelay(request.http(), gateway);
+		this.silence = new Silence(gateway, this, this.rule, this.replicas, this.relay);
 	}
 
 	void start() {
@@ -263,8 +266,12 @@
 	 * Tries another replica if that is allowed.
 	 */
 	private boolean tryAgain(long now) {
-		boolean held = !this.relay.begun() || (route().resumable() && this.relay.lastEvent().isPresent());
-		if (!held || !this.rule.mayTryAgain(this.request.left(now)) || this.gateway.crashes().refusedFor(this) > 0) {
+		if (this.chosen.isPresent()) {
+			// It was chosen and paid for before the silent replica was left.
+			tryNext();
+			return true;
+		}
+		if (!this.rule.mayTryAgain(this.request.left(now)) || !this.silence.mayGoOn()) {
 			return false;
 		}
 		if (!this.replicas.another(this.tried) || !this.gateway.decisions().spendRetry()) {
@@ -274,6 +281,14 @@
 		return true;
 	}
 
+	/**
+	 * Leaves a silent replica for another one, which was paid for.
+	 */
+	void move(Attempt from, Choice to) {
+		this.chosen = Optional.of(to);
+		from.withdraw(new AttemptEnd.Broken("silent"));
+	}
+
 	/**
 	 * Ends with a replica's whole answer. A refusal status of one that has not said that
 	 * it did not run the request must not reach the caller: there it is a promise that
@@ -328,29 +343,9 @@
 			expire();
 			return;
 		}
-		if (this.attempt != null && silent(now)) {
-			this.attempt.withdraw(new AttemptEnd.Broken("silent"));
-		}
-	}
-
-	/**
-	 * An unresponsive replica sends nothing, not even a reset. Waiting for it until the
-	 * deadline loses the request, though another replica could still answer in time. Only
-	 * what may run again is moved. One that answers others is alive, and only busy: moved
-	 * away, its queue would be built up anew elsewhere.
-	 */
-	private boolean silent(long now) {
-		if (!this.rule.mayDrop(this.request.left(now))) {
-			return false;
-		}
-		long patience = this.gateway.decisions().silenceMillis(route(), this.relay.begun());
-		long since = this.gateway.stalls().silentSince(this.attempt.lastByteAt());
-		if (route().kind() == RouteKind.IDEMPOTENT) {
-			return now - since > patience;
+		if (this.attempt != null) {
+			this.silence.look(now, this.attempt, this.tried, this.task);
 		}
-		return this.gateway.decisions()
-			.picker()
-			.unresponsive(now, this.attempt.choice(), since, this.attempt.answer() == null, patience);
 	}
 
 	private void expire() {
@@ -413,6 +408,13 @@
 		return this.request.stream() && from.answer() != null && from.answer().success();
 	}
 
+	/**
+	 * Says whether an attempt is under way and its answer still waited for.
+	 */
+	boolean waitsFor(Attempt from) {
+		return !this.done && this.attempt == from && !from.ended();
+	}
+
 	String id() {
 		return this.request.id();
 	}
