Read what a replica tells of its pace, and expect its delays by it

Cause: a load header with a fourth figure, how long work takes on the machine now, was dropped whole, and all replicas of a service counted as equally fast.

Change: the header's first three figures count whatever follows, the fourth if it can be read. ReplicaPace holds the last figure, which fades within some hundred milliseconds, the mean of a replica's figures, and how much longer its answers took than those explain; each shrinks to the peers' and is bounded. Delays and reading times of candidates are scaled by it, and learning divides by the factor that held when the request was sent. Only services of which a replica tells a pace are concerned: elsewhere the factor is 1 and nothing is learned. An answer's figures are taken in before its delay. The attempt line tells pacePercent, a gauge the replicas that tell a pace.

Whether a figure includes how fast the replica is for good is not said, so delays are compared with what the figures explain and only the rest is learned: it works either way.

Ruled out: the delay model's own deviation as the noise of a delay.

LossTests: a candidate is made with a usual pace; its checks are as before.

--- a/core/src/main/java/org/gullsaddle/serve/Choice.java
+++ b/core/src/main/java/org/gullsaddle/serve/Choice.java
@@ -9,9 +9,10 @@
  * @param load what delays the request there
  * @param delay when its first event is expected
  * @param readMillis how long the replica needs to read its prompt, in milliseconds
+ * @param pace how the replica's pace changes both
  * @param loss the share of the request's worth that is likely lost, see {@link Loss}
  */
-public record Choice(Replica replica, EngineLoad load, Delay delay, double readMillis, double loss) {
+public record Choice(Replica replica, EngineLoad load, Delay delay, double readMillis, Pace pace, double loss) {
 
 	/**
 	 * Returns how much of the prompt the replica must read.
--- a/core/src/main/java/org/gullsaddle/serve/Delay.java
+++ b/core/src/main/java/org/gullsaddle/serve/Delay.java
@@ -8,6 +8,15 @@
  */
 public record Delay(double expectedMillis, double deviationMillis) {
 
+	/**
+	 * Returns the delay where all takes longer.
+	 * @param factor how many times longer
+	 * @return the delay there
+	 */
+	Delay times(double factor) {
+		return new Delay(factor * this.expectedMillis, factor * this.deviationMillis);
+	}
+
 	/**
 	 * Returns the chance that it comes in time.
 	 * @param millis the time that it has, in milliseconds
--- a/core/src/main/java/org/gullsaddle/serve/ReplicaPicker.java
+++ b/core/src/main/java/org/gullsaddle/serve/ReplicaPicker.java
@@ -52,6 +52,8 @@
 
 	private final DelayEstimator delays = new DelayEstimator();
 
+	private final ReplicaPaces paces = new ReplicaPaces();
+
 	private final Place here;
 
 	private final List<Loss> losses;
@@ -147,8 +149,11 @@
 				: state.backlog(now, usual.unread(), this.usualWork.getOrDefault(task.model(), 0.0));
 		EngineLoad load = new EngineLoad(unread(state, task), before, requests, reach == Reach.FAR);
 		DelayModel delays = this.delays.of(replica, task);
-		return new Candidate(replica, task, load, delays.first(load), delays.readMillis(load.unreadTokens()), reach,
-				state.failureShare(), others.home(state), meanRequests);
+		Delay first = delays.first(load);
+		Pace pace = this.paces.at(now, state, first.expectedMillis());
+		return new Candidate(replica, task, load, first.times(pace.factor()),
+				pace.factor() * delays.readMillis(load.unreadTokens()), pace, reach, state.failureShare(),
+				others.home(state), meanRequests);
 	}
 
 	/**
@@ -164,7 +169,8 @@
 		for (Loss each : this.losses) {
 			loss += each.of(candidate);
 		}
-		return new Choice(candidate.replica(), candidate.load(), candidate.delay(), candidate.readMillis(), loss);
+		return new Choice(candidate.replica(), candidate.load(), candidate.delay(), candidate.readMillis(),
+				candidate.pace(), loss);
 	}
 
 	/**
@@ -191,7 +197,8 @@
 	}
 
 	/**
-	 * Learns how long a request took to begin its answer.
+	 * Learns how long a request took to begin its answer. What the answer tells of the
+	 * replica is taken in before, as what was known until then counts less by its age.
 	 * @param choice where it was sent
 	 * @param task what the replica is to do
 	 * @param millis the time from sending to the first event, or to the end without one,
@@ -199,12 +206,14 @@
 	 * @param begun whether it began
 	 */
 	public void began(Choice choice, Task task, long millis, boolean begun) {
+		double usual = millis / choice.pace().factor();
 		if (begun) {
-			this.delays.of(choice.replica(), task).seen(choice.load(), millis);
+			this.delays.of(choice.replica(), task).seen(choice.load(), usual);
 		}
 		else {
-			this.delays.of(choice.replica(), task).notSeen(choice.load(), millis);
+			this.delays.of(choice.replica(), task).notSeen(choice.load(), usual);
 		}
+		this.paces.took(state(choice.replica()), choice, millis, begun);
 	}
 
 	/**
@@ -282,6 +291,24 @@
 		state(replica).report(now, report);
 	}
 
+	/**
+	 * Takes in how long work takes at a replica.
+	 * @param now the time in milliseconds
+	 * @param replica the replica
+	 * @param percent how long work takes there now, 100 as usual
+	 */
+	public void pace(long now, Replica replica, int percent) {
+		this.paces.told(now, state(replica), percent);
+	}
+
+	/**
+	 * Returns how many replicas told a pace.
+	 * @return the number
+	 */
+	public int countPaces() {
+		return (int) this.states.values().stream().filter((state) -> state.pace().told()).count();
+	}
+
 	/**
 	 * Says whether a replica told its load lately, by itself or in an answer.
 	 */
@@ -304,6 +331,8 @@
 	 */
 	public void retain(Set<ReplicaId> known) {
 		this.states.keySet().retainAll(known);
+		this.paces.retain(
+				this.states.values().stream().map((state) -> state.replica().service()).collect(Collectors.toSet()));
 	}
 
 	private static int unread(ReplicaState state, Task task) {
--- a/core/src/main/java/org/gullsaddle/serve/ReplicaState.java
+++ b/core/src/main/java/org/gullsaddle/serve/ReplicaState.java
@@ -25,6 +25,8 @@
 
 	private final Ejection ejection = new Ejection();
 
+	private final ReplicaPace pace = new ReplicaPace();
+
 	private Replica replica;
 
 	private int running;
@@ -116,6 +118,10 @@
 		return this.failureShare;
 	}
 
+	ReplicaPace pace() {
+		return this.pace;
+	}
+
 	ReportedLoad others() {
 		return this.others;
 	}
--- a/core/src/test/java/org/gullsaddle/serve/LossTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/LossTests.java
@@ -37,7 +37,7 @@
 				new Replica(new ReplicaId(replica), new ServiceName("engines"), new Address("10.0.0.1", 80), "a", "v1",
 						8, false, 1),
 				new Task("large", prompt, 15, ModelScale.LARGE, 100_000, OBJECTIVE), this.load, this.delay,
-				this.readMillis, this.reach, this.failureShare, this.atHome, this.meanRequests);
+				this.readMillis, Pace.USUAL, this.reach, this.failureShare, this.atHome, this.meanRequests);
 	}
 
 	private double loss(Loss loss) {
--- a/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
@@ -126,6 +126,7 @@
 				.addKeyValue("expectedMillis", Math.round(choice.delay().expectedMillis()))
 				.addKeyValue("deviationMillis", Math.round(choice.delay().deviationMillis()))
 				.addKeyValue("expectedLoss", Math.round(PERCENT * choice.loss()))
+				.addKeyValue("pacePercent", Math.round(PERCENT * choice.pace().factor()))
 				.addKeyValue("load", choice.load().requests())
 				.addKeyValue("end", end)
 				.addKeyValue("millis", millis)
--- a/daemon/src/main/java/org/gullsaddle/gateway/Decisions.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Decisions.java
@@ -3,6 +3,7 @@
 import java.util.random.RandomGenerator;
 
 import org.gullsaddle.base.Spread;
+import org.gullsaddle.fleet.Replica;
 import org.gullsaddle.fleet.Route;
 import org.gullsaddle.fleet.RouteKind;
 import org.gullsaddle.fleet.ServiceName;
@@ -65,6 +66,15 @@
 		return this.picker;
 	}
 
+	/**
+	 * Takes in what a replica's answer tells of it.
+	 */
+	void told(long now, Replica replica, ReplicaAnswer answer) {
+		answer.load().ifPresent((load) -> this.picker.report(now, replica, load));
+		answer.pacePercent().ifPresent((percent) -> this.picker.pace(now, replica, percent));
+		this.picker.heard(now, replica);
+	}
+
 	void earnRetry() {
 		this.budget.earn();
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -128,6 +128,7 @@
 		this.telemetry.gauge("held.requests", this.dispatcher::held);
 		this.telemetry.gauge("replicas.known", () -> this.fleet.directory().known().size());
 		this.telemetry.gauge("replicas.cold", () -> this.fleet.directory().countCold(Clock.millis()));
+		this.telemetry.gauge("replicas.telling.pace", this.decisions.picker()::countPaces);
 		this.telemetry.gauge("data.centers.evacuated", () -> this.fleet.directory().evacuated().size());
 		this.telemetry.gauge("nodes.known", () -> this.nodes.known().orElse(0));
 		this.telemetry.gauge("config.version", () -> this.fleet.config().map(FleetConfig::version).orElse(0L));
--- a/daemon/src/main/java/org/gullsaddle/gateway/LoadProbe.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/LoadProbe.java
@@ -128,6 +128,7 @@
 		return channel.connection().request(options).compose(HttpClientRequest::send).compose((response) -> {
 			ReplicaAnswer answer = this.codec.read(response);
 			this.backpressure.heard(replica, answer);
+			answer.pacePercent().ifPresent((percent) -> this.picker.pace(Clock.millis(), replica, percent));
 			return response.body().compose((body) -> report(channel, answer, body));
 		});
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
@@ -169,14 +169,11 @@
 	@Override
 	public void head(Attempt from, ReplicaAnswer answer, MultiMap headers) {
 		readPrompt(from);
+		this.gateway.decisions().told(Clock.millis(), from.choice().replica(), answer);
 		if (answer.success()) {
 			this.gateway.decisions().picker().began(from.choice(), this.task, from.headAt() - from.startedAt(), true);
 		}
 		this.relay.head(this.gateway.codec().toCaller(headers));
-		answer.load()
-			.ifPresent(
-					(load) -> this.gateway.decisions().picker().report(Clock.millis(), from.choice().replica(), load));
-		this.gateway.decisions().picker().heard(Clock.millis(), from.choice().replica());
 		if (this.relay.begun() && !answer.success()) {
 			from.withdraw(new AttemptEnd.Broken("no answer to go on with"));
 		}
