--- a/core/src/test/java/org/gullsaddle/serve/QueueBoundsTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/QueueBoundsTests.java
@@ -97,7 +97,7 @@
 					new Address("10.0.0.1", 80), "a", "v1", 64, false, 1);
 			double readMillis = 300;
 			Choice choice = new Choice(replica, new EngineLoad(4000, 0, 1, false),
-					new Delay(queueMillis + readMillis, 100), readMillis, 0);
+					new Delay(queueMillis + readMillis, 100), readMillis, Pace.USUAL, 0);
 			return this.chooser.mayQueue(this.bounds, rank, choice, 8000);
 		}
 
@@ -113,7 +113,8 @@
 		/** Guards against work for callers who will have left. */
 		@Test
 		void nobodyJoinsWithoutTimeLeft() {
-			Choice slow = new Choice(null, new EngineLoad(40_000, 0, 1, false), new Delay(5000, 100), 4900, 0);
+			Choice slow = new Choice(null, new EngineLoad(40_000, 0, 1, false), new Delay(5000, 100), 4900, Pace.USUAL,
+					0);
 			assertThat(this.chooser.mayQueue(this.bounds, 0, slow, 3000)).isFalse();
 		}
 
