Where callers press, a queue is not taken for silence

Cause: an engine with a long queue sends a node nothing for seconds if none of the node's requests is due there.

Change: SilencePatience decides by a question for the engine's load, asked as the patience of a request there ends, at most once a second for an engine, one for all requests there. An engine that tells of prompts to be read has a queue: the request stays, unless an engine that told its load lately would begin in half the time; both delays are taken on the same footing, with the requests already there. One that tells of none has lost the request, one that tells nothing within 150 ms is dark; both are left at the end of the patience as before. A request that leaves a queue counts as withdrawn there, so that a busy engine is not left out as a failing one. In force for engines where the settings set pressure; elsewhere nothing changes. Decisions are logged and counted.

Ruled out: counting what the engine told as bytes heard for all decisions: then only the request that asked could leave a queue.

Conclusion: a request keeps its place while its engine tells of a queue.

--- a/core/src/main/java/org/gullsaddle/serve/ReplicaPicker.java
+++ b/core/src/main/java/org/gullsaddle/serve/ReplicaPicker.java
@@ -228,8 +228,42 @@
 	 * @return true if the request is better tried elsewhere
 	 */
 	public boolean unresponsive(long now, Choice choice, long since, boolean reading, long patienceMillis) {
-		long heard = Math.max(since, state(choice.replica()).heardAt());
-		return now - heard > patienceMillis + (reading ? READ_MARGIN * choice.readMillis() : 0);
+		return now - silentSince(choice, since) > patience(choice, reading, patienceMillis);
+	}
+
+	/**
+	 * Returns since when nothing came from a replica, on any connection.
+	 * @param choice where a request was sent
+	 * @param since since when that request waits for bytes, in milliseconds
+	 * @return the time in milliseconds
+	 */
+	public long silentSince(Choice choice, long since) {
+		return Math.max(since, state(choice.replica()).heardAt());
+	}
+
+	/**
+	 * Returns how long a replica may be silent that was given a prompt.
+	 * @param choice where a request was sent
+	 * @param reading whether the replica may still be reading the prompt
+	 * @param patienceMillis how long a replica that has nothing to read may be silent
+	 * @return the time in milliseconds
+	 */
+	public long patience(Choice choice, boolean reading, long patienceMillis) {
+		return patienceMillis + (reading ? Math.round(READ_MARGIN * choice.readMillis()) : 0);
+	}
+
+	/**
+	 * Returns when an answer would begin at one replica if the request came there now.
+	 * @param now the time in milliseconds
+	 * @param usable the replicas that take new work
+	 * @param replica the replica
+	 * @param task what it is to do
+	 * @return the delay
+	 */
+	public Delay delayAt(long now, List<Replica> usable, Replica replica, Task task) {
+		List<ReplicaState> states = usable.stream().map(this::state).toList();
+		Others others = Others.of(now, states, this.homes.away(usable, task));
+		return candidate(now, state(replica), task, others, 0).delay();
 	}
 
 	/**
@@ -284,7 +318,14 @@
 
 	/**
 	 * Says whether a replica told its load lately, by itself or in an answer.
+	 * @param now the time in milliseconds
+	 * @param replica the replica
+	 * @return true if what it told still holds
 	 */
+	public boolean toldLately(long now, Replica replica) {
+		return toldWithin(now, replica, FRESH_MILLIS);
+	}
+
 	boolean toldWithin(long now, Replica replica, long millis) {
 		return state(replica).others().age(now) <= millis;
 	}
--- a/core/src/test/java/org/gullsaddle/serve/ReplicaPickerTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/ReplicaPickerTests.java
@@ -90,6 +90,18 @@
 		assertThat(pick(task("small", 1, "x")).replica()).isNotEqualTo(first.replica());
 	}
 
+	@Test
+	void answerIsExpectedLaterWhereMoreWaits() {
+		Replica idle = this.replicas.get(0);
+		Replica full = this.replicas.get(2);
+		Task task = task("small", 1, "x");
+		send(task);
+		this.picker.report(0, idle, new EngineReport(2, 0, 0));
+		this.picker.report(0, full, new EngineReport(64, 10, 40));
+		double soon = this.picker.delayAt(0, this.replicas, idle, task).expectedMillis();
+		assertThat(this.picker.delayAt(0, this.replicas, full, task).expectedMillis()).isGreaterThan(2 * soon);
+	}
+
 	/** Guards against a dark replica that draws requests as none can leave it. */
 	@Test
 	void replicaThatIsSilentGetsNoNewRequestsThoughItsOwnStay() {
--- a/daemon/src/main/java/org/gullsaddle/gateway/Decisions.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Decisions.java
@@ -13,6 +13,7 @@
 import org.gullsaddle.serve.ReplicaPicker;
 import org.gullsaddle.serve.ReplicaRules;
 import org.gullsaddle.serve.RetryBudget;
+import org.gullsaddle.serve.SilencePatience;
 
 /**
  * The state that all requests of a gateway decide by. Confined to the event loop.
@@ -54,6 +55,8 @@
 
 	private final FairShare shares = new FairShare();
 
+	private final SilencePatience patience = new SilencePatience();
+
 	private final RandomGenerator random = RandomGenerator.getDefault();
 
 	Decisions(Place here, double retryShare) {
@@ -65,6 +68,10 @@
 		return this.picker;
 	}
 
+	SilencePatience patience() {
+		return this.patience;
+	}
+
 	void earnRetry() {
 		this.budget.earn();
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -282,6 +282,7 @@
 	private void tidy() {
 		this.pool.tidy(this.fleet.directory().known());
 		this.decisions.picker().retain(this.fleet.directory().known());
+		this.decisions.patience().retain(this.fleet.directory().known());
 		this.coldPace.retain(this.fleet.directory().known());
 		this.backpressure.retain(this.fleet.directory().known());
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/LoadProbe.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/LoadProbe.java
@@ -62,7 +62,9 @@
 	 * @param then is given those that told in time, which may be none
 	 */
 	void ask(List<Replica> replicas, Consumer<List<Replica>> then) {
-		List<Future<Boolean>> answers = replicas.stream().map(this::ask).toList();
+		List<Future<Boolean>> answers = replicas.stream()
+			.map((replica) -> ask(replica, WAIT_MILLIS).map(Optional::isPresent))
+			.toList();
 		Future.join(answers).onComplete((all) -> {
 			List<Replica> told = new ArrayList<>();
 			for (int i = 0; i < answers.size(); i++) {
@@ -88,10 +90,16 @@
 		return this.failed;
 	}
 
-	private Future<Boolean> ask(Replica replica) {
+	/**
+	 * Asks one engine, and has the picker learn what it says.
+	 * @param replica the engine
+	 * @param waitMillis how long it may take to tell, in milliseconds
+	 * @return what it says, empty if it did not tell in time
+	 */
+	Future<Optional<EngineReport>> ask(Replica replica, long waitMillis) {
 		this.asked++;
 		Promise<EngineReport> answer = Promise.promise();
-		long timer = this.vertx.setTimer(WAIT_MILLIS, (id) -> answer.tryFail("nothing in " + WAIT_MILLIS + " ms"));
+		long timer = this.vertx.setTimer(waitMillis, (id) -> answer.tryFail("nothing in " + waitMillis + " ms"));
 		answer.future().onComplete((done) -> this.vertx.cancelTimer(timer));
 		this.pool.take(replica, false).onComplete((channel, unreachable) -> {
 			if (unreachable != null) {
@@ -112,15 +120,15 @@
 			.otherwise((failure) -> notTold(replica, failure.getMessage()));
 	}
 
-	private boolean told(Replica replica, EngineReport report) {
+	private Optional<EngineReport> told(Replica replica, EngineReport report) {
 		this.picker.report(Clock.millis(), replica, report);
-		return true;
+		return Optional.of(report);
 	}
 
-	private boolean notTold(Replica replica, String reason) {
+	private Optional<EngineReport> notTold(Replica replica, String reason) {
 		this.failed++;
 		this.log.loadUnknown(replica.id(), reason);
-		return false;
+		return Optional.empty();
 	}
 
 	private Future<EngineReport> read(Replica replica, ChannelPool.Channel channel) {
--- a/daemon/src/main/java/org/gullsaddle/gateway/ReplicaChooser.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/ReplicaChooser.java
@@ -1,5 +1,6 @@
 package org.gullsaddle.gateway;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -10,6 +11,7 @@
 import org.gullsaddle.fleet.ReplicaId;
 import org.gullsaddle.serve.Admission;
 import org.gullsaddle.serve.Choice;
+import org.gullsaddle.serve.Delay;
 import org.gullsaddle.serve.ReplicaPicker;
 import org.gullsaddle.serve.ReplicaRules;
 import org.gullsaddle.serve.Task;
@@ -119,18 +121,41 @@
 		});
 	}
 
+	/**
+	 * Chooses among the replicas that told their load lately, without asking any.
+	 * @param tried replicas that are left out
+	 */
+	Optional<Choice> known(Task task, Set<ReplicaId> tried) {
+		long now = Clock.millis();
+		Set<ReplicaId> leftOut = new HashSet<>(leftOut(tried));
+		List<Replica> usable = usable(leftOut);
+		usable.stream()
+			.filter((replica) -> !picker().toldLately(now, replica))
+			.forEach((replica) -> leftOut.add(replica.id()));
+		return picker().pick(now, usable, leftOut, task);
+	}
+
+	/**
+	 * Returns when an answer would begin at a replica if the request came there now. One
+	 * of which nothing is known is taken to be as full as the others, tried ones too.
+	 */
+	Delay delayAt(Replica replica, Task task) {
+		return picker().delayAt(Clock.millis(), usable(Set.of()), replica, task);
+	}
+
 	/**
 	 * A question is work too: what cold or limited replicas bear is kept for requests,
 	 * and one that asks for rest is not asked.
 	 */
 	private List<Replica> toAsk(List<Replica> usable, Task task, Set<ReplicaId> leftOut) {
-		long now = Clock.millis();
-		ReplicaRules.Wanted wanted = wanted();
-		return picker().toAsk(now, usable, leftOut, task)
-			.stream()
-			.filter((replica) -> !rules().cold(now, wanted, replica))
-			.filter(this.gateway.backpressure()::mayAsk)
-			.toList();
+		return picker().toAsk(Clock.millis(), usable, leftOut, task).stream().filter(this::mayAsk).toList();
+	}
+
+	/**
+	 * Says whether a replica may be asked for its load.
+	 */
+	boolean mayAsk(Replica replica) {
+		return !rules().cold(Clock.millis(), wanted(), replica) && this.gateway.backpressure().mayAsk(replica);
 	}
 
 	private static List<Replica> withoutSilent(List<Replica> usable, List<Replica> asked, List<Replica> told) {
--- a/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
@@ -284,9 +284,9 @@
 	/**
 	 * Leaves a silent replica for another one, which was paid for.
 	 */
-	void move(Attempt from, Choice to) {
+	void move(Attempt from, AttemptEnd end, Choice to) {
 		this.chosen = Optional.of(to);
-		from.withdraw(new AttemptEnd.Broken("silent"));
+		from.withdraw(end);
 	}
 
 	/**
