--- a/daemon/src/main/java/org/gullsaddle/gateway/Decisions.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Decisions.java
@@ -16,6 +16,7 @@
 import org.gullsaddle.serve.ReplicaPicker;
 import org.gullsaddle.serve.ReplicaRules;
 import org.gullsaddle.serve.RetryBudget;
+import org.gullsaddle.serve.SilencePatience;
 
 /**
  * The state that all requests of a gateway decide by. Confined to the event loop.
@@ -61,6 +62,8 @@
 
 	private final FairShare shares = new FairShare();
 
+	private final SilencePatience patience = new SilencePatience();
+
 	private final RandomGenerator random = RandomGenerator.getDefault();
 
 	Decisions(Place here, double retryShare) {
@@ -110,6 +113,10 @@
 		this.picker.heard(now, replica);
 	}
 
+	SilencePatience patience() {
+		return this.patience;
+	}
+
 	void earnRetry() {
 		this.budget.earn();
 	}
