Slow callers: a budget for what is held, replicas paused and read on, who is given up

Cause: whatever a caller did not take lay in its connection's queue without a bound, so that callers of 1 kB/s could fill a node's memory; a body that never ends was held for as long as its caller liked.

Attempt knows why it is paused, so that a doubted answer and a slow caller do not undo each other's pause, and a replica that is not read is neither silent nor slow. - Bodies that are read count, are paused while the budget is spent if they are large, and are refused as not run if they are given up. - A node that stops waits for answers that are whole and have yet to be read. - Handover.of and Decisions.noteShare hold what was in Serving, which had no room.

Ruled out: judging "little" by the mean of what is held (one large arrival raises it above all slow ones; a test showed it); refusing the next arrival; counting what lies in the connections' own queues (bounded by 48 kB each).

--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/gateway/AnswerOutlet.java
@@ -0,0 +1,59 @@
+package org.gullsaddle.gateway;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerResponse;
+
+/**
+ * Where the bytes of a caller's answer go.
+ */
+sealed interface AnswerOutlet permits AnswerOutlet.Direct, CallerFlow {
+
+	void write(Buffer bytes);
+
+	/**
+	 * Ends the answer, which is whole.
+	 */
+	void end(Buffer rest);
+
+	/**
+	 * Forgets what was not sent, as the answer is broken off.
+	 */
+	void drop();
+
+	/**
+	 * Notes that bytes were read from a replica.
+	 * @param from the attempt that they are of
+	 * @param kept how many are held back, as they make no event or answer yet
+	 */
+	void read(Attempt from, int kept);
+
+	/**
+	 * Leaves it to the connection what its caller does not take.
+	 *
+	 * @param response the answer
+	 */
+	record Direct(HttpServerResponse response) implements AnswerOutlet {
+
+		@Override
+		public void write(Buffer bytes) {
+			this.response.write(bytes);
+		}
+
+		@Override
+		public void end(Buffer rest) {
+			this.response.end(rest);
+		}
+
+		@Override
+		public void drop() {
+			// Nothing is held here.
+		}
+
+		@Override
+		public void read(Attempt from, int kept) {
+			// The replica is read as fast as it sends.
+		}
+
+	}
+
+}
--- a/daemon/src/main/java/org/gullsaddle/gateway/AnswerRelay.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/AnswerRelay.java
@@ -5,7 +5,6 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpHeaders;
-import io.vertx.core.http.HttpServerRequest;
 
 /**
  * Passes answers on to one caller: a stream's whole events as they come, anything else
@@ -18,14 +17,21 @@
 
 	private final EventScanner events = new EventScanner();
 
+	private final AnswerOutlet outlet;
+
 	private final CallerAnswerWriter writer;
 
 	private Buffer held = Buffer.buffer();
 
 	private MultiMap headers;
 
-	AnswerRelay(HttpServerRequest request, Gateway gateway) {
-		this.writer = new CallerAnswerWriter(request.response(), gateway::stopping);
+	/**
+	 * Makes a relay.
+	 * @param giveUp ends the request, as its caller reads too slowly
+	 */
+	AnswerRelay(ServedRequest request, Gateway gateway, Runnable giveUp) {
+		this.outlet = gateway.holdings().outlet(request, giveUp);
+		this.writer = new CallerAnswerWriter(request.http().response(), this.outlet, gateway::stopping);
 	}
 
 	/**
@@ -62,26 +68,27 @@
 	 * Passes a stream's bytes on, as far as they make whole events.
 	 * @return whether the caller got an event
 	 */
-	boolean stream(int status, Buffer bytes) {
+	boolean stream(Attempt from, Buffer bytes) {
 		Buffer whole = this.events.add(bytes);
-		if (whole.length() == 0) {
-			return false;
+		if (whole.length() > 0) {
+			this.writer.begin(from.answer().status(), this.headers);
+			this.writer.write(whole);
 		}
-		this.writer.begin(status, this.headers);
-		this.writer.write(whole);
-		return true;
+		this.outlet.read(from, this.events.heldBack());
+		return whole.length() > 0;
 	}
 
 	/**
 	 * Holds bytes back, or passes them on if they are too many to hold.
 	 */
-	void hold(int status, Buffer bytes) {
+	void hold(Attempt from, Buffer bytes) {
 		this.held.appendBuffer(bytes);
 		if (this.held.length() > MAX_HELD) {
-			this.writer.begin(status, this.headers);
+			this.writer.begin(from.answer().status(), this.headers);
 			this.writer.write(this.held);
 			this.held = Buffer.buffer();
 		}
+		this.outlet.read(from, this.held.length());
 	}
 
 	/**
--- a/daemon/src/main/java/org/gullsaddle/gateway/Attempt.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Attempt.java
@@ -1,5 +1,8 @@
 package org.gullsaddle.gateway;
 
+import java.util.EnumSet;
+import java.util.Set;
+
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
@@ -39,6 +42,11 @@
 
 	private HttpClientResponse response;
 
+	private final Set<Hold> holds = EnumSet.noneOf(Hold.class);
+
+	/** When the answer was last read on that had been held back for its caller. */
+	private long resumedAt = this.startedAt;
+
 	private boolean sent;
 
 	private boolean ended;
@@ -193,15 +201,29 @@
 	/**
 	 * Holds the rest of the answer back, once its head has come.
 	 */
-	void pause() {
+	void pause(Hold reason) {
+		this.holds.add(reason);
 		this.response.pause();
 	}
 
 	/**
-	 * Lets a paused answer go on.
+	 * Lets a paused answer go on, unless there is another reason to hold it back.
+	 */
+	void resume(Hold reason) {
+		this.holds.remove(reason);
+		if (reason == Hold.CALLER) {
+			this.resumedAt = Clock.millis();
+		}
+		if (this.holds.isEmpty()) {
+			this.response.resume();
+		}
+	}
+
+	/**
+	 * Returns since when the answer has been read without a pause for its caller.
 	 */
-	void resume() {
-		this.response.resume();
+	long readSince() {
+		return this.holds.contains(Hold.CALLER) ? Clock.millis() : this.resumedAt;
 	}
 
 	boolean ended() {
@@ -256,10 +278,24 @@
 	}
 
 	/**
-	 * Returns when the last bytes came, or the attempt began.
+	 * Returns when the last bytes came, or the attempt began, or its answer was read on:
+	 * what this node does not read is not silent.
 	 */
 	long lastByteAt() {
-		return this.lastByteAt;
+		return Math.max(this.lastByteAt, readSince());
+	}
+
+	/**
+	 * Why an answer is held back.
+	 */
+	enum Hold {
+
+		/** Its model doubts it, and it may be dropped. */
+		DOUBT,
+
+		/** Its caller reads slowly. */
+		CALLER
+
 	}
 
 	/**
--- a/daemon/src/main/java/org/gullsaddle/gateway/CallerAnswerWriter.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/CallerAnswerWriter.java
@@ -18,12 +18,19 @@
 
 	private final HttpServerResponse response;
 
+	private final AnswerOutlet outlet;
+
 	private final BooleanSupplier stopping;
 
 	private boolean begun;
 
 	CallerAnswerWriter(HttpServerResponse response, BooleanSupplier stopping) {
+		this(response, new AnswerOutlet.Direct(response), stopping);
+	}
+
+	CallerAnswerWriter(HttpServerResponse response, AnswerOutlet outlet, BooleanSupplier stopping) {
 		this.response = response;
+		this.outlet = outlet;
 		this.stopping = stopping;
 	}
 
@@ -49,13 +56,13 @@
 
 	void write(Buffer bytes) {
 		if (!this.response.closed()) {
-			this.response.write(bytes);
+			this.outlet.write(bytes);
 		}
 	}
 
 	void end(Buffer rest) {
 		if (!this.response.closed()) {
-			this.response.end(rest);
+			this.outlet.end(rest);
 		}
 	}
 
@@ -66,7 +73,7 @@
 		if (!this.response.closed()) {
 			this.begun = true;
 			head(status, headers);
-			this.response.end(body);
+			this.outlet.end(body);
 		}
 	}
 
@@ -91,6 +98,7 @@
 	 * whole.
 	 */
 	void abort() {
+		this.outlet.drop();
 		if (!this.response.closed()) {
 			this.response.reset();
 		}
--- a/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
@@ -9,6 +9,7 @@
 import org.gullsaddle.base.Fingerprint;
 import org.gullsaddle.fleet.FleetChange;
 import org.gullsaddle.fleet.ReplicaId;
+import org.gullsaddle.hold.Holder;
 import org.gullsaddle.serve.Choice;
 
 /**
@@ -183,6 +184,28 @@
 		}
 	}
 
+	void readOn(Holder holder, long pausedMillis) {
+		if (allowed(false)) {
+			LOG.atInfo()
+				.addKeyValue("id", holder.id())
+				.addKeyValue("heldBytes", holder.held())
+				.addKeyValue("pausedMillis", pausedMillis)
+				.log("slow caller's answer read on");
+		}
+	}
+
+	void givenUp(Holder holder, String what, double secondsToEmpty, long held) {
+		if (allowed(true)) {
+			LOG.atInfo()
+				.addKeyValue("id", holder.id())
+				.addKeyValue("what", what)
+				.addKeyValue("heldBytes", holder.held())
+				.addKeyValue("secondsToEmpty", Math.round(secondsToEmpty))
+				.addKeyValue("heldInAll", held)
+				.log("given up for memory");
+		}
+	}
+
 	void stalled(long millis, int open) {
 		LOG.atWarn().addKeyValue("millis", millis).addKeyValue("open", open).log("stood still");
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/Decisions.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Decisions.java
@@ -3,6 +3,7 @@
 import java.util.random.RandomGenerator;
 
 import org.gullsaddle.base.Spread;
+import org.gullsaddle.base.TeamId;
 import org.gullsaddle.fleet.Route;
 import org.gullsaddle.fleet.RouteKind;
 import org.gullsaddle.fleet.ServiceName;
@@ -102,8 +103,14 @@
 		return soonest + this.random.nextLong(soonest);
 	}
 
-	FairShare shares() {
-		return this.shares;
+	/**
+	 * Counts a generation of a team.
+	 * @return whether the team sent more than its share
+	 */
+	boolean noteShare(TeamId team) {
+		long now = Clock.millis();
+		this.shares.sent(team, now);
+		return this.shares.over(team, now);
 	}
 
 	/**
--- a/daemon/src/main/java/org/gullsaddle/gateway/EventScanner.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/EventScanner.java
@@ -52,6 +52,13 @@
 		return this.rest.length() == 0;
 	}
 
+	/**
+	 * Returns how much came of an event whose end has not come, in bytes.
+	 */
+	int heldBack() {
+		return this.rest.length();
+	}
+
 	Optional<String> lastId() {
 		return this.lastId;
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -82,6 +82,8 @@
 
 	private final BackpressureController backpressure;
 
+	private final Holdings holdings;
+
 	private final StallWatch stalls = new StallWatch();
 
 	private final Set<Serving> open = new LinkedHashSet<>();
@@ -96,6 +98,7 @@
 		this.vertx = vertx;
 		this.settings = builder.settings;
 		this.codec = builder.codec;
+		this.holdings = new Holdings(this.settings.load(), this.log, this.telemetry);
 		this.decisions = new Decisions(this.settings.place(), this.settings.retryShare());
 		this.coldPace = new ColdPace(this.settings.node());
 		this.pool = new ChannelPool(vertx);
@@ -135,6 +138,7 @@
 		this.telemetry.gauge("log.lines.left.out", this.log::leftOut);
 		this.telemetry.gauge("probes.sent", this.probe::asked);
 		this.telemetry.gauge("probes.failed", this.probe::failed);
+		this.holdings.showGauges();
 	}
 
 	/**
@@ -184,7 +188,7 @@
 	}
 
 	private void endIfIdle(Promise<Void> stopped) {
-		if (stopped.future().isComplete() || (!this.open.isEmpty() && !this.stop.over(Clock.millis()))) {
+		if (stopped.future().isComplete() || (busy() && !this.stop.over(Clock.millis()))) {
 			return;
 		}
 		this.stop.end();
@@ -194,6 +198,10 @@
 		stopped.tryComplete();
 	}
 
+	private boolean busy() {
+		return !this.open.isEmpty() || this.holdings.sending();
+	}
+
 	/**
 	 * Notes that the settings were read anew.
 	 * @param what what has changed, for the log
@@ -277,6 +285,7 @@
 		if (!this.open.isEmpty()) {
 			List.copyOf(this.open).forEach((serving) -> serving.tick(now));
 		}
+		this.holdings.look(now);
 	}
 
 	private void tidy() {
@@ -330,6 +339,10 @@
 		return this.log;
 	}
 
+	Holdings holdings() {
+		return this.holdings;
+	}
+
 	ChannelPool pool() {
 		return this.pool;
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/Handover.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Handover.java
@@ -18,4 +18,13 @@
  */
 public record Handover(ReplicaId target, long leftMillis, Optional<TeamId> team, String model, OptionalInt urgency,
 		Optional<String> lastEvent) {
+
+	static Handover of(ServedRequest request, ReplicaId target, long leftMillis, String model, boolean overShare,
+			Optional<String> lastEvent) {
+		OptionalInt urgency = request.engine().isPresent()
+				? OptionalInt.of(Decisions.urgency(request.rank(), overShare)) : OptionalInt.empty();
+		return new Handover(target, leftMillis, request.team(), request.route().models().isEmpty() ? "" : model,
+				urgency, lastEvent);
+	}
+
 }
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Holdings.java
@@ -0,0 +1,146 @@
+package org.gullsaddle.gateway;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.gullsaddle.hold.Holder;
+import org.gullsaddle.hold.HoldingBudget;
+import org.gullsaddle.telemetry.Telemetry;
+
+/**
+ * What this node holds for callers and replicas, in a deployment whose callers may read
+ * slowly. Confined to the event loop.
+ */
+final class Holdings {
+
+	private final Optional<HoldingBudget> budget;
+
+	private final DecisionLog log;
+
+	private final Telemetry telemetry;
+
+	private final Map<Holder, Party> parties = new LinkedHashMap<>();
+
+	/**
+	 * Makes what holds as the settings tell. The bytes lie in the heap, which may be less
+	 * than the process may use.
+	 */
+	Holdings(LoadSettings load, DecisionLog log, Telemetry telemetry) {
+		this.budget = (load.pressure() && load.memoryBytes() > 0)
+				? Optional.of(HoldingBudget.ofMemory(Math.min(load.memoryBytes(), Runtime.getRuntime().maxMemory())))
+				: Optional.empty();
+		this.log = log;
+		this.telemetry = telemetry;
+	}
+
+	void showGauges() {
+		if (this.budget.isPresent()) {
+			this.telemetry.gauge("held.bytes", () -> this.budget.get().held());
+			this.telemetry.gauge("paused.answers", this::paused);
+		}
+	}
+
+	boolean inForce() {
+		return this.budget.isPresent();
+	}
+
+	/**
+	 * Says whether more is held than may be, so that only who holds little is read on.
+	 */
+	boolean spent() {
+		return this.budget.map(HoldingBudget::spent).orElse(false);
+	}
+
+	/**
+	 * Returns where an answer's bytes go.
+	 * @param giveUp breaks the answer off
+	 */
+	AnswerOutlet outlet(ServedRequest request, Runnable giveUp) {
+		return inForce() ? new CallerFlow(request, this, giveUp) : new AnswerOutlet.Direct(request.http().response());
+	}
+
+	/**
+	 * Begins to hold.
+	 * @param paceMillis how long the other side may pause and still be on time
+	 */
+	Holder open(String id, long paceMillis, Party party) {
+		Holder holder = this.budget.orElseThrow().holder(id, paceMillis);
+		this.parties.put(holder, party);
+		return holder;
+	}
+
+	void close(Holder holder) {
+		this.parties.remove(holder);
+		holder.close();
+	}
+
+	/**
+	 * Is called some times a second.
+	 */
+	void look(long now) {
+		if (this.parties.isEmpty()) {
+			return;
+		}
+		List.copyOf(this.parties.values()).forEach((party) -> party.look(now));
+		this.budget.flatMap((each) -> each.toGiveUp(now)).ifPresent((holder) -> giveUp(holder, now));
+	}
+
+	private void giveUp(Holder holder, long now) {
+		Party party = this.parties.get(holder);
+		this.log.givenUp(holder, party.what(), holder.secondsToEmpty(now), this.budget.orElseThrow().held());
+		this.telemetry.count("given.up." + party.what());
+		close(holder);
+		party.giveUp();
+	}
+
+	/**
+	 * Notes that a replica whose answer was paused is read on, lest it cuts the answer
+	 * off.
+	 */
+	void readOn(Holder holder, long pausedMillis) {
+		this.log.readOn(holder, pausedMillis);
+		this.telemetry.count("read.on.answer");
+	}
+
+	/**
+	 * Says whether there are answers that are whole here, and whose callers have yet to
+	 * read them.
+	 */
+	boolean sending() {
+		return this.parties.values().stream().anyMatch((party) -> party instanceof CallerFlow flow && flow.sending());
+	}
+
+	private long paused() {
+		return this.parties.values().stream().filter(Party::paused).count();
+	}
+
+	/**
+	 * Whose bytes are held.
+	 */
+	sealed interface Party permits CallerFlow, Intake {
+
+		/**
+		 * Is called some times a second.
+		 */
+		void look(long now);
+
+		/**
+		 * Says whether a replica is not read.
+		 */
+		boolean paused();
+
+		/**
+		 * Returns what is held, in a word.
+		 */
+		String what();
+
+		/**
+		 * Ends what is held for, as there is no memory left for it.
+		 */
+		void giveUp();
+
+	}
+
+}
--- a/daemon/src/main/java/org/gullsaddle/gateway/Intake.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Intake.java
@@ -5,21 +5,30 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
 
+import org.gullsaddle.hold.Holder;
+
 /**
  * Reads a caller's request to its end.
  */
-final class Intake {
+final class Intake implements Holdings.Party {
 
 	/** What a body may have while no configuration is known, in bytes. */
 	private static final long DEFAULT_BODY_BYTES = 4_194_304;
 
+	/** In what time a caller shows how fast it sends, in milliseconds. */
+	private static final long PACE_MILLIS = 1000;
+
 	private final Gateway gateway;
 
 	private final HttpServerRequest request;
 
 	private final long startedAt = Clock.millis();
 
-	private final Buffer body = Buffer.buffer();
+	private Buffer body = Buffer.buffer();
+
+	private Optional<Holder> holder = Optional.empty();
+
+	private boolean paused;
 
 	private boolean over;
 
@@ -34,42 +43,96 @@
 			caller = this.gateway.codec().read(this.request);
 		}
 		catch (BadRequestException ex) {
-			reject(Statuses.BAD_REQUEST, ex.getMessage());
+			reject(Statuses.BAD_REQUEST, Optional.empty(), ex.getMessage());
 			return;
 		}
 		long limit = this.gateway.fleet()
 			.config()
 			.map((config) -> config.limits().bodyBytes())
 			.orElse(DEFAULT_BODY_BYTES);
-		this.request.handler((bytes) -> add(bytes, limit));
+		this.request.handler((bytes) -> add(bytes, limit, caller));
 		this.request.exceptionHandler((failure) -> this.over = true);
 		this.request.endHandler((nothing) -> {
 			if (!this.over) {
 				this.over = true;
+				this.holder.ifPresent((each) -> each.holds(this.body.length(), false, Clock.millis()));
 				this.gateway.dispatcher().take(this.request, caller, this.body, this.startedAt);
 			}
 		});
 	}
 
-	private void add(Buffer bytes, long limit) {
+	private void add(Buffer bytes, long limit, CallerRequest caller) {
 		if (this.over) {
 			return;
 		}
 		if (this.body.length() + bytes.length() > limit) {
-			reject(Statuses.TOO_LARGE, "the body is larger than " + limit + " bytes");
+			reject(Statuses.TOO_LARGE, Optional.empty(), "the body is larger than " + limit + " bytes");
 			return;
 		}
 		this.body.appendBuffer(bytes);
+		if (this.gateway.holdings().inForce()) {
+			hold(bytes.length(), caller.attemptId().orElse(""));
+		}
+	}
+
+	private void hold(int bytes, String id) {
+		if (this.holder.isEmpty()) {
+			this.holder = Optional.of(this.gateway.holdings().open(id, PACE_MILLIS, this));
+		}
+		Holder mine = this.holder.get();
+		mine.holds(this.body.length(), true, Clock.millis());
+		mine.moved(bytes, Clock.millis());
+		if (this.gateway.holdings().spent() && !mine.mayRead()) {
+			this.paused = true;
+			this.request.pause();
+		}
+	}
+
+	@Override
+	public void look(long now) {
+		if (this.request.response().ended() || this.request.response().closed()) {
+			this.holder.ifPresent(this.gateway.holdings()::close);
+		}
+		if (this.paused && !this.gateway.holdings().spent()) {
+			readOn();
+		}
+	}
+
+	private void readOn() {
+		if (this.paused) {
+			this.paused = false;
+			this.request.resume();
+		}
+	}
+
+	/**
+	 * Says no: what is not read here is a caller's body, never a replica's answer.
+	 */
+	@Override
+	public boolean paused() {
+		return false;
+	}
+
+	@Override
+	public String what() {
+		return "body";
+	}
+
+	@Override
+	public void giveUp() {
+		this.body = Buffer.buffer();
+		reject(Statuses.UNAVAILABLE, Optional.of(this.gateway.decisions().comeBackMillis()), "sent too slowly");
+		readOn();
 	}
 
 	/**
 	 * Answers a request that is not read on, and ends its connection: what follows on it
 	 * cannot be told apart from the rest of this one.
 	 */
-	private void reject(int status, String reason) {
+	private void reject(int status, Optional<Long> after, String reason) {
 		this.over = true;
 		CallerAnswerWriter writer = new CallerAnswerWriter(this.request.response(), () -> true);
-		this.gateway.dispatcher().refused(writer, CallerRequest.unread(), status, Optional.empty(), reason);
+		this.gateway.dispatcher().refused(writer, CallerRequest.unread(), status, after, reason);
 	}
 
 }
--- a/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
@@ -3,7 +3,6 @@
 import java.util.HashSet;
 import java.util.Locale;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.Set;
 
 import io.vertx.core.MultiMap;
@@ -67,7 +66,7 @@
 		this.rule = new RetryRule(request.route());
 		this.replicas = new ReplicaChooser(gateway, request);
 		this.cascade = new Cascade(gateway.decisions(), gateway.log(), request.route(), this.rule, request.caller());
-		this.relay = new AnswerRelay(request.http(), gateway);
+		this.relay = new AnswerRelay(request, gateway, this::givenUp);
 	}
 
 	void start() {
@@ -82,18 +81,11 @@
 		}
 		this.gateway.decisions().earnRetry();
 		if (this.request.engine().isPresent()) {
-			noteShare(Clock.millis());
+			this.overShare = this.request.team().map(this.gateway.decisions()::noteShare).orElse(false);
 		}
 		tryNext();
 	}
 
-	private void noteShare(long now) {
-		this.request.team().ifPresent((id) -> {
-			this.gateway.decisions().shares().sent(id, now);
-			this.overShare = this.gateway.decisions().shares().over(id, now);
-		});
-	}
-
 	private void tryNext() {
 		long now = Clock.millis();
 		long left = this.request.left(now);
@@ -145,10 +137,7 @@
 		this.replicas.sent(choice.replica());
 		Admission admission = this.replicas.admit(choice.replica());
 		Optional<String> lastEvent = this.relay.lastEvent().or(this.request.caller()::lastEvent);
-		OptionalInt urgency = this.request.engine().isPresent()
-				? OptionalInt.of(Decisions.urgency(this.request.rank(), this.overShare)) : OptionalInt.empty();
-		Handover handover = new Handover(choice.replica().id(), left, this.request.team(),
-				route().models().isEmpty() ? "" : model(), urgency, lastEvent);
+		Handover handover = Handover.of(this.request, choice.replica().id(), left, model(), this.overShare, lastEvent);
 		MultiMap headers = this.gateway.codec().toReplica(this.request.http().headers(), handover);
 		this.attempt = new Attempt(choice, admission, this.replicas.coldMillis(choice.replica()), id(),
 				this.gateway.pool(), this.gateway.codec(), this);
@@ -194,7 +183,7 @@
 		if (larger.isEmpty()) {
 			return;
 		}
-		from.pause();
+		from.pause(Attempt.Hold.DOUBT);
 		int confidence = answer.confidence().orElse(0);
 		this.replicas.choose(this.request.task(larger.get()), Set.of(), (choice) -> {
 			if (this.done || from.ended()) {
@@ -206,7 +195,7 @@
 				from.withdraw(new AttemptEnd.Dropped(confidence));
 			}
 			else {
-				from.resume();
+				from.resume(Attempt.Hold.DOUBT);
 			}
 		});
 	}
@@ -218,10 +207,10 @@
 		}
 		this.gateway.decisions().picker().heard(Clock.millis(), from.choice().replica());
 		if (!streamed(from)) {
-			this.relay.hold(from.answer().status(), bytes);
+			this.relay.hold(from, bytes);
 		}
-		else if (this.relay.stream(from.answer().status(), bytes)) {
-			this.clock.event(Clock.millis());
+		else if (this.relay.stream(from, bytes)) {
+			this.clock.event(Clock.millis(), from.readSince());
 		}
 	}
 
@@ -380,6 +369,16 @@
 		close("left", 0, "caller left");
 	}
 
+	/**
+	 * There is no memory left for what the caller does not read.
+	 */
+	private void givenUp() {
+		if (!this.done) {
+			withdraw("given up for memory");
+			refuse("given up for memory");
+		}
+	}
+
 	/**
 	 * Ends the attempt under way, without another one after it.
 	 */
--- a/daemon/src/main/java/org/gullsaddle/gateway/StreamClock.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/StreamClock.java
@@ -21,13 +21,14 @@
 
 	/**
 	 * Notes that one event came, or several together.
+	 * @param readSince since when the replica has been read: before, nothing could come
 	 */
-	void event(long now) {
+	void event(long now, long readSince) {
 		if (this.firstAt < 0) {
 			this.firstAt = now;
 		}
 		else {
-			this.longestGap = Math.max(this.longestGap, now - this.lastAt);
+			this.longestGap = Math.max(this.longestGap, now - Math.max(this.lastAt, readSince));
 		}
 		this.lastAt = now;
 	}
