--- a/core/src/main/java/org/gullsaddle/fleet/EngineSpec.java
+++ b/core/src/main/java/org/gullsaddle/fleet/EngineSpec.java
@@ -17,4 +17,13 @@
 		models = List.copyOf(models);
 	}
 
+	/**
+	 * Says whether an engine has room for a request, if it runs nothing else.
+	 * @param tokens how many tokens it reads and may generate
+	 * @return true if it fits
+	 */
+	public boolean fits(long tokens) {
+		return tokens <= this.cacheTokens;
+	}
+
 }
--- a/core/src/main/java/org/gullsaddle/serve/Prompt.java
+++ b/core/src/main/java/org/gullsaddle/serve/Prompt.java
@@ -21,6 +21,14 @@
 		parts = List.copyOf(parts);
 	}
 
+	/**
+	 * Returns how many tokens a replica may have to hold for it.
+	 * @return the prompt's and those that may be generated
+	 */
+	public long mostTokens() {
+		return (long) this.inputTokens + this.maxOutputTokens;
+	}
+
 	/**
 	 * Returns how many tokens will likely be generated.
 	 * @return the hint, or the allowed number without one
--- /dev/null
+++ b/core/src/test/java/org/gullsaddle/fleet/EngineSpecTests.java
@@ -0,0 +1,33 @@
+package org.gullsaddle.fleet;
+
+import java.util.List;
+import java.util.OptionalInt;
+
+import org.junit.jupiter.api.Test;
+
+import org.gullsaddle.serve.Prompt;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class EngineSpecTests {
+
+	private final EngineSpec engine = new EngineSpec(8, 1000, 4, List.of());
+
+	/**
+	 * Guards against a replica that crashes under one request that its memory cannot
+	 * hold.
+	 */
+	@Test
+	void requestFitsWithAllThatItMayGenerate() {
+		assertThat(this.engine.fits(new Prompt(900, 100, OptionalInt.of(5), List.of()).mostTokens())).isTrue();
+		assertThat(this.engine.fits(new Prompt(900, 101, OptionalInt.of(5), List.of()).mostTokens())).isFalse();
+		assertThat(this.engine.fits(Prompt.NONE.mostTokens())).isTrue();
+	}
+
+	@Test
+	void tokensThatOverflowAnIntDoNotFit() {
+		Prompt prompt = new Prompt(Integer.MAX_VALUE, Integer.MAX_VALUE, OptionalInt.empty(), List.of());
+		assertThat(this.engine.fits(prompt.mostTokens())).isFalse();
+	}
+
+}
--- a/daemon/src/main/java/org/gullsaddle/gateway/RequestDispatcher.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/RequestDispatcher.java
@@ -113,6 +113,11 @@
 			.body(body)
 			.time(startedAt, this.gateway.stop().latest(route.get()))
 			.build();
+		if (this.gateway.holdings().inForce() && !served.fits()) {
+			refused(writer, caller, Statuses.UNAVAILABLE, Optional.of(this.gateway.decisions().comeBackMillis()),
+					"larger than a replica's memory");
+			return;
+		}
 		new Serving(this.gateway, served).start();
 	}
 
--- a/daemon/src/main/java/org/gullsaddle/gateway/ServedRequest.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/ServedRequest.java
@@ -121,6 +121,14 @@
 		return this.config.service(this.service).flatMap(ServiceSpec::engine);
 	}
 
+	/**
+	 * Says whether the memory of a replica has room for it. One larger than that is
+	 * turned away by each of them, or crashes it.
+	 */
+	boolean fits() {
+		return engine().map((engine) -> engine.fits(this.caller.prompt().mostTokens())).orElse(true);
+	}
+
 	/**
 	 * Returns what cold replicas of its service bear.
 	 */
