--- a/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
@@ -200,7 +200,7 @@
 				.addKeyValue("id", holder.id())
 				.addKeyValue("what", what)
 				.addKeyValue("heldBytes", holder.held())
-				.addKeyValue("secondsToEmpty", Math.round(secondsToEmpty))
+				.addKeyValue("secondsToEmpty", Double.isFinite(secondsToEmpty) ? Math.round(secondsToEmpty) : -1)
 				.addKeyValue("heldInAll", held)
 				.log("given up for memory");
 		}
