Return times by the rate at which requests end

Cause: a refused caller is told a fixed quarter to half second, whatever the load, its rank and its team.

Change: ReturnTimes gives each refused caller a place behind those of more urgent ranks, and in its rank one of each team by turns, a step apart that follows from the rate at which requests end at this node. The first turn begins at a random point of its step, so that many nodes of few requests do not all begin with one return at once. A caller that comes before its time is told the same time again and takes no second place. Who can't return while it is of use returns at the end of that time, without hope. A node that has seen few ends tells the soonest, as before.

Useful is a third of the time left (callers heed no more), and a third of what is left to the objective.

Ruled out: those told to return ahead of newcomers of their rank.

Tests: 2.6 times for 6 s at 4, 22 and 340 nodes, pressing callers, one team of many returns, ends that stop and go on.

--- /dev/null
+++ b/core/src/test/java/org/gullsaddle/serve/ReturnTimesTests.java
@@ -0,0 +1,265 @@
+package org.gullsaddle.serve;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import org.gullsaddle.base.Fingerprint;
+import org.gullsaddle.fleet.ServiceName;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
+
+class ReturnTimesTests {
+
+	private static final ServiceName SERVICE = new ServiceName("engines");
+
+	private static final long SOONEST = 250;
+
+	private static final TimeLeft LEFT = new TimeLeft(12_000, 4000);
+
+	/** Who returns later is late. */
+	private static final long USEFUL = 1334;
+
+	/** How many requests all replicas together end, in a second. */
+	private static final int ENDS = 200;
+
+	private final Random random = new Random(7);
+
+	private final List<ReturnTimes> nodes = new ArrayList<>();
+
+	/** All that were told when to return. */
+	private final List<Told> told = new ArrayList<>();
+
+	private int refusals;
+
+	private void nodes(int count) {
+		for (int i = 0; i < count; i++) {
+			this.nodes.add(new ReturnTimes(new Random(i)));
+		}
+	}
+
+	private ReturnTimes node() {
+		return this.nodes.get(this.random.nextInt(this.nodes.size()));
+	}
+
+	private static Refused refused(int rank, String team, String content) {
+		return new Refused(SERVICE, rank, team, new Fingerprint(content));
+	}
+
+	/**
+	 * Lets callers of three ranks come at some times what replicas end, most of them in
+	 * the middle rank. What is beyond that is refused.
+	 */
+	private void load(long from, long until, double times, double ends) {
+		double coming = 0;
+		double ending = 0;
+		for (long now = from; now < until; now += 10) {
+			coming += times * ENDS / 100;
+			ending = Math.min(ending + ends * ENDS / 100, 20);
+			for (; coming >= 1; coming--) {
+				ReturnTimes node = node();
+				double draw = this.random.nextDouble() * times;
+				int rank = (draw < 0.3) ? 0 : (draw < 0.5) ? 2 : 1;
+				node.opened(now, SERVICE, rank);
+				boolean ran = ending >= 1;
+				ending -= ran ? 1 : 0;
+				node.closed(now, SERVICE, rank, ran);
+				if (!ran) {
+					refuse(now, node, refused(rank, "t" + this.random.nextInt(5), "c" + this.refusals++), LEFT);
+				}
+			}
+		}
+	}
+
+	private ReturnTime refuse(long now, ReturnTimes node, Refused refused, TimeLeft left) {
+		ReturnTime time = node.next(now, refused, SOONEST + this.random.nextLong(SOONEST), left);
+		this.told.add(new Told(now, time.millis(), refused.rank(), time.hope()));
+		return time;
+	}
+
+	private long mostInASecond() {
+		List<Long> times = this.told.stream().filter(Told::hope).map((each) -> each.at + each.millis).sorted().toList();
+		return times.stream()
+			.mapToLong((from) -> times.stream().filter((each) -> each >= from && each < from + 1000).count())
+			.max()
+			.orElse(0);
+	}
+
+	private double meanMillis(int rank) {
+		return this.told.stream()
+			.filter((each) -> each.rank == rank)
+			.mapToLong(Told::millis)
+			.average()
+			.orElse(Double.NaN);
+	}
+
+	@Test
+	void nodeThatHasSeenNoEndsTellsTheSoonest() {
+		nodes(1);
+		assertThat(this.nodes.get(0).next(0, refused(0, "a", "c"), 300, LEFT)).isEqualTo(new ReturnTime(300, true));
+	}
+
+	@Test
+	void callersThatAreLateAnywayReturnInAThirdOfTheirTime() {
+		nodes(1);
+		load(0, 20_000, 0.9, 1);
+		load(20_000, 40_000, 0.9, 0);
+		ReturnTime time = refuse(40_000, node(), refused(1, "a", "c"), new TimeLeft(9000, -1));
+		assertThat(time.millis()).isBetween(USEFUL, 3000L);
+	}
+
+	/**
+	 * Load: 0.9. One team's callers are refused six times as often as another's.
+	 */
+	@Test
+	void teamOfManyReturningCallersDoesNotDelayAnothers() {
+		nodes(1);
+		load(0, 20_000, 0.9, 1);
+		ReturnTimes node = node();
+		long large = 0;
+		for (int i = 0; i < 18; i++) {
+			large = node.next(20_000, refused(2, "large", "l" + i), SOONEST, LEFT).millis();
+		}
+		long small = node.next(20_000, refused(2, "small", "s"), SOONEST, LEFT).millis();
+		assertThat(small).isLessThan(large / 2);
+	}
+
+	/**
+	 * Load: 0.9 of what replicas end for 20 s, 2.6 times of it for 6 s, most of it of one
+	 * kind, then 0.9 again.
+	 */
+	@Nested
+	class AfterABurst {
+
+		private void burst(int count) {
+			nodes(count);
+			load(0, 20_000, 0.9, 1);
+			load(20_000, 26_000, 2.6, 1);
+			load(26_000, 36_000, 0.9, 1);
+		}
+
+		/** Guards against callers that were refused together and return together. */
+		@ParameterizedTest
+		@ValueSource(ints = { 4, 22, 340 })
+		void noMoreThanEndInASecondAreToldToReturnInOne(int count) {
+			burst(count);
+			assertThat(mostInASecond()).isBetween(1L, (long) ENDS);
+		}
+
+		/** Guards against less urgent callers that take the place of urgent ones. */
+		@ParameterizedTest
+		@ValueSource(ints = { 4, 22, 340 })
+		void moreUrgentRanksReturnSooner(int count) {
+			burst(count);
+			assertThat(meanMillis(0)).isLessThan(meanMillis(1));
+			assertThat(meanMillis(1)).isLessThan(meanMillis(2));
+		}
+
+		/**
+		 * Guards against times that callers do not heed, or that make answers late, and
+		 * too soon ones.
+		 */
+		@ParameterizedTest
+		@ValueSource(ints = { 4, 22, 340 })
+		void timesAreNeverTooSoonOrTooLate(int count) {
+			burst(count);
+			assertThat(ReturnTimesTests.this.told).allMatch((each) -> each.millis >= SOONEST && each.millis <= USEFUL);
+		}
+
+		/** Guards against a node that goes on to send callers away once there is room. */
+		@Test
+		void whatIsRefusedLaterReturnsAsSoonAsBefore() {
+			burst(4);
+			ReturnTime time = refuse(36_000, node(), refused(1, "a", "late"), LEFT);
+			assertThat(time.millis()).isLessThan(3 * SOONEST);
+		}
+
+	}
+
+	/**
+	 * Load: 0.9, and a refused caller that returns at once, three times.
+	 */
+	@Nested
+	class WhenACallerPresses {
+
+		private ReturnTimes node;
+
+		private void open() {
+			ReturnTimesTests.this.nodes.clear();
+			nodes(1);
+			load(0, 20_000, 0.9, 1);
+			this.node = node();
+		}
+
+		private ReturnTime next(long now, String content) {
+			return this.node.next(now, refused(2, "a", content), SOONEST, LEFT);
+		}
+
+		/** Guards against callers that gain by coming before their time. */
+		@Test
+		void itIsNotServedSoonerForIt() {
+			open();
+			next(20_000, "other");
+			long at = 20_000 + next(20_000, "pressing").millis();
+			for (int i = 1; i <= 3; i++) {
+				assertThat(20_000 + i + next(20_000 + i, "pressing").millis()).isGreaterThanOrEqualTo(at);
+			}
+		}
+
+		private long afterPressing(int times) {
+			open();
+			for (int i = 0; i <= times; i++) {
+				next(20_000, "pressing");
+			}
+			return next(20_010, "other").millis();
+		}
+
+		/** Guards against callers that lose their places to those that press. */
+		@Test
+		void othersAreNotDelayedByIt() {
+			assertThat(afterPressing(3)).isCloseTo(afterPressing(0), within(SOONEST));
+		}
+
+	}
+
+	/**
+	 * Load: 0.9, and replicas end nothing for 20 s, as all of them were lost.
+	 */
+	@Nested
+	class WhenNothingEnds {
+
+		/** Guards against callers that are told to return to a fleet that stands. */
+		@Test
+		void callersReturnLateAndAreToldWithoutHope() {
+			nodes(4);
+			load(0, 20_000, 0.9, 1);
+			load(20_000, 40_000, 0.9, 0);
+			ReturnTime time = refuse(40_000, node(), refused(1, "a", "c"), LEFT);
+			assertThat(time.hope()).isFalse();
+			assertThat(time.millis()).isBetween(USEFUL / 2, USEFUL);
+		}
+
+		/** Guards against a rate that stays at zero once replicas are back. */
+		@Test
+		void theyReturnSoonAgainOnceRequestsEnd() {
+			nodes(4);
+			load(0, 20_000, 0.9, 1);
+			load(20_000, 40_000, 0.9, 0);
+			load(40_000, 50_000, 0.9, 1);
+			ReturnTime time = refuse(50_000, node(), refused(1, "a", "c"), LEFT);
+			assertThat(time.hope()).isTrue();
+			assertThat(time.millis()).isLessThan(3 * SOONEST);
+		}
+
+	}
+
+	private record Told(long at, long millis, int rank, boolean hope) {
+	}
+
+}
