Shares of engines' work among teams

Cause: a team's share counts requests, so that one of long prompts or of larger models takes many times what another takes of the engines; and an equal part is what all teams known have, also those that ask for nothing.

Change: WorkShares counts the work of requests (tokens to read and to write, times the pace of the model) against what engines got done lately, rank by rank, and shares it max-min over the teams that ask now. What a team sends within its share stays within; only the rest waits, so that a burst doesn't demote all of a team. Whether a request is over depends on what its team has had, never on its own size.

Tests: one team at six times its usual for 11 s, long requests, unequal work at equal counts, a more urgent rank.

--- /dev/null
+++ b/core/src/test/java/org/gullsaddle/serve/WorkSharesTests.java
@@ -0,0 +1,180 @@
+package org.gullsaddle.serve;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.gullsaddle.base.TeamId;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class WorkSharesTests {
+
+	private static final TeamId LARGE = new TeamId("large");
+
+	private static final TeamId SMALL = new TeamId("small");
+
+	private static final TeamId THIRD = new TeamId("third");
+
+	private static final TeamId FOURTH = new TeamId("fourth");
+
+	private static final List<TeamId> TEAMS = List.of(LARGE, SMALL, THIRD, FOURTH);
+
+	/** How much work engines get done in 10 ms. */
+	private static final double DONE = 100;
+
+	private final WorkShares shares = new WorkShares();
+
+	private final Map<TeamId, Double> due = new HashMap<>();
+
+	private final Deque<Double> queue = new ArrayDeque<>();
+
+	private double free;
+
+	/** How much work of each team was sent, and how much of it within its share. */
+	private final Map<TeamId, Double> asked = new HashMap<>();
+
+	private final Map<TeamId, Double> within = new HashMap<>();
+
+	/**
+	 * Lets teams ask for parts of what engines get done, in requests of some work.
+	 */
+	private void load(long from, long until, Map<TeamId, Double> parts, double work) {
+		this.asked.clear();
+		this.within.clear();
+		for (long now = from; now < until; now += 10) {
+			for (TeamId team : TEAMS) {
+				this.due.merge(team, parts.getOrDefault(team, 0.0) * DONE, Double::sum);
+				while (this.due.get(team) >= work) {
+					this.due.merge(team, -work, Double::sum);
+					send(now, team, 0, work);
+				}
+			}
+			done(now);
+		}
+	}
+
+	private void send(long now, TeamId team, int rank, double work) {
+		this.queue.add(work);
+		boolean over = this.shares.sent(now, team, rank, work);
+		this.asked.merge(team, work, Double::sum);
+		this.within.merge(team, over ? 0 : work, Double::sum);
+	}
+
+	private void done(long now) {
+		this.free = Math.min(this.free + DONE, 10 * DONE);
+		while (!this.queue.isEmpty() && this.free >= this.queue.peek()) {
+			this.free -= this.queue.peek();
+			this.shares.ended(now, this.queue.poll());
+		}
+	}
+
+	private double withinPart(TeamId team) {
+		return this.within.get(team) / this.asked.get(team);
+	}
+
+	private static Map<TeamId, Double> usual() {
+		return new HashMap<>(Map.of(LARGE, 0.4, SMALL, 0.1, THIRD, 0.2, FOURTH, 0.2));
+	}
+
+	/** Guards against a large team that waits though there is room for all. */
+	@Test
+	void noTeamIsOverWhereThereIsRoomForAll() {
+		load(0, 20_000, usual(), 40);
+		assertThat(TEAMS).allMatch((team) -> withinPart(team) == 1);
+	}
+
+	@Test
+	void aNodeThatHasJustStartedDemotesNobody() {
+		for (int i = 0; i < 50; i++) {
+			assertThat(this.shares.sent(i, LARGE, 0, 40)).isFalse();
+		}
+	}
+
+	/**
+	 * Load: 0.9 by requests, but one team's have ten times the work of the others'.
+	 */
+	@Test
+	void workCountsNotRequests() {
+		load(0, 20_000, usual(), 40);
+		int large = 0;
+		int small = 0;
+		for (long now = 20_000; now < 26_000; now += 10) {
+			large += this.shares.sent(now, LARGE, 0, 150) ? 1 : 0;
+			small += this.shares.sent(now, SMALL, 0, 15) ? 1 : 0;
+			this.shares.ended(now, DONE);
+		}
+		assertThat(large).isPositive();
+		assertThat(small).isZero();
+	}
+
+	/** Guards against shares that are taken from what a more urgent rank needs. */
+	@Test
+	void moreUrgentRankGoesBeforeShares() {
+		load(0, 20_000, usual(), 40);
+		for (long now = 20_000; now < 26_000; now += 10) {
+			send(now, LARGE, 0, 80);
+			send(now, SMALL, 1, 40);
+			send(now, THIRD, 1, 40);
+			done(now);
+		}
+		assertThat(this.shares.over(26_000, LARGE, 0)).isFalse();
+		assertThat(this.shares.over(26_000, THIRD, 1) || this.shares.over(26_000, SMALL, 1)).isTrue();
+	}
+
+	/**
+	 * Load: 0.9 of what engines do, then one team at six times its usual for 11 s.
+	 */
+	@Nested
+	class WhenOneTeamAsksForSixTimesItsUsual {
+
+		private void burst(double work) {
+			load(0, 20_000, usual(), work);
+			Map<TeamId, Double> parts = usual();
+			parts.put(THIRD, 1.2);
+			load(20_000, 31_000, parts, work);
+		}
+
+		/** Guards against callers that wait behind another team's burst. */
+		@Test
+		void teamsThatAskForLittleGetAllTheyAskFor() {
+			burst(40);
+			assertThat(withinPart(SMALL)).isEqualTo(1);
+			assertThat(withinPart(FOURTH)).isEqualTo(1);
+		}
+
+		/** Guards against a burst that takes more than what others leave. */
+		@Test
+		void whatTheyLeaveIsSharedByTheOthers() {
+			burst(40);
+			double room = DONE * 11_000 / 10;
+			assertThat(WorkSharesTests.this.within.get(THIRD) / room).isBetween(0.25, 0.5);
+			assertThat(WorkSharesTests.this.within.get(LARGE) / room).isBetween(0.25, 0.41);
+		}
+
+		@Test
+		void itIsOverWhileItHasItsShareAndNoLongerAfter() {
+			burst(40);
+			assertThat(WorkSharesTests.this.shares.over(31_000, SMALL, 0)).isFalse();
+			load(31_000, 45_000, usual(), 40);
+			assertThat(TEAMS).noneMatch((team) -> WorkSharesTests.this.shares.over(45_000, team, 0));
+		}
+
+		/** Guards against a team of long prompts that waits for their length. */
+		@Test
+		void largeRequestsOfATeamWithinItsShareAreNotDemoted() {
+			burst(40);
+			for (int i = 0; i < 100; i++) {
+				send(31_000, THIRD, 0, 40);
+			}
+			assertThat(WorkSharesTests.this.shares.sent(31_000, SMALL, 0, 4000)).isFalse();
+		}
+
+	}
+
+}
