--- a/core/src/main/java/org/gullsaddle/serve/ReplicaRules.java
+++ b/core/src/main/java/org/gullsaddle/serve/ReplicaRules.java
@@ -146,6 +146,16 @@
 		return wanted.coldStart().limited() && this.directory.coldMillis(now, replica.id()) > 0;
 	}
 
+	/**
+	 * Says whether any replica that a request belongs to is to be spared.
+	 * @param now the time in milliseconds
+	 * @param wanted what the request asks of them
+	 * @return true if one is cold, and bears less than a warm one
+	 */
+	public boolean anyCold(long now, Wanted wanted) {
+		return open(now, wanted).stream().anyMatch((replica) -> cold(now, wanted, replica));
+	}
+
 	private boolean room(long now, Wanted wanted, Replica replica) {
 		return wanted.nodes().isPresent()
 				&& this.pace.room(now, replica, wanted.coldStart().perSecond(), wanted.nodes().get());
