Return times, hopeless requests and shares of work in force under pressure

Cause: the gateway decided all three by fixed times and counts of requests.

Change: where the settings say pressure, refused callers are told their return time (Returns), what would begin nowhere is refused before its first attempt, and urgency follows from the shares of work, counted as a request is sent (TeamTurn). Elsewhere nothing is asked of the new parts. Request lines tell when a caller was told to return; counters for returns with and without hope, and for hopeless requests.

Not tested on a network: a refusal as hopeless, which needs queues of seconds.

--- a/daemon/src/main/java/org/gullsaddle/gateway/AnswerRelay.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/AnswerRelay.java
@@ -24,6 +24,8 @@
 
 	private MultiMap headers;
 
+	private long toldMillis = -1;
+
 	AnswerRelay(HttpServerRequest request, Gateway gateway) {
 		this.writer = new CallerAnswerWriter(request.response(), gateway::stopping);
 	}
@@ -104,9 +106,18 @@
 	 * @param afterMillis when to come back, in milliseconds, if the request was not run
 	 */
 	void error(int status, Optional<Long> afterMillis, String reason) {
+		this.toldMillis = afterMillis.orElse(-1L);
 		this.writer.error(status, afterMillis, reason);
 	}
 
+	/**
+	 * Returns when the caller was told to come back, in milliseconds, negative if it was
+	 * not.
+	 */
+	long toldMillis() {
+		return this.toldMillis;
+	}
+
 	/**
 	 * Breaks the answer off, so that the caller sees it is not whole.
 	 */
--- a/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
@@ -208,6 +208,7 @@
 				.addKeyValue("verdict", request.verdict())
 				.addKeyValue("attempts", request.attempts())
 				.addKeyValue("overShare", request.overShare())
+				.addKeyValue("toldMillis", request.toldMillis())
 				.addKeyValue("objectiveMillis", request.objectiveMillis())
 				.addKeyValue("configVersion", request.configVersion())
 				.addKeyValue("fleetAgeMillis", request.fleetAgeMillis())
@@ -250,14 +251,15 @@
 	 * @param attempts how many replicas it was sent to
 	 * @param overShare whether its team sent more than its share, so that it waited
 	 * behind others of its rank
+	 * @param toldMillis when the caller was told to come back, negative if it was not
 	 * @param objectiveMillis how soon its answer was wanted, 0 if no route took it
 	 * @param configVersion the configuration that decided it
 	 * @param fleetAgeMillis how long ago the platform last told anything
 	 * @param millis how long it took
 	 */
 	record RequestLine(String id, String route, String team, String outcome, int status, String reason, String verdict,
-			int attempts, boolean overShare, long objectiveMillis, long configVersion, long fleetAgeMillis,
-			long millis) {
+			int attempts, boolean overShare, long toldMillis, long objectiveMillis, long configVersion,
+			long fleetAgeMillis, long millis) {
 	}
 
 }
--- a/daemon/src/main/java/org/gullsaddle/gateway/Decisions.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Decisions.java
@@ -1,5 +1,6 @@
 package org.gullsaddle.gateway;
 
+import java.util.Optional;
 import java.util.random.RandomGenerator;
 
 import org.gullsaddle.base.Spread;
@@ -8,11 +9,13 @@
 import org.gullsaddle.fleet.ServiceName;
 import org.gullsaddle.fleet.ServiceShare;
 import org.gullsaddle.serve.FairShare;
+import org.gullsaddle.serve.Hopeless;
 import org.gullsaddle.serve.ModelChooser;
 import org.gullsaddle.serve.Place;
 import org.gullsaddle.serve.ReplicaPicker;
 import org.gullsaddle.serve.ReplicaRules;
 import org.gullsaddle.serve.RetryBudget;
+import org.gullsaddle.serve.WorkShares;
 
 /**
  * The state that all requests of a gateway decide by. Confined to the event loop.
@@ -54,9 +57,15 @@
 
 	private final FairShare shares = new FairShare();
 
+	/** The shares of work that count in place of requests, if any do. */
+	private final Optional<WorkShares> work;
+
+	private final Hopeless hopeless = new Hopeless();
+
 	private final RandomGenerator random = RandomGenerator.getDefault();
 
-	Decisions(Place here, double retryShare) {
+	Decisions(Place here, double retryShare, boolean pressure) {
+		this.work = pressure ? Optional.of(new WorkShares()) : Optional.empty();
 		this.picker = new ReplicaPicker(here);
 		this.budget = new RetryBudget(retryShare);
 	}
@@ -106,6 +115,17 @@
 		return this.shares;
 	}
 
+	/**
+	 * Returns the shares of engines' work, empty where requests are counted instead.
+	 */
+	Optional<WorkShares> work() {
+		return this.work;
+	}
+
+	Hopeless hopeless() {
+		return this.hopeless;
+	}
+
 	/**
 	 * Returns a generation's urgency, 0 goes first: by its rank, and within a rank what
 	 * its team sends beyond its share goes last.
--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -64,6 +64,8 @@
 
 	private final Decisions decisions;
 
+	private final Returns returns;
+
 	private final ColdPace coldPace;
 
 	private final ChannelPool pool;
@@ -96,7 +98,9 @@
 		this.vertx = vertx;
 		this.settings = builder.settings;
 		this.codec = builder.codec;
-		this.decisions = new Decisions(this.settings.place(), this.settings.retryShare());
+		this.decisions = new Decisions(this.settings.place(), this.settings.retryShare(),
+				this.settings.load().pressure());
+		this.returns = new Returns(this.settings.load().pressure(), this.telemetry);
 		this.coldPace = new ColdPace(this.settings.node());
 		this.pool = new ChannelPool(vertx);
 		this.nodes = new NodeRegister(vertx, builder.store, this.settings, () -> this.fleet.directory().storeAway());
@@ -230,6 +234,7 @@
 
 	void opened(Serving serving) {
 		this.open.add(serving);
+		this.returns.opened(serving.request());
 	}
 
 	void attemptEnded(Serving serving, Attempt attempt, AttemptEnd end, long now) {
@@ -241,6 +246,7 @@
 				!(end instanceof AttemptEnd.Answered answered) || answered.failure());
 		this.telemetry.attempt(serving.service().value(), end.word());
 		if (serving.clock().begun() && serving.route().kind() == RouteKind.STREAM) {
+			this.decisions.hopeless().began(now, serving.service());
 			long first = serving.clock().firstMillis(now);
 			this.telemetry.firstEvent(serving.route().name(), serving.model(), first);
 			this.telemetry.delayError(serving.service().value(), serving.model(),
@@ -254,6 +260,7 @@
 		long now = Clock.millis();
 		DecisionLog.RequestLine line = serving.line(outcome, status, reason, now, this.fleet.age(now));
 		this.log.request(line);
+		this.returns.closed(serving.request(), line.attempts() > 0 && !outcome.equals("refused"));
 		this.telemetry.request(serving.route().name(), serving.request().teamName(), outcome, line.millis());
 	}
 
@@ -302,6 +309,10 @@
 		return this.decisions;
 	}
 
+	Returns returns() {
+		return this.returns;
+	}
+
 	RequestDispatcher dispatcher() {
 		return this.dispatcher;
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/ReplicaChooser.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/ReplicaChooser.java
@@ -10,6 +10,7 @@
 import org.gullsaddle.fleet.ReplicaId;
 import org.gullsaddle.serve.Admission;
 import org.gullsaddle.serve.Choice;
+import org.gullsaddle.serve.Hopeless;
 import org.gullsaddle.serve.ReplicaPicker;
 import org.gullsaddle.serve.ReplicaRules;
 import org.gullsaddle.serve.Task;
@@ -119,6 +120,27 @@
 		});
 	}
 
+	/**
+	 * Says whether the request would not begin in its time at any replica that may run
+	 * its smallest model. What a cold one would do is not known.
+	 */
+	boolean hopeless(Task task, Choice choice, long left) {
+		if (!this.gateway.settings().load().pressure() || this.request.engine().isEmpty()
+				|| !Hopeless.lost(choice, left)) {
+			return false;
+		}
+		long now = Clock.millis();
+		// Limited ones are among them: they may take it yet.
+		List<Replica> usable = usable(Set.of());
+		List<Choice> all = picker().best(now, usable, Set.of(), task, usable.size());
+		boolean refused = !rules().anyCold(now, wanted())
+				&& this.gateway.decisions().hopeless().refuses(now, this.request.service(), all, left);
+		if (refused) {
+			this.gateway.telemetry().count("would.not.begin");
+		}
+		return refused;
+	}
+
 	/**
 	 * A question is work too: what cold or limited replicas bear is kept for requests,
 	 * and one that asks for rest is not asked.
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Returns.java
@@ -0,0 +1,58 @@
+package org.gullsaddle.gateway;
+
+import java.util.random.RandomGenerator;
+
+import org.gullsaddle.serve.Refused;
+import org.gullsaddle.serve.ReturnTime;
+import org.gullsaddle.serve.ReturnTimes;
+import org.gullsaddle.telemetry.Telemetry;
+
+/**
+ * Tells callers when to come back: where they compete for too little room, by the rate at
+ * which requests end. Confined to the event loop.
+ */
+final class Returns {
+
+	private final boolean pressure;
+
+	private final Telemetry telemetry;
+
+	private final ReturnTimes times = new ReturnTimes(RandomGenerator.getDefault());
+
+	Returns(boolean pressure, Telemetry telemetry) {
+		this.pressure = pressure;
+		this.telemetry = telemetry;
+	}
+
+	void opened(ServedRequest request) {
+		if (this.pressure) {
+			this.times.opened(Clock.millis(), request.service(), request.rank());
+		}
+	}
+
+	/**
+	 * Notes that a request is open no longer.
+	 * @param ran whether it took room at replicas
+	 */
+	void closed(ServedRequest request, boolean ran) {
+		if (this.pressure) {
+			this.times.closed(Clock.millis(), request.service(), request.rank(), ran);
+		}
+	}
+
+	/**
+	 * Returns when a refused caller is to come back.
+	 * @param soonest the soonest that it may be told, in milliseconds
+	 */
+	long backMillis(ServedRequest request, long soonest) {
+		if (!this.pressure) {
+			return soonest;
+		}
+		long now = Clock.millis();
+		Refused refused = new Refused(request.service(), request.rank(), request.teamName(), request.content());
+		ReturnTime time = this.times.next(now, refused, soonest, request.timeLeft(now));
+		this.telemetry.count(time.hope() ? "returns.told" : "returns.told.without.hope");
+		return time.millis();
+	}
+
+}
--- a/daemon/src/main/java/org/gullsaddle/gateway/ServedRequest.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/ServedRequest.java
@@ -22,6 +22,7 @@
 import org.gullsaddle.serve.PromptPart;
 import org.gullsaddle.serve.ReleaseKey;
 import org.gullsaddle.serve.Task;
+import org.gullsaddle.serve.TimeLeft;
 
 /**
  * A request that is served, as it was read: what it asks for, under which configuration,
@@ -114,6 +115,13 @@
 		return this.endsAt - now;
 	}
 
+	/**
+	 * Returns the time that its caller has left, if it was refused now.
+	 */
+	TimeLeft timeLeft(long now) {
+		return new TimeLeft(left(now), this.route.targetMillis() - (now - this.startedAt));
+	}
+
 	/**
 	 * Returns the engines that run it, empty for a plain service.
 	 */
--- a/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
@@ -57,7 +57,7 @@
 
 	private boolean promptRead;
 
-	private boolean overShare;
+	private final TeamTurn turn;
 
 	private boolean done;
 
@@ -66,6 +66,7 @@
 		this.request = request;
 		this.rule = new RetryRule(request.route());
 		this.replicas = new ReplicaChooser(gateway, request);
+		this.turn = new TeamTurn(gateway.decisions(), request);
 		this.cascade = new Cascade(gateway.decisions(), gateway.log(), request.route(), this.rule, request.caller());
 		this.relay = new AnswerRelay(request.http(), gateway);
 	}
@@ -81,19 +82,10 @@
 			return;
 		}
 		this.gateway.decisions().earnRetry();
-		if (this.request.engine().isPresent()) {
-			noteShare(Clock.millis());
-		}
+		this.turn.arrived(Clock.millis());
 		tryNext();
 	}
 
-	private void noteShare(long now) {
-		this.request.team().ifPresent((id) -> {
-			this.gateway.decisions().shares().sent(id, now);
-			this.overShare = this.gateway.decisions().shares().over(id, now);
-		});
-	}
-
 	private void tryNext() {
 		long now = Clock.millis();
 		long left = this.request.left(now);
@@ -125,6 +117,9 @@
 		else if (choice.isEmpty()) {
 			refuseForNone();
 		}
+		else if (this.attempts == 0 && this.replicas.hopeless(this.task, choice.get(), left)) {
+			refuse("would not begin in its time");
+		}
 		else {
 			send(choice.get(), left);
 		}
@@ -145,8 +140,7 @@
 		this.replicas.sent(choice.replica());
 		Admission admission = this.replicas.admit(choice.replica());
 		Optional<String> lastEvent = this.relay.lastEvent().or(this.request.caller()::lastEvent);
-		OptionalInt urgency = this.request.engine().isPresent()
-				? OptionalInt.of(Decisions.urgency(this.request.rank(), this.overShare)) : OptionalInt.empty();
+		OptionalInt urgency = this.turn.urgency(Clock.millis(), choice, this.task);
 		Handover handover = new Handover(choice.replica().id(), left, this.request.team(),
 				route().models().isEmpty() ? "" : model(), urgency, lastEvent);
 		MultiMap headers = this.gateway.codec().toReplica(this.request.http().headers(), handover);
@@ -240,6 +234,7 @@
 				&& !(counted instanceof AttemptEnd.NotRun)) {
 			this.gateway.decisions().streamed(route(), model(), this.clock);
 		}
+		this.turn.ended(now, from.choice(), this.task, counted);
 		this.rule.ended(counted);
 		this.gateway.attemptEnded(this, from, counted, now);
 		if (this.done) {
@@ -312,7 +307,8 @@
 		}
 		boolean notRun = this.rule.verdict() == Verdict.NOT_RUN;
 		int status = notRun ? Statuses.UNAVAILABLE : Statuses.BAD_GATEWAY;
-		Optional<Long> after = notRun ? Optional.of(comeBackMillis) : Optional.empty();
+		Optional<Long> after = notRun ? Optional.of(this.gateway.returns().backMillis(this.request, comeBackMillis))
+				: Optional.empty();
 		this.relay.error(status, after, reason);
 		close(notRun ? "refused" : "failed", status, reason);
 	}
@@ -439,8 +435,9 @@
 
 	DecisionLog.RequestLine line(String outcome, int status, String reason, long now, long age) {
 		return new DecisionLog.RequestLine(id(), route().name(), this.request.team().map(TeamId::value).orElse(""),
-				outcome, status, reason, this.rule.verdict().toString(), this.attempts, this.overShare,
-				route().targetMillis(), this.request.config().version(), age, now - this.request.startedAt());
+				outcome, status, reason, this.rule.verdict().toString(), this.attempts, this.turn.over(),
+				this.relay.toldMillis(), route().targetMillis(), this.request.config().version(), age,
+				now - this.request.startedAt());
 	}
 
 }
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/gateway/TeamTurn.java
@@ -0,0 +1,73 @@
+package org.gullsaddle.gateway;
+
+import java.util.OptionalInt;
+
+import org.gullsaddle.serve.AttemptEnd;
+import org.gullsaddle.serve.Choice;
+import org.gullsaddle.serve.Task;
+import org.gullsaddle.serve.WorkShares;
+
+/**
+ * Whether a generation waits behind others of its rank, as its team has had its share: of
+ * the requests, or under pressure of the engines' work.
+ */
+final class TeamTurn {
+
+	private final Decisions decisions;
+
+	private final ServedRequest request;
+
+	private boolean over;
+
+	TeamTurn(Decisions decisions, ServedRequest request) {
+		this.decisions = decisions;
+		this.request = request;
+	}
+
+	/**
+	 * Notes that the request came.
+	 */
+	void arrived(long now) {
+		if (this.request.engine().isEmpty() || this.decisions.work().isPresent()) {
+			return;
+		}
+		this.request.team().ifPresent((id) -> {
+			this.decisions.shares().sent(id, now);
+			this.over = this.decisions.shares().over(id, now);
+		});
+	}
+
+	/**
+	 * Notes that the request is sent to an engine, and returns its urgency there.
+	 * @return the urgency, empty for a plain service
+	 */
+	OptionalInt urgency(long now, Choice choice, Task task) {
+		if (this.request.engine().isEmpty()) {
+			return OptionalInt.empty();
+		}
+		this.decisions.work().ifPresent((shares) -> this.request.team().ifPresent((id) -> {
+			double work = WorkShares.work(choice.unreadTokens(), task);
+			this.over = shares.sent(now, id, this.request.rank(), work);
+		}));
+		return OptionalInt.of(Decisions.urgency(this.request.rank(), this.over));
+	}
+
+	/**
+	 * Notes that an engine is done with the request.
+	 */
+	void ended(long now, Choice choice, Task task, AttemptEnd end) {
+		boolean counted = this.request.engine().isPresent() && this.request.team().isPresent();
+		if (counted && !(end instanceof AttemptEnd.NotRun)) {
+			this.decisions.work()
+				.ifPresent((shares) -> shares.ended(now, WorkShares.work(choice.unreadTokens(), task)));
+		}
+	}
+
+	/**
+	 * Says whether the request waited behind others of its rank.
+	 */
+	boolean over() {
+		return this.over;
+	}
+
+}
