Shares of work hold at nodes of few requests too

Cause: shares were in force only where one rank had twelve requests in some three seconds. With 22 nodes, three ranks and 200 generations a second a rank of one node has half of that: no share would ever have counted.

Tests added for cold replicas and for times told without pressure.

--- a/core/src/main/java/org/gullsaddle/serve/WorkShares.java
+++ b/core/src/main/java/org/gullsaddle/serve/WorkShares.java
@@ -17,11 +17,17 @@
 public final class WorkShares {
 
 	/** How long work counts, as the time until half is forgotten. */
-	static final double RECENT_MILLIS = 2000;
+	static final double RECENT_MILLIS = 4000;
 
-	/** How many requests must have ended for what is done to mean something. */
+	/**
+	 * How many requests must have ended for what is done to mean something, and how many
+	 * must have come lately.
+	 */
 	private static final int FEWEST = 12;
 
+	/** With less asked beyond what is done, queues stay short. */
+	private static final double SLACK = 1.25;
+
 	/**
 	 * The part of what a rank asks for that it is taken to get at least, also where
 	 * nothing ends.
@@ -35,6 +41,8 @@
 
 	private final Recent done = new Recent(RECENT_MILLIS);
 
+	private final Recent requests = new Recent(RECENT_MILLIS);
+
 	private int ended;
 
 	/**
@@ -47,6 +55,7 @@
 	 */
 	public boolean sent(long now, TeamId team, int rank, double work) {
 		boolean over = over(now, team, rank);
+		this.requests.add(now, 1);
 		this.ranks.computeIfAbsent(rank, (missing) -> new RankShares()).sent(now, team, work, over);
 		return over;
 	}
@@ -70,7 +79,16 @@
 	 */
 	public boolean over(long now, TeamId team, int rank) {
 		RankShares shares = this.ranks.get(rank);
-		return shares != null && this.ended >= FEWEST && shares.over(now, team, room(now, rank, shares));
+		return shares != null && this.ended >= FEWEST && tooMuch(now)
+				&& shares.over(now, team, room(now, rank, shares));
+	}
+
+	/**
+	 * Says whether more is asked for than engines get done. Few requests make no queue.
+	 */
+	private boolean tooMuch(long now) {
+		double asked = this.ranks.values().stream().mapToDouble((each) -> each.asked(now)).sum();
+		return this.requests.sum(now) >= FEWEST && asked > SLACK * this.done.sum(now);
 	}
 
 	private double room(long now, int rank, RankShares shares) {
@@ -97,20 +115,12 @@
 	 */
 	private static final class RankShares {
 
-		/** With less asked beyond what is done, queues stay short. */
-		private static final double SLACK = 1.25;
-
-		/** Fewer recent requests make no queue. */
-		private static final double FEWEST_RECENT = 12;
-
 		private static final long LEVEL_MILLIS = 100;
 
 		private final Map<TeamId, Use> teams = new HashMap<>();
 
 		private final Recent asked = new Recent(RECENT_MILLIS);
 
-		private final Recent requests = new Recent(RECENT_MILLIS);
-
 		private double level = Double.MAX_VALUE;
 
 		private long levelAt = Long.MIN_VALUE / 2;
@@ -121,7 +131,6 @@
 
 		void sent(long now, TeamId team, double work, boolean over) {
 			this.asked.add(now, work);
-			this.requests.add(now, 1);
 			Use use = this.teams.computeIfAbsent(team, (missing) -> new Use());
 			use.asked.add(now, work);
 			if (!over) {
@@ -131,7 +140,7 @@
 
 		boolean over(long now, TeamId team, double room) {
 			Use use = this.teams.get(team);
-			if (use == null || this.requests.sum(now) < FEWEST_RECENT || asked(now) <= SLACK * room) {
+			if (use == null) {
 				return false;
 			}
 			if (now - this.levelAt >= LEVEL_MILLIS) {
--- a/core/src/test/java/org/gullsaddle/serve/ReplicaRulesTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/ReplicaRulesTests.java
@@ -76,6 +76,18 @@
 		List.of("a", "b", "c").forEach((dataCenter) -> this.directory.put(replica(dataCenter, "v1")));
 	}
 
+	/**
+	 * Guards against a cold replica of a region that is not allowed, which serves
+	 * nothing.
+	 */
+	@Test
+	void onlyColdReplicasThatMayServeTheRequestCount() {
+		this.directory.cold(0, replica("c", "v1"), 1000);
+		assertThat(this.rules.anyCold(0, wanted(RegionLimit.ANYWHERE))).isTrue();
+		assertThat(this.rules.anyCold(0, wanted(limit("north")))).isFalse();
+		assertThat(this.rules.anyCold(2000, wanted(RegionLimit.ANYWHERE))).isFalse();
+	}
+
 	/** Guards against a way past one rule where another one binds too. */
 	@ParameterizedTest
 	@CsvSource({ "'', '', '', a-v1 b-v1 c-v1", "north, '', '', a-v1 b-v1", "south, '', '', c-v1", "west, '', '', ''",
--- /dev/null
+++ b/daemon/src/test/java/org/gullsaddle/gateway/ReturnsTests.java
@@ -0,0 +1,17 @@
+package org.gullsaddle.gateway;
+
+import org.junit.jupiter.api.Test;
+
+import org.gullsaddle.telemetry.Telemetry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class ReturnsTests {
+
+	/** Guards against other times where callers do not compete for room. */
+	@Test
+	void withoutPressureTheSoonestIsTold() {
+		assertThat(new Returns(false, new Telemetry()).backMillis(null, 300)).isEqualTo(300);
+	}
+
+}
