--- a/daemon/src/main/java/org/gullsaddle/gateway/Cascade.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Cascade.java
@@ -26,6 +26,8 @@
 
 	private final RetryRule rule;
 
+	private final TeamTurn turn;
+
 	private String model;
 
 	private String next = "";
@@ -37,12 +39,13 @@
 	/**
 	 * Begins with the model that the caller names, or with the first of the route's.
 	 */
-	Cascade(Decisions decisions, DecisionLog log, ServedRequest request, RetryRule rule) {
+	Cascade(Decisions decisions, DecisionLog log, ServedRequest request, RetryRule rule, TeamTurn turn) {
 		this.decisions = decisions;
 		this.log = log;
 		this.request = request;
 		this.route = request.route();
 		this.rule = rule;
+		this.turn = turn;
 		this.model = this.route.models().isEmpty() ? request.caller().model() : decisions.models().first(this.route);
 	}
 
@@ -114,7 +117,8 @@
 		ModelChooser models = this.decisions.models();
 		if (models.isBounded()) {
 			QueueBounds bounds = this.decisions.bounds(this.request.config());
-			int rank = this.request.rank();
+			// What a team sends beyond its share waits behind its rank's other requests.
+			int rank = this.request.rank() + (this.turn.over() ? 1 : 0);
 			return models.mayQueue(bounds, rank, choice, left) ? "" : "queue of " + Math.round(choice.queueMillis())
 					+ " ms, " + Math.round(bounds.millis(rank)) + " ms for rank " + rank;
 		}
--- a/daemon/src/main/java/org/gullsaddle/gateway/Decisions.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Decisions.java
@@ -1,5 +1,6 @@
 package org.gullsaddle.gateway;
 
+import java.util.Optional;
 import java.util.random.RandomGenerator;
 
 import org.gullsaddle.base.Spread;
@@ -11,6 +12,7 @@
 import org.gullsaddle.fleet.ServiceName;
 import org.gullsaddle.fleet.ServiceShare;
 import org.gullsaddle.serve.FairShare;
+import org.gullsaddle.serve.Hopeless;
 import org.gullsaddle.serve.ModelChooser;
 import org.gullsaddle.serve.Place;
 import org.gullsaddle.serve.QueueBounds;
@@ -18,6 +20,7 @@
 import org.gullsaddle.serve.ReplicaRules;
 import org.gullsaddle.serve.RetryBudget;
 import org.gullsaddle.serve.SilencePatience;
+import org.gullsaddle.serve.WorkShares;
 
 /**
  * The state that all requests of a gateway decide by. Confined to the event loop.
@@ -55,7 +58,7 @@
 
 	private final RetryBudget budget;
 
-	private ModelChooser models = new ModelChooser();
+	private final ModelChooser models;
 
 	private FleetConfig boundsOf;
 
@@ -65,31 +68,23 @@
 
 	private final SilencePatience patience = new SilencePatience();
 
+	/** The shares of work that count in place of requests, if any do. */
+	private final Optional<WorkShares> work;
+
+	private final Hopeless hopeless = new Hopeless();
+
 	private final RandomGenerator random = RandomGenerator.getDefault();
 
-	Decisions(Place here, double retryShare) {
+	Decisions(Place here, double retryShare, boolean pressure) {
+		this.work = pressure ? Optional.of(new WorkShares()) : Optional.empty();
 		this.picker = new ReplicaPicker(here);
 		this.budget = new RetryBudget(retryShare);
-	}
-
-	/**
-	 * Decides from now on as load asks that competes for too little room: sizes of models
-	 * are kept apart, and larger models' queues are bounded by rank.
-	 */
-	void roomIsShort() {
-		if (!this.models.isBounded()) {
-			this.models = ModelChooser.bounded();
+		this.models = pressure ? ModelChooser.bounded() : new ModelChooser();
+		if (pressure) {
 			this.picker.keepSizesApart();
 		}
 	}
 
-	/**
-	 * Says whether room is short.
-	 */
-	boolean isRoomShort() {
-		return this.models.isBounded();
-	}
-
 	/**
 	 * Returns how long larger models' queues may be under a configuration.
 	 */
@@ -159,12 +154,22 @@
 	 * Counts a generation of a team.
 	 * @return whether the team sent more than its share
 	 */
-	boolean noteShare(TeamId team) {
-		long now = Clock.millis();
+	boolean noteShare(TeamId team, long now) {
 		this.shares.sent(team, now);
 		return this.shares.over(team, now);
 	}
 
+	/**
+	 * Returns the shares of engines' work, empty where requests are counted instead.
+	 */
+	Optional<WorkShares> work() {
+		return this.work;
+	}
+
+	Hopeless hopeless() {
+		return this.hopeless;
+	}
+
 	/**
 	 * Returns a generation's urgency, 0 goes first: by its rank, and within a rank what
 	 * its team sends beyond its share goes last.
--- a/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 
 import io.vertx.core.MultiMap;
@@ -58,7 +59,7 @@
 
 	private boolean promptRead;
 
-	private boolean overShare;
+	private final TeamTurn turn;
 
 	private boolean done;
 
@@ -67,7 +68,8 @@
 		this.request = request;
 		this.rule = new RetryRule(request.route());
 		this.replicas = new ReplicaChooser(gateway, request);
-		this.cascade = new Cascade(gateway.decisions(), gateway.log(), request, this.rule);
+		this.turn = new TeamTurn(gateway.decisions(), request);
+		this.cascade = new Cascade(gateway.decisions(), gateway.log(), request, this.rule, this.turn);
 		this.relay = new AnswerRelay(request, gateway, this::givenUp);
 		this.silence = new Silence(gateway, this, this.rule, this.replicas, this.relay);
 	}
@@ -83,9 +85,7 @@
 			return;
 		}
 		this.gateway.decisions().earnRetry();
-		if (this.request.engine().isPresent()) {
-			this.overShare = this.request.team().map(this.gateway.decisions()::noteShare).orElse(false);
-		}
+		this.turn.arrived(Clock.millis());
 		tryNext();
 	}
 
@@ -120,6 +120,9 @@
 		else if (choice.isEmpty()) {
 			refuseForNone();
 		}
+		else if (this.attempts == 0 && this.replicas.hopeless(this.task, choice.get(), left)) {
+			refuse("would not begin in its time");
+		}
 		else {
 			send(choice.get(), left);
 		}
@@ -140,7 +143,8 @@
 		this.replicas.sent(choice.replica());
 		Admission admission = this.replicas.admit(choice.replica());
 		Optional<String> lastEvent = this.relay.lastEvent().or(this.request.caller()::lastEvent);
-		Handover handover = Handover.of(this.request, choice.replica().id(), left, model(), this.overShare, lastEvent);
+		OptionalInt urgency = this.turn.urgency(Clock.millis(), choice, this.task);
+		Handover handover = Handover.of(this.request, choice.replica().id(), left, model(), urgency, lastEvent);
 		MultiMap headers = this.gateway.codec().toReplica(this.request.http().headers(), handover);
 		this.attempt = new Attempt(choice, admission, this.replicas.coldMillis(choice.replica()), id(),
 				this.gateway.pool(), this.gateway.codec(), this);
@@ -229,6 +233,7 @@
 				&& !(counted instanceof AttemptEnd.NotRun)) {
 			this.gateway.decisions().streamed(route(), model(), this.clock);
 		}
+		this.turn.ended(now, from.choice(), this.task, counted);
 		this.rule.ended(counted);
 		this.gateway.attemptEnded(this, from, counted, now);
 		if (this.done) {
@@ -313,7 +318,8 @@
 		}
 		boolean notRun = this.rule.verdict() == Verdict.NOT_RUN;
 		int status = notRun ? Statuses.UNAVAILABLE : Statuses.BAD_GATEWAY;
-		Optional<Long> after = notRun ? Optional.of(comeBackMillis) : Optional.empty();
+		Optional<Long> after = notRun ? Optional.of(this.gateway.returns().backMillis(this.request, comeBackMillis))
+				: Optional.empty();
 		this.relay.error(status, after, reason);
 		close(notRun ? "refused" : "failed", status, reason);
 	}
@@ -437,8 +443,9 @@
 
 	DecisionLog.RequestLine line(String outcome, int status, String reason, long now, long age) {
 		return new DecisionLog.RequestLine(id(), route().name(), this.request.team().map(TeamId::value).orElse(""),
-				outcome, status, reason, this.rule.verdict().toString(), this.attempts, this.overShare,
-				route().targetMillis(), this.request.config().version(), age, now - this.request.startedAt());
+				outcome, status, reason, this.rule.verdict().toString(), this.attempts, this.turn.over(),
+				this.relay.toldMillis(), route().targetMillis(), this.request.config().version(), age,
+				now - this.request.startedAt());
 	}
 
 }
