--- a/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
@@ -339,7 +339,7 @@
 		if (this.done) {
 			return;
 		}
-		if (this.request.left(now) <= 0) {
+		if (this.request.left(now) <= 0 || (!this.relay.begun() && this.gateway.stop().answersNow(now))) {
 			expire();
 			return;
 		}
--- a/daemon/src/main/java/org/gullsaddle/gateway/StatusServer.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/StatusServer.java
@@ -4,6 +4,7 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 
 import org.gullsaddle.base.Address;
@@ -15,12 +16,15 @@
 
 	private static final int SERVER_ERROR = 500;
 
+	/** HTTP/2 classes would be loaded with the first question. */
+	private static final HttpServerOptions OPTIONS = new HttpServerOptions().setHttp2ClearTextEnabled(false);
+
 	private StatusServer() {
 	}
 
 	static Future<Void> listen(Vertx vertx, Gateway gateway) {
 		Address ready = gateway.settings().ready();
-		Future<Void> listening = vertx.createHttpServer()
+		Future<Void> listening = vertx.createHttpServer(OPTIONS)
 			.requestHandler((request) -> request.response()
 				.setStatusCode(gateway.ready() ? Statuses.OK : Statuses.UNAVAILABLE)
 				.end())
@@ -30,7 +34,7 @@
 		if (metrics.port() == 0) {
 			return listening;
 		}
-		return listening.compose((nothing) -> vertx.createHttpServer()
+		return listening.compose((nothing) -> vertx.createHttpServer(OPTIONS)
 			.requestHandler((request) -> metrics(request, gateway))
 			.listen(metrics.port(), metrics.host())
 			.mapEmpty());
--- a/daemon/src/main/java/org/gullsaddle/gateway/StopPlan.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/StopPlan.java
@@ -30,8 +30,9 @@
 	private static final long LAST_MILLIS = 400;
 
 	/**
-	 * How much sooner than the process calls end, in milliseconds: several times what
-	 * passes between two looks at open requests, so that each gets its answer.
+	 * How much sooner than the process requests without an answer end, in milliseconds:
+	 * several times what passes between two looks at open requests, so that each gets
+	 * one.
 	 */
 	private static final long ANSWER_MILLIS = 200;
 
@@ -77,6 +78,14 @@
 		return now >= this.endsAt;
 	}
 
+	/**
+	 * Says whether what has no answer yet must get one now, if only that its time is
+	 * over.
+	 */
+	boolean answersNow(long now) {
+		return begun() && now >= this.endsAt - ANSWER_MILLIS;
+	}
+
 	/**
 	 * Says whether a request may come at any time, as the balancer may not have noticed.
 	 */
@@ -104,7 +113,7 @@
 	/**
 	 * Returns when a request of a route must have its answer at the latest, in
 	 * milliseconds. A call gets one before the process ends, if only that its time is
-	 * over; a stream goes on to the end.
+	 * over; a stream that has begun goes on to the end.
 	 */
 	long latest(Route route) {
 		boolean call = route.kind() != RouteKind.STREAM;
--- a/daemon/src/test/java/org/gullsaddle/gateway/StopPlanTests.java
+++ b/daemon/src/test/java/org/gullsaddle/gateway/StopPlanTests.java
@@ -54,6 +54,15 @@
 			assertThat(StopPlanTests.this.plan.takes(route(RouteKind.STREAM), 2900)).isFalse();
 		}
 
+		@Test
+		void whatHasNoAnswerGetsOneBeforeTheEnd() {
+			assertThat(StopPlanTests.this.plan.answersNow(1_000_000)).isFalse();
+			StopPlanTests.this.plan.begin(0, STOP_MILLIS);
+			assertThat(StopPlanTests.this.plan.answersNow(7399)).isFalse();
+			assertThat(StopPlanTests.this.plan.answersNow(7400)).isTrue();
+			assertThat(StopPlanTests.this.plan.over(7400)).isFalse();
+		}
+
 		@Test
 		void callsAreTakenWhileFourObjectivesAreLeft() {
 			StopPlanTests.this.plan.begin(0, STOP_MILLIS);
