A replica that was paused for want of memory only goes on as soon as there is room

Cause: an answer whose caller took all, and that was paused as the budget was spent, went on after a second like one whose caller is slow.

Tests: full verify of core, daemon, platform and standin, no failure.

--- a/daemon/src/main/java/org/gullsaddle/gateway/CallerFlow.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/CallerFlow.java
@@ -162,7 +162,20 @@
 			drop();
 			this.holdings.close(this.holder);
 		}
-		else if (this.paused && now - this.pausedAt >= READ_ON_MILLIS && this.holder.mayRead()) {
+		else if (this.paused && this.holder.mayRead()) {
+			goOn(now);
+		}
+	}
+
+	/**
+	 * Reads a paused replica on: at once if its caller took all and only memory was
+	 * short.
+	 */
+	private void goOn(long now) {
+		if (this.waiting.isEmpty()) {
+			resume();
+		}
+		else if (now - this.pausedAt >= READ_ON_MILLIS) {
 			if (!this.readingOn) {
 				this.holdings.readOn(this.holder, now - this.pausedAt);
 			}
