--- a/core/src/main/java/org/gullsaddle/serve/ReplicaPicker.java
+++ b/core/src/main/java/org/gullsaddle/serve/ReplicaPicker.java
@@ -162,7 +162,7 @@
 	}
 
 	private Candidate candidate(long now, ReplicaState state, Task task, Others others, double meanRequests) {
-		Usual usual = others.at(state);
+		Others.Usual usual = others.at(state);
 		Replica replica = state.replica();
 		Reach reach = this.here.reach(replica.dataCenter());
 		double requests = state.requests(now, usual.requests());
@@ -420,38 +420,4 @@
 		return state;
 	}
 
-	/**
-	 * How many requests of other nodes a replica has on the mean, and how many of them
-	 * are still to be read.
-	 */
-	private record Usual(double requests, double unread) {
-
-		static Usual of(long now, List<ReplicaState> states) {
-			return new Usual(ReportedLoad.mean(now, states.stream().map(ReplicaState::others).toList()),
-					ReportedLoad.mean(now, states.stream().map(ReplicaState::othersUnread).toList()));
-		}
-
-	}
-
-	/**
-	 * The same for the replicas that a task is at home on, and for the others.
-	 */
-	private record Others(Set<ReplicaId> away, Usual atHome, Usual elsewhere) {
-
-		static Others of(long now, List<ReplicaState> states, Set<ReplicaId> away) {
-			Map<Boolean, List<ReplicaState>> parts = states.stream()
-				.collect(Collectors.partitioningBy((state) -> away.contains(state.replica().id())));
-			return new Others(away, Usual.of(now, parts.get(false)), Usual.of(now, parts.get(true)));
-		}
-
-		boolean home(ReplicaState state) {
-			return !this.away.contains(state.replica().id());
-		}
-
-		Usual at(ReplicaState state) {
-			return home(state) ? this.atHome : this.elsewhere;
-		}
-
-	}
-
 }
--- a/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
@@ -3,7 +3,6 @@
 import java.util.HashSet;
 import java.util.Locale;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.Set;
 
 import io.vertx.core.MultiMap;
@@ -143,8 +142,8 @@
 		this.replicas.sent(choice.replica());
 		Admission admission = this.replicas.admit(choice.replica());
 		Optional<String> lastEvent = this.relay.lastEvent().or(this.request.caller()::lastEvent);
-		OptionalInt urgency = this.turn.urgency(Clock.millis(), choice, this.task);
-		Handover handover = Handover.of(this.request, choice.replica().id(), left, model(), urgency, lastEvent);
+		Handover handover = Handover.of(this.request, choice.replica().id(), left, model(),
+				this.turn.urgency(Clock.millis(), choice, this.task), lastEvent);
 		MultiMap headers = this.gateway.codec().toReplica(this.request.http().headers(), handover);
 		this.attempt = new Attempt(choice, admission, this.replicas.coldMillis(choice.replica()), id(),
 				this.gateway.pool(), this.gateway.codec(), this);
