--- a/daemon/src/main/java/org/gullsaddle/gateway/Cascade.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Cascade.java
@@ -9,6 +9,7 @@
 import org.gullsaddle.serve.ModelChooser;
 import org.gullsaddle.serve.QueueBounds;
 import org.gullsaddle.serve.RetryRule;
+import org.gullsaddle.telemetry.Telemetry;
 
 /**
  * The models that one request goes through: which it asks now, and whether an answer is
@@ -20,6 +21,8 @@
 
 	private final DecisionLog log;
 
+	private final Telemetry telemetry;
+
 	private final ServedRequest request;
 
 	private final Route route;
@@ -39,14 +42,16 @@
 	/**
 	 * Begins with the model that the caller names, or with the first of the route's.
 	 */
-	Cascade(Decisions decisions, DecisionLog log, ServedRequest request, RetryRule rule, TeamTurn turn) {
-		this.decisions = decisions;
-		this.log = log;
+	Cascade(Gateway gateway, ServedRequest request, RetryRule rule, TeamTurn turn) {
+		this.decisions = gateway.decisions();
+		this.log = gateway.log();
+		this.telemetry = gateway.telemetry();
 		this.request = request;
 		this.route = request.route();
 		this.rule = rule;
 		this.turn = turn;
-		this.model = this.route.models().isEmpty() ? request.caller().model() : decisions.models().first(this.route);
+		this.model = this.route.models().isEmpty() ? request.caller().model()
+				: this.decisions.models().first(this.route);
 	}
 
 	/**
@@ -116,15 +121,21 @@
 	private String whyTooLong(int confidence, Choice choice, long left) {
 		ModelChooser models = this.decisions.models();
 		if (models.isBounded()) {
-			QueueBounds bounds = this.decisions.bounds(this.request.config());
-			// What a team sends beyond its share waits behind its rank's other requests.
-			int rank = this.request.rank() + (this.turn.over() ? 1 : 0);
-			return models.mayQueue(bounds, rank, choice, left) ? "" : "queue of " + Math.round(choice.queueMillis())
-					+ " ms, " + Math.round(bounds.millis(rank)) + " ms for rank " + rank;
+			return whyNotJoined(choice, left);
 		}
 		Delay delay = choice.delay();
 		return models.worthAsking(this.route, confidence, delay, left) ? ""
 				: "in " + Math.round(delay.expectedMillis()) + " of " + left + " ms";
 	}
 
+	private String whyNotJoined(Choice choice, long left) {
+		QueueBounds bounds = this.decisions.bounds(this.request.config());
+		// What a team sends beyond its share waits behind its rank's other requests.
+		int rank = this.request.rank() + (this.turn.over() ? 1 : 0);
+		boolean joined = this.decisions.models().mayQueue(bounds, rank, choice, left);
+		this.telemetry.count(joined ? "larger.model.queues.joined" : "larger.model.queues.too.long");
+		return joined ? "" : "queue of " + Math.round(choice.queueMillis()) + " ms, " + Math.round(bounds.millis(rank))
+				+ " ms for rank " + rank;
+	}
+
 }
--- a/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
@@ -68,7 +68,7 @@
 		this.rule = new RetryRule(request.route());
 		this.replicas = new ReplicaChooser(gateway, request);
 		this.turn = new TeamTurn(gateway.decisions(), request);
-		this.cascade = new Cascade(gateway.decisions(), gateway.log(), request, this.rule, this.turn);
+		this.cascade = new Cascade(gateway, request, this.rule, this.turn);
 		this.relay = new AnswerRelay(request, gateway, this::givenUp);
 		this.silence = new Silence(gateway, this, this.rule, this.replicas, this.relay);
 	}
