Test runs lease their ports, so that two runs are not given the same one

Cause: a port was looked at, freed, and given to a process that listens half a second later. Another run on the machine that draws from the same range may take it meanwhile. The set of ports given out was known to its own run only.

The test itself does not restart the agent, and nothing else listens in the range, which ends below that of outgoing connections.

Change: a lease locks a file for each port until the deployment or cluster is closed. Locks end with their process. PortLeaseTests fails with the lock left out.

--- a/standin/src/test/java/org/gullsaddle/standin/Cluster.java
+++ b/standin/src/test/java/org/gullsaddle/standin/Cluster.java
@@ -2,7 +2,7 @@
 
 import java.io.File;
 import java.io.IOException;
-import java.net.ServerSocket;
+import java.io.UncheckedIOException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -16,10 +16,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
@@ -28,6 +25,8 @@
 
 import io.vertx.core.json.JsonObject;
 
+import org.gullsaddle.platform.standin.PortLease;
+
 /**
  * A cluster of real processes on the loopback address, for one test.
  */
@@ -49,21 +48,14 @@
 
 	private static final long PATIENCE_MILLIS = 30_000;
 
-	private static final int FIRST_PORT = 15_000;
-
-	private static final int LAST_PORT = 32_000;
-
-	private static final int PORT_TRIES = 50;
-
-	/** The ports that were given out; none is given twice. */
-	private static final Set<Integer> GIVEN = ConcurrentHashMap.newKeySet();
-
 	private final Path folder;
 
 	private final Map<String, Process> processes = new LinkedHashMap<>();
 
 	private final Map<String, Integer> ports = new LinkedHashMap<>();
 
+	private final List<PortLease> leases = new ArrayList<>();
+
 	private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
 	Cluster() throws Exception {
@@ -346,35 +338,28 @@
 	}
 
 	@Override
-	public void close() {
+	public void close() throws IOException {
 		for (Process process : this.processes.values()) {
 			process.destroyForcibly().onExit().join();
 		}
+		for (PortLease lease : this.leases) {
+			lease.close();
+		}
 	}
 
 	private int port(String name) {
-		return this.ports.computeIfAbsent(name, (missing) -> freePort());
+		return this.ports.computeIfAbsent(name, (missing) -> lease());
 	}
 
-	/**
-	 * Finds a free port below those that systems give to outgoing connections: one of
-	 * these may be taken between now and the start of the process that is to listen
-	 * there, which then ends with its address in use.
-	 */
-	private static int freePort() {
-		for (int i = 0; i < PORT_TRIES; i++) {
-			int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
-			if (!GIVEN.add(port)) {
-				continue;
-			}
-			try (ServerSocket socket = new ServerSocket(port)) {
-				return socket.getLocalPort();
-			}
-			catch (IOException ex) {
-				// Taken; the next one may not be.
-			}
+	private int lease() {
+		try {
+			PortLease lease = PortLease.take(1);
+			this.leases.add(lease);
+			return lease.first();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
 		}
-		throw new IllegalStateException("no free port in " + PORT_TRIES + " tries");
 	}
 
 	private static String body(String prompt, boolean stream) {
