Logs tell what a node sent to a new release, under which load, and how old its news are

Change: attempt lines have the replica's told load; roll-out share is a line of its own with the figures that the share may depend on; store call failed and slow news; each line of something taken in says how long ago the store was asked. No decision reads any of it. Lines are bounded as before.

Gateway, roll-out and platform tests pass.

--- a/core/src/main/java/org/gullsaddle/serve/Rollout.java
+++ b/core/src/main/java/org/gullsaddle/serve/Rollout.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.gullsaddle.base.LoadReport;
 import org.gullsaddle.base.Spread;
 import org.gullsaddle.fleet.Replica;
 import org.gullsaddle.fleet.ReplicaId;
@@ -72,6 +73,8 @@
 
 	private final PooledEvidence evidence = new PooledEvidence(THRESHOLD);
 
+	private final ReleaseUse use = new ReleaseUse();
+
 	/** When each replica of the new release was last found slow, until its answer. */
 	private final Map<ReplicaId, Long> slowUntil = new HashMap<>();
 
@@ -151,7 +154,7 @@
 	public void answered(Replica replica, AnswerKind kind, boolean failed, long sentAt, long firstMillis) {
 		boolean known = this.trials.containsKey(kind) || this.trials.size() < MAX_KINDS;
 		ReleaseTrial trial = this.trials.computeIfAbsent(known ? kind : OTHER_KINDS, (missing) -> new ReleaseTrial());
-		if (!replica.release().equals(this.order.target())) {
+		if (!ofTarget(replica)) {
 			trial.oldAnswered(failed, firstMillis);
 			return;
 		}
@@ -175,6 +178,23 @@
 		return true;
 	}
 
+	/**
+	 * Notes that this node sent a request to a replica.
+	 * @param replica the replica
+	 */
+	public void sent(Replica replica) {
+		this.use.sent(ofTarget(replica));
+	}
+
+	/**
+	 * Takes in what a replica told of its load.
+	 * @param replica the replica
+	 * @param load its load
+	 */
+	public void told(Replica replica, LoadReport load) {
+		this.use.told(ofTarget(replica), load);
+	}
+
 	/**
 	 * Takes in another node's note.
 	 * @param now the time
@@ -212,6 +232,16 @@
 		return this.evidence.answers();
 	}
 
+	/**
+	 * Returns how far the new release has come, as this node knows.
+	 * @param now the time
+	 * @return its figures
+	 */
+	public RolloutProgress progress(long now) {
+		return new RolloutProgress(part(now), share(now), this.use.sent(), this.use.sentToTarget(),
+				this.use.triedLoad(), this.use.formerLoad());
+	}
+
 	/**
 	 * Returns the state that is to be written now.
 	 * @param now the time
@@ -288,7 +318,11 @@
 	}
 
 	private List<Replica> release(List<Replica> replicas, boolean target) {
-		return replicas.stream().filter((replica) -> replica.release().equals(this.order.target()) == target).toList();
+		return replicas.stream().filter((replica) -> ofTarget(replica) == target).toList();
+	}
+
+	private boolean ofTarget(Replica replica) {
+		return replica.release().equals(this.order.target());
 	}
 
 	private void judge() {
--- a/daemon/src/main/java/org/gullsaddle/gateway/BackpressureController.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/BackpressureController.java
@@ -118,7 +118,7 @@
 			listed.ifPresentOrElse((replica) -> applyAndLog(replica, "note", learn), learn);
 		}
 		catch (IOException ex) {
-			this.log.learned(new FleetChange.Unreadable(noted.key(), ex.getMessage()), 0);
+			this.log.unreadable(noted.key(), ex.getMessage());
 		}
 	}
 
--- a/daemon/src/main/java/org/gullsaddle/gateway/CrashController.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/CrashController.java
@@ -107,7 +107,7 @@
 			this.watch.learn(Clock.millis(), Json.read(noted.value(), CrashNote.class));
 		}
 		catch (IOException ex) {
-			this.log.learned(new FleetChange.Unreadable(noted.key(), ex.getMessage()), 0);
+			this.log.unreadable(noted.key(), ex.getMessage());
 		}
 	}
 
--- a/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
@@ -1,5 +1,6 @@
 package org.gullsaddle.gateway;
 
+import java.util.Optional;
 import java.util.OptionalDouble;
 
 import org.slf4j.Logger;
@@ -7,10 +8,13 @@
 import org.slf4j.spi.LoggingEventBuilder;
 
 import org.gullsaddle.base.Fingerprint;
+import org.gullsaddle.base.LoadReport;
 import org.gullsaddle.fleet.FleetChange;
 import org.gullsaddle.fleet.ReplicaId;
 import org.gullsaddle.hold.Holder;
 import org.gullsaddle.serve.Choice;
+import org.gullsaddle.serve.Rollout;
+import org.gullsaddle.serve.RolloutProgress;
 
 /**
  * One line for each decision on a request and each change of what the node believes. The
@@ -65,11 +69,39 @@
 		LOG.atInfo().addKeyValue("dependency", dependency).log("dependency regained");
 	}
 
-	void learned(FleetChange change, long revision) {
+	void storeCallFailed(String call, long millis, String reason) {
+		if (allowed(true)) {
+			LOG.atInfo()
+				.addKeyValue("call", call)
+				.addKeyValue("millis", millis)
+				.addKeyValue("reason", reason)
+				.log("store call failed");
+		}
+	}
+
+	/**
+	 * Tells of news that took long to come or to be taken in.
+	 * @param askedMillis how long ago the store was asked
+	 * @param tookMillis how long it took to take them in
+	 */
+	void slowNews(int changes, long revision, long askedMillis, long tookMillis) {
+		if (allowed(false)) {
+			LOG.atInfo()
+				.addKeyValue("changes", changes)
+				.addKeyValue("revision", revision)
+				.addKeyValue("askedMillis", askedMillis)
+				.addKeyValue("tookMillis", tookMillis)
+				.log("slow news");
+		}
+	}
+
+	void learned(FleetChange change, long revision, long askedMillis) {
 		if (!allowed(false)) {
 			return;
 		}
-		LoggingEventBuilder line = LOG.atInfo().addKeyValue("revision", revision);
+		LoggingEventBuilder line = LOG.atInfo()
+			.addKeyValue("revision", revision)
+			.addKeyValue("askedMillis", askedMillis);
 		switch (change) {
 			case FleetChange.Configured configured ->
 				line.addKeyValue("version", configured.config().version()).log("configuration in force");
@@ -95,9 +127,13 @@
 			case FleetChange.EvacuationEnded ended ->
 				line.addKeyValue("dataCenter", ended.dataCenter()).log("evacuation ended");
 			case FleetChange.Noted noted -> line.addKeyValue("key", noted.key()).log("note taken in");
-			case FleetChange.Unreadable unreadable -> line.addKeyValue("key", unreadable.key())
-				.addKeyValue("reason", unreadable.reason())
-				.log("unreadable record skipped");
+			case FleetChange.Unreadable unreadable -> unreadable(unreadable.key(), unreadable.reason());
+		}
+	}
+
+	void unreadable(String key, String reason) {
+		if (allowed(true)) {
+			LOG.atInfo().addKeyValue("key", key).addKeyValue("reason", reason).log("unreadable record skipped");
 		}
 	}
 
@@ -112,15 +148,32 @@
 			.log("roll-out state written");
 	}
 
-	void attempt(String id, Choice choice, long coldMillis, String model, int confidence, String end, long millis,
-			StreamClock stream, boolean failure) {
+	void rolloutShare(Rollout rollout, RolloutProgress progress) {
+		LOG.atInfo()
+			.addKeyValue("service", rollout.order().service().value())
+			.addKeyValue("target", rollout.order().target())
+			.addKeyValue("part", progress.part())
+			.addKeyValue("share", progress.share())
+			.addKeyValue("evidence", rollout.evidence())
+			.addKeyValue("answers", rollout.answers())
+			.addKeyValue("sent", progress.sent())
+			.addKeyValue("sentToTarget", progress.sentToTarget())
+			.addKeyValue("triedLoad", progress.triedLoad())
+			.addKeyValue("formerLoad", progress.formerLoad())
+			.log("roll-out share");
+	}
+
+	void attempt(String id, Attempt attempt, String model, String end, long millis, StreamClock stream,
+			boolean failure) {
 		if (allowed(failure)) {
+			Choice choice = attempt.choice();
+			Optional<LoadReport> told = Optional.ofNullable(attempt.answer()).flatMap(ReplicaAnswer::load);
 			LOG.atInfo()
 				.addKeyValue("id", id)
-				.addKeyValue("confidence", confidence)
+				.addKeyValue("confidence", attempt.confidence())
 				.addKeyValue("replica", choice.replica().id().value())
 				.addKeyValue("dataCenter", choice.replica().dataCenter())
-				.addKeyValue("coldMillis", coldMillis)
+				.addKeyValue("coldMillis", attempt.coldMillis())
 				.addKeyValue("release", choice.replica().release())
 				.addKeyValue("model", model)
 				.addKeyValue("unreadTokens", choice.unreadTokens())
@@ -129,6 +182,8 @@
 				.addKeyValue("expectedLoss", Math.round(PERCENT * choice.loss()))
 				.addKeyValue("pacePercent", Math.round(PERCENT * choice.pace().factor()))
 				.addKeyValue("load", choice.load().requests())
+				.addKeyValue("toldRunning", told.map(LoadReport::running).orElse(-1))
+				.addKeyValue("toldWaiting", told.map(LoadReport::waiting).orElse(-1))
 				.addKeyValue("end", end)
 				.addKeyValue("millis", millis)
 				.addKeyValue("firstEventMillis", stream.begun() ? stream.firstMillis(0) : -1)
--- a/daemon/src/main/java/org/gullsaddle/gateway/FleetFeed.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/FleetFeed.java
@@ -47,6 +47,9 @@
 
 	private static final long MAX_PAUSE_MILLIS = 600;
 
+	/** What a call may take beyond its wait without being reported, in milliseconds. */
+	private static final long SLOW_MILLIS = 100;
+
 	/** How many failures in a row mean that the store is away. */
 	private static final int FAILURES_TO_BE_AWAY = 2;
 
@@ -118,10 +121,11 @@
 		}
 		for (FleetChange change : news.changes()) {
 			if (this.state.apply(now, change)) {
-				this.log.learned(change, news.revision());
+				this.log.learned(change, news.revision(), now - this.askedAt);
 			}
 			this.listener.accept(change);
 		}
+		reportSlow(news, now);
 		this.revision = news.revision();
 		long pause = whole ? 0 : pause(this.askedAt, now, everyMillis(now));
 		if (pause == 0) {
@@ -131,6 +135,13 @@
 		this.vertx.setTimer(pause, (timer) -> next());
 	}
 
+	private void reportSlow(FleetSource.News news, long now) {
+		long took = Clock.millis() - now;
+		if (took >= SLOW_MILLIS || now - this.askedAt >= WAIT_MILLIS + SLOW_MILLIS) {
+			this.log.slowNews(news.changes().size(), news.revision(), now - this.askedAt, took);
+		}
+	}
+
 	/**
 	 * Returns how far calls for changes are apart at a time, in milliseconds.
 	 */
@@ -152,6 +163,8 @@
 	private void failed(Throwable failure) {
 		long now = Clock.millis();
 		this.failures++;
+		this.log.storeCallFailed((this.revision < 0) ? "read all" : "changes", now - this.askedAt,
+				failure.getMessage());
 		if (failure instanceof HistoryGoneException) {
 			this.revision = -1;
 		}
--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -250,8 +250,7 @@
 		long millis = now - attempt.startedAt();
 		this.decisions.picker().ended(now, attempt.choice(), end);
 		this.crashes.ended(serving, attempt.choice().replica(), end);
-		this.log.attempt(serving.id(), attempt.choice(), attempt.coldMillis(), serving.model(), attempt.confidence(),
-				end.toString(), millis, serving.clock(),
+		this.log.attempt(serving.id(), attempt, serving.model(), end.toString(), millis, serving.clock(),
 				!(end instanceof AttemptEnd.Answered answered) || answered.failure());
 		this.telemetry.attempt(serving.service().value(), end.word());
 		if (serving.clock().begun() && serving.route().kind() == RouteKind.STREAM) {
@@ -340,6 +339,10 @@
 		return this.stalls;
 	}
 
+	RolloutController rollouts() {
+		return this.rollouts;
+	}
+
 	CrashController crashes() {
 		return this.crashes;
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/RolloutController.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/RolloutController.java
@@ -12,12 +12,14 @@
 
 import org.gullsaddle.base.Json;
 import org.gullsaddle.fleet.FleetChange;
+import org.gullsaddle.fleet.Replica;
 import org.gullsaddle.fleet.RolloutState;
 import org.gullsaddle.fleet.ServiceName;
 import org.gullsaddle.serve.AnswerKind;
 import org.gullsaddle.serve.AttemptEnd;
 import org.gullsaddle.serve.Rollout;
 import org.gullsaddle.serve.RolloutNote;
+import org.gullsaddle.serve.RolloutProgress;
 import org.gullsaddle.serve.RolloutTurns;
 import org.gullsaddle.store.Store;
 
@@ -65,6 +67,9 @@
 
 	private final Map<String, Told> told = new HashMap<>();
 
+	/** The share that was reported last of each roll-out. */
+	private final Map<String, Double> shares = new HashMap<>();
+
 	RolloutController(Vertx vertx, RolloutBoard board, Store store, String node, FleetState fleet, DecisionLog log) {
 		this.vertx = vertx;
 		this.board = board;
@@ -82,6 +87,22 @@
 		});
 	}
 
+	/**
+	 * Notes that a request was sent to a replica.
+	 */
+	void sent(Replica replica) {
+		this.fleet.rollout(replica.service()).ifPresent((rollout) -> rollout.sent(replica));
+	}
+
+	/**
+	 * Takes in what a replica's answer tells of its load.
+	 */
+	void told(Replica replica, ReplicaAnswer answer) {
+		answer.load()
+			.ifPresent((load) -> this.fleet.rollout(replica.service())
+				.ifPresent((rollout) -> rollout.told(replica, load)));
+	}
+
 	/**
 	 * Notes the end of an attempt. An answer that was lost on the way says nothing of the
 	 * release; only a failure that the replica itself reports does.
@@ -116,12 +137,13 @@
 			rollout.learn(Clock.millis(), Json.read(noted.value(), RolloutNote.class));
 		}
 		catch (IOException ex) {
-			this.log.learned(new FleetChange.Unreadable(noted.key(), ex.getMessage()), 0);
+			this.log.unreadable(noted.key(), ex.getMessage());
 		}
 	}
 
 	private void look(Rollout rollout) {
 		long now = Clock.millis();
+		reportShare(rollout, rollout.progress(now));
 		rollout.due(now)
 			.filter((state) -> this.turns.mine(now, rollout, state))
 			.ifPresent((state) -> write(rollout, state));
@@ -150,6 +172,13 @@
 				rollout.answers(), outcome);
 	}
 
+	private void reportShare(Rollout rollout, RolloutProgress progress) {
+		Double before = this.shares.put(key(rollout), progress.share());
+		if (before == null || before != progress.share()) {
+			this.log.rolloutShare(rollout, progress);
+		}
+	}
+
 	private void tell(Rollout rollout, long now) {
 		Told last = this.told.computeIfAbsent(key(rollout), (key) -> new Told(this.store, key));
 		RolloutNote note = rollout.note(now, this.node);
--- a/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
@@ -140,6 +140,7 @@
 		this.clock.begin(Clock.millis());
 		this.gateway.decisions().picker().sent(Clock.millis(), choice, this.task);
 		this.replicas.sent(choice.replica());
+		this.gateway.rollouts().sent(choice.replica());
 		Admission admission = this.replicas.admit(choice.replica());
 		Optional<String> lastEvent = this.relay.lastEvent().or(this.request.caller()::lastEvent);
 		Handover handover = Handover.of(this.request, choice.replica().id(), left, model(),
@@ -165,6 +166,7 @@
 	public void head(Attempt from, ReplicaAnswer answer, MultiMap headers) {
 		readPrompt(from);
 		this.gateway.decisions().told(Clock.millis(), from.choice().replica(), answer);
+		this.gateway.rollouts().told(from.choice().replica(), answer);
 		if (answer.success()) {
 			this.gateway.decisions().picker().began(from.choice(), this.task, from.headAt() - from.startedAt(), true);
 		}
