--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -232,6 +232,14 @@
 		return this.fleet.directory().find(new ReplicaId(replica)).isPresent();
 	}
 
+	/**
+	 * Returns how old what the node knows of the deployment may be.
+	 * @return the time since the platform last told anything, in milliseconds
+	 */
+	public long knowledgeMillis() {
+		return this.fleet.age(Clock.millis());
+	}
+
 	/**
 	 * Returns how many requests wait for the configuration of a node that has just
 	 * started.
