--- a/daemon/src/main/java/org/gullsaddle/gateway/FleetFeed.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/FleetFeed.java
@@ -15,10 +15,10 @@
 
 	/**
 	 * How long one call waits for changes, in milliseconds. A connection that went silent
-	 * is only noticed after it, so it bounds how late a change comes then, and each call
-	 * costs.
+	 * is only noticed after it, and a change must be in force in time even then: the
+	 * pause between calls, this wait, the store's own time and one more call fit into it.
 	 */
-	private static final long WAIT_MILLIS = 2500;
+	private static final long WAIT_MILLIS = 200;
 
 	/**
 	 * How soon after a call for changes the next one begins after everything was read
@@ -114,7 +114,7 @@
 		}
 		this.failures = 0;
 		this.state.directory().storeAway(now, false);
-		this.state.heard(now);
+		this.state.heard(this.askedAt);
 		if (whole) {
 			this.readAllAt = now;
 			this.state.retain(now, news.changes());
@@ -174,6 +174,10 @@
 			this.state.directory().storeAway(now, true);
 			this.log.lost("store", failure.getMessage(), this.state.age(now));
 		}
+		if (failure instanceof HistoryGoneException) {
+			next();
+			return;
+		}
 		long pause = Math.min(MAX_PAUSE_MILLIS, PAUSE_MILLIS * this.failures);
 		this.vertx.setTimer(pause, (timer) -> next());
 	}
