A roll-out's state that is read late does not undo a newer one

Seen by reading: a whole reading takes several pages, and is older than changes that came meanwhile; the state that it brings was taken in after a newer one. A release that was taken back would have got requests again until the next change.

Cause: the revision of the state was kept as the highest, the state itself as the last.

Evidence: RolloutTests.olderStateAfterANewerOneChangesNothing fails without the change.

--- a/core/src/main/java/org/gullsaddle/serve/Rollout.java
+++ b/core/src/main/java/org/gullsaddle/serve/Rollout.java
@@ -131,13 +131,17 @@
 	}
 
 	/**
-	 * Takes in the state as written.
+	 * Takes in the state as written. One that is older than what is known, from a reading
+	 * that took long, changes nothing.
 	 * @param newState the state
 	 * @param target the release that it speaks of
 	 * @param newRevision its revision
 	 */
 	public void progressed(RolloutState newState, String target, long newRevision) {
-		this.stateRevision = Math.max(this.stateRevision, newRevision);
+		if (newRevision < this.stateRevision) {
+			return;
+		}
+		this.stateRevision = newRevision;
 		if (target.equals(this.order.target()) && newRevision > this.revision) {
 			this.state = newState;
 		}
--- a/core/src/test/java/org/gullsaddle/serve/RolloutTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/RolloutTests.java
@@ -86,6 +86,17 @@
 		assertThat(this.rollout.stateRevision()).isEqualTo(9);
 	}
 
+	/**
+	 * Guards against a state that is read late, by another call, and undoes a newer one.
+	 */
+	@Test
+	void olderStateAfterANewerOneChangesNothing() {
+		this.rollout.progressed(RolloutState.ROLLED_BACK, "v2", 14);
+		this.rollout.progressed(RolloutState.RUNNING, "v2", 11);
+		assertThat(this.rollout.state()).contains(RolloutState.ROLLED_BACK);
+		assertThat(this.rollout.stateRevision()).isEqualTo(14);
+	}
+
 	/**
 	 * A node is killed in the second half and starts again. By its own count the order is
 	 * new, and it would send sessions back to the old release.
--- a/daemon/src/main/java/org/gullsaddle/gateway/FleetState.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/FleetState.java
@@ -91,7 +91,11 @@
 	}
 
 	private boolean progress(FleetChange.Progressed progressed) {
-		FleetChange.Progressed before = this.progress.put(progressed.service(), progressed);
+		FleetChange.Progressed before = this.progress.get(progressed.service());
+		if (before != null && before.revision() > progressed.revision()) {
+			return false;
+		}
+		this.progress.put(progressed.service(), progressed);
 		Rollout rollout = this.rollouts.get(progressed.service());
 		if (rollout != null) {
 			rollout.progressed(progressed.state(), progressed.target(), progressed.revision());
