The age of what a node knows decides what it may refuse and grant

What callers saw: 404 or 401 for a route or key that had been confirmed for longer than the time in which it must be in force (CONFIG).

Cause: a request was judged by whatever the node believed. The age was logged, counted from the answer and not from the question, and decided nothing. Class of fault: a belief without an age. A definite refusal ends a caller's tries, so that it needs the youngest knowledge; a yes needs younger knowledge than a change may take, where it can be had.

Change: knowledge is as old as the question that it answers. The clock that counts intervals does not count a suspended machine's time; the time of day tells it, and knowledge ages by it. A configuration that cannot be read makes all refusals 503, and is counted.

Ruled out: a shorter pause between calls alone (each call is paid for, and a node whose calls are refused still says no).

--- a/core/src/main/java/org/gullsaddle/fleet/FleetChange.java
+++ b/core/src/main/java/org/gullsaddle/fleet/FleetChange.java
@@ -75,6 +75,15 @@
 	record Noted(String key, String value) implements FleetChange {
 	}
 
+	/**
+	 * A configuration was accepted that cannot be read here, so that the one before is
+	 * not the operators' any more.
+	 *
+	 * @param reason what is wrong with it
+	 */
+	record ConfigUnreadable(String reason) implements FleetChange {
+	}
+
 	/**
 	 * A record that cannot be read. It changes nothing.
 	 *
--- a/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
@@ -127,6 +127,7 @@
 			case FleetChange.EvacuationEnded ended ->
 				line.addKeyValue("dataCenter", ended.dataCenter()).log("evacuation ended");
 			case FleetChange.Noted noted -> line.addKeyValue("key", noted.key()).log("note taken in");
+			case FleetChange.ConfigUnreadable unreadable -> unreadable("configuration", unreadable.reason());
 			case FleetChange.Unreadable unreadable -> unreadable(unreadable.key(), unreadable.reason());
 		}
 	}
@@ -273,6 +274,10 @@
 		}
 	}
 
+	void suspended(long millis) {
+		LOG.atWarn().addKeyValue("millis", millis).log("was suspended");
+	}
+
 	void stalled(long millis, int open) {
 		LOG.atWarn().addKeyValue("millis", millis).addKeyValue("open", open).log("stood still");
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/FleetSource.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/FleetSource.java
@@ -27,6 +27,12 @@
 	 */
 	Single<News> changes(long after, long waitMillis);
 
+	/**
+	 * Reads the configuration that stands now, on a new connection.
+	 * @return the configuration, none if there is none yet
+	 */
+	Single<List<FleetChange>> configuration();
+
 	/**
 	 * Things that the platform told.
 	 *
--- a/daemon/src/main/java/org/gullsaddle/gateway/FleetState.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/FleetState.java
@@ -31,7 +31,12 @@
 
 	private FleetConfig config;
 
-	private long heardAt;
+	private boolean configUnreadable;
+
+	/** As of when the node knows the deployment, and the configuration. */
+	private long knownAt;
+
+	private long configKnownAt;
 
 	/**
 	 * Takes in a change.
@@ -40,6 +45,10 @@
 	boolean apply(long now, FleetChange change) {
 		return switch (change) {
 			case FleetChange.Configured configured -> configure(configured.config());
+			case FleetChange.ConfigUnreadable unreadable -> {
+				this.configUnreadable = true;
+				yield true;
+			}
 			case FleetChange.Listed listed -> list(now, listed);
 			case FleetChange.Unlisted unlisted -> {
 				boolean known = this.directory.find(unlisted.id()).isPresent();
@@ -63,6 +72,7 @@
 		if (this.config != null && newConfig.version() <= this.config.version()) {
 			return false;
 		}
+		this.configUnreadable = false;
 		this.config = newConfig;
 		return true;
 	}
@@ -124,15 +134,50 @@
 			.forEach(this.directory::takeBack);
 	}
 
-	void heard(long now) {
-		this.heardAt = now;
+	/**
+	 * Takes in that the platform has told all changes.
+	 * @param askedAt when it was asked: of later ones nothing is known
+	 */
+	void heard(long askedAt) {
+		this.knownAt = askedAt;
+		configHeard(askedAt);
 	}
 
 	/**
-	 * Returns how long ago the platform last told anything, in milliseconds.
+	 * Takes in that the platform has told the configuration.
+	 * @param askedAt when it was asked
+	 */
+	void configHeard(long askedAt) {
+		this.configKnownAt = Math.max(this.configKnownAt, askedAt);
+	}
+
+	/**
+	 * Takes in that more time has passed than the clock counted.
+	 */
+	void suspended(long millis) {
+		this.knownAt -= millis;
+		this.configKnownAt -= millis;
+	}
+
+	/**
+	 * Returns how old what the node knows may be, in milliseconds.
 	 */
 	long age(long now) {
-		return now - this.heardAt;
+		return now - this.knownAt;
+	}
+
+	/**
+	 * Returns how old the configuration that the node knows may be, in milliseconds.
+	 */
+	long configAge(long now) {
+		return now - this.configKnownAt;
+	}
+
+	/**
+	 * Says whether a newer configuration came that cannot be read.
+	 */
+	boolean configUnreadable() {
+		return this.configUnreadable;
 	}
 
 	Optional<FleetConfig> config() {
--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -50,6 +50,20 @@
 
 	private static final int MAX_HEADER_BYTES = 65_536;
 
+	/**
+	 * How old the configuration may be by which a request is refused for good, as a part
+	 * of the time in which a change must be in force. An older one is read anew first;
+	 * while it cannot be, the request is refused for now only.
+	 */
+	private static final double REFUSE_PART = 0.6;
+
+	/**
+	 * How old the configuration may be by which a request is served, as the same part. An
+	 * older one is read anew first; while it cannot be, requests are served by it, so
+	 * that an outage of the store is none of the gateway.
+	 */
+	private static final double GRANT_PART = 0.8;
+
 	private final Vertx vertx;
 
 	private final GatewaySettings settings;
@@ -74,6 +88,10 @@
 
 	private final FleetFeed feed;
 
+	private final ConfigCheck configCheck;
+
+	private final SuspendWatch suspends = new SuspendWatch();
+
 	private final NodeRegister nodes;
 
 	private final ReplicaRules rules;
@@ -119,6 +137,7 @@
 		this.dispatcher = new RequestDispatcher(vertx, this);
 		this.feed = new FleetFeed(vertx, builder.source, this.fleet, this.log, this::learned,
 				this.settings.newsMillis());
+		this.configCheck = new ConfigCheck(builder.source, this.fleet, this::learned, this.log, this.telemetry);
 	}
 
 	/**
@@ -138,7 +157,9 @@
 		this.telemetry.gauge("replicas.telling.pace", this.decisions.picker()::countPaces);
 		this.telemetry.gauge("data.centers.evacuated", () -> this.fleet.directory().evacuated().size());
 		this.telemetry.gauge("nodes.known", () -> this.nodes.known().orElse(0));
-		this.telemetry.gauge("config.version", () -> this.fleet.config().map(FleetConfig::version).orElse(0L));
+		this.telemetry.gauge("config.unreadable", () -> this.fleet.configUnreadable() ? 1 : 0);
+		this.telemetry.gauge("config.age.milliseconds", () -> this.fleet.configAge(Clock.millis()));
+		this.telemetry.gauge("config.version", this::configVersion);
 		this.telemetry.gauge("fleet.age.milliseconds", () -> this.fleet.age(Clock.millis()));
 		this.telemetry.gauge("log.lines.left.out", this.log::leftOut);
 		this.telemetry.gauge("probes.sent", this.probe::asked);
@@ -240,6 +261,22 @@
 		return this.fleet.age(Clock.millis());
 	}
 
+	/**
+	 * Returns the version of the configuration in force.
+	 * @return the version, 0 if none is known
+	 */
+	public long configVersion() {
+		return this.fleet.config().map(FleetConfig::version).orElse(0L);
+	}
+
+	/**
+	 * Says whether a newer configuration came that cannot be read.
+	 * @return true until one that can be read is in force
+	 */
+	public boolean configUnreadable() {
+		return this.fleet.configUnreadable();
+	}
+
 	/**
 	 * Returns how many requests wait for the configuration of a node that has just
 	 * started.
@@ -291,8 +328,32 @@
 		this.backpressure.learned(change);
 	}
 
+	/**
+	 * Says whether the configuration must be read anew before it decides a request.
+	 * @param allowed whether the known one allows the request
+	 */
+	boolean mustCheck(boolean allowed) {
+		long now = Clock.millis();
+		lookForSuspension(now);
+		long age = this.fleet.configAge(now);
+		if (allowed) {
+			boolean away = this.configCheck.failing() || this.fleet.directory().storeAway();
+			return !away && age > GRANT_PART * this.settings.newsMillis();
+		}
+		return this.fleet.configUnreadable() || age > REFUSE_PART * this.settings.newsMillis();
+	}
+
+	private void lookForSuspension(long now) {
+		long slept = this.suspends.look(now, System.currentTimeMillis());
+		if (slept > 0) {
+			this.log.suspended(slept);
+			this.fleet.suspended(slept);
+		}
+	}
+
 	private void tick() {
 		long now = Clock.millis();
+		lookForSuspension(now);
 		long stalled = this.stalls.look(now);
 		if (stalled > 0) {
 			this.log.stalled(stalled, this.open.size());
@@ -347,6 +408,10 @@
 		return this.stalls;
 	}
 
+	ConfigCheck configCheck() {
+		return this.configCheck;
+	}
+
 	RolloutController rollouts() {
 		return this.rollouts;
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/RequestDispatcher.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/RequestDispatcher.java
@@ -63,7 +63,7 @@
 	 * the event loop, is waited for then, so that no replica gets work for nobody.
 	 */
 	void take(HttpServerRequest request, CallerRequest caller, Buffer body, long startedAt) {
-		Runnable serve = () -> serve(request, caller, body, startedAt);
+		Runnable serve = () -> serve(request, caller, body, startedAt, false);
 		if (this.gateway.stalls().behind(Clock.millis())) {
 			// A timer that is due may still run in this turn; one that it sets does not.
 			this.vertx.setTimer(1, (first) -> this.vertx.setTimer(1, (second) -> serve.run()));
@@ -73,14 +73,18 @@
 		}
 	}
 
-	private void serve(HttpServerRequest request, CallerRequest caller, Buffer body, long startedAt) {
+	/**
+	 * Serves or refuses a request.
+	 * @param checked whether the configuration was read anew for it
+	 */
+	private void serve(HttpServerRequest request, CallerRequest caller, Buffer body, long startedAt, boolean checked) {
 		CallerAnswerWriter writer = new CallerAnswerWriter(request.response(), this.gateway::stopping);
 		Optional<FleetConfig> config = this.gateway.fleet().config();
 		if (request.response().closed()) {
 			return;
 		}
 		if (config.isEmpty() && !this.gateway.stopping()
-				&& this.held.hold(() -> serve(request, caller, body, startedAt))) {
+				&& this.held.hold(() -> serve(request, caller, body, startedAt, checked))) {
 			return;
 		}
 		if (config.isEmpty()) {
@@ -89,14 +93,15 @@
 			return;
 		}
 		Optional<Route> route = config.get().route(caller.host(), caller.path());
-		if (route.isEmpty()) {
-			refused(writer, caller, Statuses.NOT_FOUND, Optional.empty(), "no route");
+		boolean keyed = config.get().keyed() && route.isPresent() && !route.get().open();
+		Optional<Team> team = keyed ? caller.key().flatMap(config.get()::team) : Optional.empty();
+		boolean allowed = route.isPresent() && !(keyed && team.isEmpty());
+		if (!checked && this.gateway.mustCheck(allowed)) {
+			this.gateway.configCheck().read(() -> serve(request, caller, body, startedAt, true));
 			return;
 		}
-		boolean keyed = config.get().keyed() && !route.get().open();
-		Optional<Team> team = keyed ? caller.key().flatMap(config.get()::team) : Optional.empty();
-		if (keyed && team.isEmpty()) {
-			refused(writer, caller, Statuses.UNAUTHORIZED, Optional.empty(), "unknown key");
+		if (!allowed) {
+			refuse(writer, caller, route.isEmpty());
 			return;
 		}
 		if (!this.gateway.stop().takes(route.get(), Clock.millis())) {
@@ -121,6 +126,23 @@
 		new Serving(this.gateway, served).start();
 	}
 
+	/**
+	 * Refuses a request that the known configuration does not allow. That is definite
+	 * only if no newer one may allow it.
+	 */
+	private void refuse(CallerAnswerWriter writer, CallerRequest caller, boolean noRoute) {
+		if (this.gateway.mustCheck(false)) {
+			refused(writer, caller, Statuses.UNAVAILABLE, Optional.of(this.gateway.decisions().comeBackMillis()),
+					"the configuration may have changed");
+		}
+		else if (noRoute) {
+			refused(writer, caller, Statuses.NOT_FOUND, Optional.empty(), "no route");
+		}
+		else {
+			refused(writer, caller, Statuses.UNAUTHORIZED, Optional.empty(), "unknown key");
+		}
+	}
+
 	/**
 	 * Ends a request that no route took.
 	 * @param after when the caller may come back, in milliseconds
--- a/daemon/src/test/java/org/gullsaddle/gateway/FleetFeedTests.java
+++ b/daemon/src/test/java/org/gullsaddle/gateway/FleetFeedTests.java
@@ -39,6 +39,11 @@
 				return Single.never();
 			}
 
+			@Override
+			public Single<List<FleetChange>> configuration() {
+				return Single.never();
+			}
+
 		};
 
 		private final FleetState state = new FleetState();
--- /dev/null
+++ b/daemon/src/test/java/org/gullsaddle/gateway/SuspendWatchTests.java
@@ -0,0 +1,44 @@
+package org.gullsaddle.gateway;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class SuspendWatchTests {
+
+	private static final long NOON = 1_000_000_000;
+
+	private final SuspendWatch watch = new SuspendWatch();
+
+	/**
+	 * Guards against knowledge that is taken for new after the machine was suspended: the
+	 * clock that counts intervals stood still with it.
+	 */
+	@Test
+	void timeThatOnlyTheTimeOfDayCountedIsFound() {
+		this.watch.look(1000, NOON);
+		assertThat(this.watch.look(1050, NOON + 8050)).isEqualTo(8000);
+		assertThat(this.watch.look(1100, NOON + 8100)).isZero();
+	}
+
+	@Test
+	void clocksThatGoTogetherAreNoSuspension() {
+		this.watch.look(1000, NOON);
+		assertThat(this.watch.look(9000, NOON + 8000)).isZero();
+	}
+
+	@Test
+	void timeOfDayThatIsSetBackIsNone() {
+		this.watch.look(1000, NOON);
+		assertThat(this.watch.look(1050, NOON - 5000)).isZero();
+		assertThat(this.watch.look(1100, NOON - 4950)).isZero();
+	}
+
+	@Test
+	void shortOnesAddUp() {
+		this.watch.look(1000, NOON);
+		assertThat(this.watch.look(1050, NOON + 250)).isZero();
+		assertThat(this.watch.look(1100, NOON + 500)).isEqualTo(400);
+	}
+
+}
