--- a/core/src/main/java/org/gullsaddle/serve/Rollout.java
+++ b/core/src/main/java/org/gullsaddle/serve/Rollout.java
@@ -34,29 +34,9 @@
  */
 public final class Rollout {
 
-	private static final int ENOUGH_ANSWERS = 10;
-
-	/** How many answers on each route in use a proof takes. */
-	private static final int ENOUGH_ON_A_ROUTE = 5;
-
-	/** How many answers of replicas under load a proof takes. */
-	private static final int ENOUGH_UNDER_LOAD = 12;
-
-	/**
-	 * How much more than at the old release must have run at a replica of the new one for
-	 * a proof without a trial under load.
-	 */
-	private static final double LOAD_MARGIN = 1.5;
-
 	/** A hundred to one for a bad release. */
 	private static final double THRESHOLD = Math.log(100);
 
-	/**
-	 * Evidence against a release, or against it on any route, by which it is not proved,
-	 * though not bad either: one failure that good answers have not outweighed.
-	 */
-	private static final double DOUBT = 1.5;
-
 	/**
 	 * How much longer than this node another one may have known the order for both to
 	 * have known it from the start, in milliseconds.
@@ -98,6 +78,8 @@
 
 	private final ReleaseUse use;
 
+	private final ReleaseProof proof;
+
 	/** When each replica of the new release was last found slow, until its answer. */
 	private final Map<ReplicaId, Long> slowUntil = new HashMap<>();
 
@@ -130,6 +112,7 @@
 		this.revision = revision;
 		this.loadTrial = new LoadTrial(order.target());
 		this.use = new ReleaseUse(limits);
+		this.proof = new ReleaseProof(this.evidence, this.routes, this.loadTrial, this.use);
 	}
 
 	/**
@@ -295,7 +278,7 @@
 		if (this.state != RolloutState.RUNNING || !young || takenBack()) {
 			return;
 		}
-		if (this.provedMillis == 0 && part(now) <= ReleaseRamp.LATEST_PROOF && proves(now)) {
+		if (this.provedMillis == 0 && part(now) <= ReleaseRamp.LATEST_PROOF && this.proof.stands(part(now))) {
 			proved(elapsed(now));
 		}
 		if (this.provedMillis > 0) {
@@ -308,26 +291,6 @@
 		this.provedMillis = (this.provedMillis > 0) ? Math.min(this.provedMillis, elapsedMillis) : elapsedMillis;
 	}
 
-	private boolean proves(long now) {
-		if (answers() < ENOUGH_ANSWERS || this.evidence.most() >= DOUBT || !this.routes.tried(ENOUGH_ON_A_ROUTE)) {
-			return false;
-		}
-		if (answersUnderLoad() >= ENOUGH_UNDER_LOAD) {
-			return true;
-		}
-		return part(now) >= ReleaseRamp.LATEST_TRIAL && triedLoad() >= LOAD_MARGIN * this.use.formerLoad();
-	}
-
-	private int answersUnderLoad() {
-		return this.loadTrial.answersUnderLoad()
-				+ this.evidence.notes().stream().mapToInt(RolloutNote::answersUnderLoad).sum();
-	}
-
-	private double triedLoad() {
-		double others = this.evidence.notes().stream().mapToDouble(RolloutNote::triedLoad).max().orElse(0);
-		return Math.max(this.loadTrial.triedLoad(), others);
-	}
-
 	/**
 	 * Returns what this node tells the others.
 	 * @param now the time
@@ -362,8 +325,8 @@
 	 * @return its figures
 	 */
 	public RolloutProgress progress(long now) {
-		return new RolloutProgress(part(now), this.provedShare, this.use.sent(), this.use.sentToTarget(), triedLoad(),
-				this.use.formerLoad(), answersUnderLoad(), this.provedMillis);
+		return new RolloutProgress(part(now), this.provedShare, this.use.sent(), this.use.sentToTarget(),
+				this.proof.triedLoad(), this.use.formerLoad(), this.proof.answersUnderLoad(), this.provedMillis);
 	}
 
 	/**
@@ -468,7 +431,7 @@
 	}
 
 	private void judge() {
-		this.condemned = this.condemned || this.evidence.enough(answersUnderLoad());
+		this.condemned = this.condemned || this.evidence.enough(this.proof.answersUnderLoad());
 	}
 
 	private double part(long now) {
--- a/daemon/src/main/java/org/gullsaddle/gateway/ConfigCheck.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/ConfigCheck.java
@@ -14,6 +14,20 @@
  */
 final class ConfigCheck {
 
+	/**
+	 * How old the configuration may be by which a request is refused for good, as a part
+	 * of the time in which a change must be in force. An older one is read anew first;
+	 * while it cannot be, the request is refused for now only.
+	 */
+	private static final double REFUSE_PART = 0.6;
+
+	/**
+	 * How old the configuration may be by which a request is served, as the same part. An
+	 * older one is read anew first; while it cannot be, requests are served by it, so
+	 * that an outage of the store is none of the gateway.
+	 */
+	private static final double GRANT_PART = 0.8;
+
 	/** How many requests may wait for one call. */
 	private static final int MAX_WAITING = 256;
 
@@ -24,12 +38,16 @@
 
 	private final FleetState state;
 
+	private final long newsMillis;
+
 	private final Consumer<FleetChange> learned;
 
 	private final DecisionLog log;
 
 	private final Telemetry telemetry;
 
+	private final SuspendWatch suspends = new SuspendWatch();
+
 	private final List<Runnable> waiting = new ArrayList<>();
 
 	private boolean failing;
@@ -38,22 +56,44 @@
 
 	/**
 	 * Makes a check.
+	 * @param newsMillis how soon a change must be in force here, in milliseconds
 	 * @param learned is told of what is read, after the state has taken it in
 	 */
-	ConfigCheck(FleetSource source, FleetState state, Consumer<FleetChange> learned, DecisionLog log,
+	ConfigCheck(FleetSource source, FleetState state, long newsMillis, Consumer<FleetChange> learned, DecisionLog log,
 			Telemetry telemetry) {
 		this.source = source;
 		this.state = state;
+		this.newsMillis = newsMillis;
 		this.learned = learned;
 		this.log = log;
 		this.telemetry = telemetry;
 	}
 
 	/**
-	 * Says whether the last call failed, so that another one would likely cost time only.
+	 * Says whether the configuration must be read anew before it decides a request.
+	 * @param allowed whether the known one allows the request
 	 */
-	boolean failing() {
-		return this.failing;
+	boolean due(boolean allowed) {
+		long now = Clock.millis();
+		lookForSuspension(now);
+		long age = this.state.configAge(now);
+		if (allowed) {
+			// Another call would likely cost the caller time only.
+			boolean away = this.failing || this.state.directory().storeAway();
+			return !away && age > GRANT_PART * this.newsMillis;
+		}
+		return this.state.configUnreadable() || age > REFUSE_PART * this.newsMillis;
+	}
+
+	/**
+	 * Lets knowledge age by the time for which the machine was suspended.
+	 */
+	void lookForSuspension(long now) {
+		long slept = this.suspends.look(now, System.currentTimeMillis());
+		if (slept > 0) {
+			this.log.suspended(slept);
+			this.state.suspended(slept);
+		}
 	}
 
 	/**
--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -49,20 +49,6 @@
 
 	private static final int MAX_HEADER_BYTES = 65_536;
 
-	/**
-	 * How old the configuration may be by which a request is refused for good, as a part
-	 * of the time in which a change must be in force. An older one is read anew first;
-	 * while it cannot be, the request is refused for now only.
-	 */
-	private static final double REFUSE_PART = 0.6;
-
-	/**
-	 * How old the configuration may be by which a request is served, as the same part. An
-	 * older one is read anew first; while it cannot be, requests are served by it, so
-	 * that an outage of the store is none of the gateway.
-	 */
-	private static final double GRANT_PART = 0.8;
-
 	private final Vertx vertx;
 
 	private final GatewaySettings settings;
@@ -89,8 +75,6 @@
 
 	private final ConfigCheck configCheck;
 
-	private final SuspendWatch suspends = new SuspendWatch();
-
 	private final NodeRegister nodes;
 
 	private final ReplicaRules rules;
@@ -137,7 +121,8 @@
 		this.dispatcher = new RequestDispatcher(vertx, this);
 		this.feed = new FleetFeed(vertx, builder.source, this.fleet, this.log, this::learned,
 				this.settings.newsMillis());
-		this.configCheck = new ConfigCheck(builder.source, this.fleet, this::learned, this.log, this.telemetry);
+		this.configCheck = new ConfigCheck(builder.source, this.fleet, this.settings.newsMillis(), this::learned,
+				this.log, this.telemetry);
 	}
 
 	/**
@@ -331,32 +316,9 @@
 		this.backpressure.learned(change);
 	}
 
-	/**
-	 * Says whether the configuration must be read anew before it decides a request.
-	 * @param allowed whether the known one allows the request
-	 */
-	boolean mustCheck(boolean allowed) {
-		long now = Clock.millis();
-		lookForSuspension(now);
-		long age = this.fleet.configAge(now);
-		if (allowed) {
-			boolean away = this.configCheck.failing() || this.fleet.directory().storeAway();
-			return !away && age > GRANT_PART * this.settings.newsMillis();
-		}
-		return this.fleet.configUnreadable() || age > REFUSE_PART * this.settings.newsMillis();
-	}
-
-	private void lookForSuspension(long now) {
-		long slept = this.suspends.look(now, System.currentTimeMillis());
-		if (slept > 0) {
-			this.log.suspended(slept);
-			this.fleet.suspended(slept);
-		}
-	}
-
 	private void tick() {
 		long now = Clock.millis();
-		lookForSuspension(now);
+		this.configCheck.lookForSuspension(now);
 		long stalled = this.stalls.look(now);
 		if (stalled > 0) {
 			this.log.stalled(stalled, this.open.size());
--- a/daemon/src/test/java/org/gullsaddle/gateway/FleetFeedTests.java
+++ b/daemon/src/test/java/org/gullsaddle/gateway/FleetFeedTests.java
@@ -26,7 +26,7 @@
 
 		private static final ServiceName SERVICE = new ServiceName("engines");
 
-		private static final FleetChange ORDERED = new FleetChange.Ordered(new RolloutOrder(SERVICE, "v2", 20_000), 1);
+		private static final FleetChange ORDERED = new FleetChange.Ordered(new RolloutOrder(SERVICE, "v2", 60_000), 1);
 
 		private static final FleetSource STORE_THAT_NEVER_ANSWERS = new FleetSource() {
 
@@ -75,6 +75,16 @@
 			assertThat(feed.everyMillis(0)).isEqualTo(2500);
 		}
 
+		/** Guards against a short roll-out that is over before evidence has travelled. */
+		@Test
+		void newsIsAskedForMoreOftenInAShortRollout() {
+			FleetFeed feed = feed(3000);
+			this.state.apply(0, new FleetChange.Ordered(new RolloutOrder(SERVICE, "v3", 16_000), 2));
+			assertThat(feed.everyMillis(0)).isEqualTo(1000);
+			this.state.apply(0, new FleetChange.Ordered(new RolloutOrder(SERVICE, "v4", 4000), 3));
+			assertThat(feed.everyMillis(0)).isEqualTo(500);
+		}
+
 		@Test
 		void rolloutDoesNotSlowNewsDown() {
 			FleetFeed feed = feed(3000);
