The share of a release does not rise in the first half, however soon it is proved

Cause, by that run's lines of the share: requests without a session proved the release at 0.27 of its time with half of the slots in use, and it had all requests at 0.46. It fails from five of eight on; with the test's callers slowed down by the machine, two replicas got just that much later.

Change: the share rises from 0.6 of the time on at the earliest. That is no later than before for sessions, which cannot be proved before 0.55. RolloutTests has a test of it, which fails without the change by its constant.

--- a/core/src/main/java/org/gullsaddle/serve/ReleaseRamp.java
+++ b/core/src/main/java/org/gullsaddle/serve/ReleaseRamp.java
@@ -28,6 +28,12 @@
 	/** Without a proof by then, the new release is taken back. */
 	static final double GIVE_UP_AT = 0.96;
 
+	/**
+	 * When the share rises at the earliest, however soon the release is proved: one that
+	 * turns bad late is better found out with a small share.
+	 */
+	private static final double EARLIEST_GROWTH = 0.6;
+
 	/** How long news of a proof may take to all nodes. */
 	static final double LEAD = 0.085;
 
@@ -79,7 +85,11 @@
 	 * @param provedAt when it was proved
 	 */
 	static double completeAt(double provedAt) {
-		return Math.max(COMPLETE_AT, provedAt + LEAD + (STEPS.length - 1) * STEP + WHOLE);
+		return Math.max(COMPLETE_AT, growsAt(provedAt) + (STEPS.length - 1) * STEP + WHOLE);
+	}
+
+	private static double growsAt(double provedAt) {
+		return Math.max(EARLIEST_GROWTH, provedAt + LEAD);
 	}
 
 	/**
@@ -88,7 +98,7 @@
 	 * @param provedAt when
 	 */
 	static double proved(double part, double provedAt) {
-		double since = part - provedAt - LEAD;
+		double since = part - growsAt(provedAt);
 		if (since < 0) {
 			return 0;
 		}
--- a/core/src/test/java/org/gullsaddle/serve/RolloutTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/RolloutTests.java
@@ -159,6 +159,14 @@
 					(int) (RolloutLimits.USUAL.share() * DURATION / 10 + RolloutLimits.USUAL.slack()));
 		}
 
+		/** Guards against a release that turns bad late, and has all requests early. */
+		@Test
+		void itsShareDoesNotRiseInTheFirstHalfHoweverSoonItIsProved() {
+			prove(DURATION * 32 / 100);
+			lookUntil(DURATION * 32 / 100, DURATION / 2);
+			assertThat(RolloutTests.this.rollout.progress(DURATION / 2).share()).isZero();
+		}
+
 		/** Guards against a share that rises at a node which cannot hear the others. */
 		@Test
 		void itsShareDoesNotRiseByOldKnowledge() {
