Documentation of an answer that counts from its head

The method's text still said that it notes the end of an answer; evidence counts from the head since. A comment only; format, style and roll-out tests pass, the whole checks were not run again.

--- a/core/src/main/java/org/gullsaddle/serve/Rollout.java
+++ b/core/src/main/java/org/gullsaddle/serve/Rollout.java
@@ -175,8 +175,8 @@
 	}
 
 	/**
-	 * Notes the end of an answer.
-	 * @param replica the replica that gave it
+	 * Notes that an answer has begun: whether it is a failure stands in its head.
+	 * @param replica the replica that gives it
 	 * @param kind what it is compared by
 	 * @param failed whether it was a failure
 	 * @param sentAt when the request was sent, in milliseconds
