Logs tell which parts a prompt shares, and that a replica ended

Attempt lines now name the parts that other requests may have too; a line tells that a replica ended under work, and by what that was known; two counters tell how many ended so and how many requests were refused for it. No decision changes.

--- a/core/src/main/java/org/gullsaddle/serve/Prompt.java
+++ b/core/src/main/java/org/gullsaddle/serve/Prompt.java
@@ -21,6 +21,15 @@
 		parts = List.copyOf(parts);
 	}
 
+	/**
+	 * Returns the parts that other requests may have too: all but the last.
+	 * @return their ids in order
+	 */
+	public List<String> sharedParts() {
+		int shared = Math.max(0, this.parts.size() - 1);
+		return this.parts.subList(0, shared).stream().map(PromptPart::id).toList();
+	}
+
 	/**
 	 * Returns how many tokens a replica may have to hold for it.
 	 * @return the prompt's and those that may be generated
--- a/daemon/src/main/java/org/gullsaddle/gateway/CrashController.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/CrashController.java
@@ -14,6 +14,7 @@
 import org.gullsaddle.serve.CrashNote;
 import org.gullsaddle.serve.CrashWatch;
 import org.gullsaddle.store.Store;
+import org.gullsaddle.telemetry.Telemetry;
 
 /**
  * Watches for requests that crash their replicas, and tells the other nodes by a note.
@@ -35,6 +36,8 @@
 
 	private final DecisionLog log;
 
+	private final Telemetry telemetry;
+
 	private final String key;
 
 	private final NodeNote note;
@@ -43,9 +46,10 @@
 
 	private boolean due;
 
-	CrashController(Vertx vertx, Store store, String node, DecisionLog log) {
+	CrashController(Vertx vertx, Store store, String node, DecisionLog log, Telemetry telemetry) {
 		this.vertx = vertx;
 		this.log = log;
+		this.telemetry = telemetry;
 		this.key = NOTES + node;
 		this.note = new NodeNote(store, this.key);
 	}
@@ -63,7 +67,7 @@
 			}
 			case AttemptEnd.NotRun notRun -> {
 				if (notRun.unreachable()) {
-					suspected(replica.id(), this.watch.down(Clock.millis(), replica.id()));
+					suspected(replica.id(), "refuses connections", this.watch.down(Clock.millis(), replica.id()));
 				}
 			}
 			case AttemptEnd.Withdrawn withdrawn -> {
@@ -79,10 +83,10 @@
 	void learned(FleetChange change) {
 		switch (change) {
 			case FleetChange.Unlisted unlisted ->
-				suspected(unlisted.id(), this.watch.down(Clock.millis(), unlisted.id()));
+				suspected(unlisted.id(), "is not listed any more", this.watch.down(Clock.millis(), unlisted.id()));
 			case FleetChange.Listed listed -> {
 				ReplicaId id = listed.replica().id();
-				suspected(id, this.watch.listed(Clock.millis(), listed.replica()));
+				suspected(id, "another process has its id", this.watch.listed(Clock.millis(), listed.replica()));
 			}
 			case FleetChange.Noted noted -> {
 				if (noted.key().startsWith(NOTES) && !noted.key().equals(this.key)) {
@@ -99,7 +103,11 @@
 	 * @return milliseconds, 0 if it may run
 	 */
 	long refusedFor(Serving serving) {
-		return this.watch.any() ? this.watch.refusedFor(Clock.millis(), serving.request().content()) : 0;
+		long millis = this.watch.any() ? this.watch.refusedFor(Clock.millis(), serving.request().content()) : 0;
+		if (millis > 0) {
+			this.telemetry.count("refused.for.crashes");
+		}
+		return millis;
 	}
 
 	private void learn(FleetChange.Noted noted) {
@@ -111,7 +119,11 @@
 		}
 	}
 
-	private void suspected(ReplicaId replica, List<Fingerprint> contents) {
+	private void suspected(ReplicaId replica, String how, List<Fingerprint> contents) {
+		if (!contents.isEmpty()) {
+			this.log.replicaEnded(replica, how);
+			this.telemetry.count("replicas.ended.under.work");
+		}
 		contents.forEach((content) -> this.log.suspected(content, replica));
 		if (!contents.isEmpty()) {
 			tellIn(GATHER_MILLIS);
--- a/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
@@ -166,13 +166,14 @@
 			.log("roll-out share");
 	}
 
-	void attempt(String id, Attempt attempt, String model, String end, long millis, StreamClock stream,
+	void attempt(ServedRequest request, Attempt attempt, String model, String end, long millis, StreamClock stream,
 			boolean failure) {
 		if (allowed(failure)) {
 			Choice choice = attempt.choice();
 			Optional<LoadReport> told = Optional.ofNullable(attempt.answer()).flatMap(ReplicaAnswer::load);
 			LOG.atInfo()
-				.addKeyValue("id", id)
+				.addKeyValue("id", request.id())
+				.addKeyValue("parts", request.caller().prompt().sharedParts())
 				.addKeyValue("confidence", attempt.confidence())
 				.addKeyValue("replica", choice.replica().id().value())
 				.addKeyValue("dataCenter", choice.replica().dataCenter())
@@ -284,6 +285,16 @@
 		LOG.atWarn().addKeyValue("millis", millis).addKeyValue("open", open).log("stood still");
 	}
 
+	/**
+	 * Tells that a replica's process has ended.
+	 * @param how what showed it
+	 */
+	void replicaEnded(ReplicaId replica, String how) {
+		if (allowed(true)) {
+			LOG.atInfo().addKeyValue("replica", replica.value()).addKeyValue("how", how).log("replica ended");
+		}
+	}
+
 	void suspected(Fingerprint content, ReplicaId replica) {
 		if (allowed(true)) {
 			LOG.atInfo()
--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -117,7 +117,7 @@
 		this.rules = new ReplicaRules(this.fleet.directory(), this.settings.place(), this.coldPace, book);
 		this.rollouts = new RolloutController(vertx, builder.board, builder.store, this.settings.node(), this.fleet,
 				this.log);
-		this.crashes = new CrashController(vertx, builder.store, this.settings.node(), this.log);
+		this.crashes = new CrashController(vertx, builder.store, this.settings.node(), this.log, this.telemetry);
 		this.dispatcher = new RequestDispatcher(vertx, this);
 		this.feed = new FleetFeed(vertx, builder.source, this.fleet, this.log, this::learned,
 				this.settings.newsMillis());
@@ -281,7 +281,7 @@
 		long millis = now - attempt.startedAt();
 		this.decisions.picker().ended(now, attempt.choice(), end);
 		this.crashes.ended(serving, attempt.choice().replica(), end);
-		this.log.attempt(serving.id(), attempt, serving.model(), end.toString(), millis, serving.clock(),
+		this.log.attempt(serving.request(), attempt, serving.model(), end.toString(), millis, serving.clock(),
 				!(end instanceof AttemptEnd.Answered answered) || answered.failure());
 		this.telemetry.attempt(serving.service().value(), end.word());
 		if (serving.clock().begun() && serving.route().kind() == RouteKind.STREAM) {
