--- a/core/src/main/java/org/gullsaddle/serve/ReplicaRules.java
+++ b/core/src/main/java/org/gullsaddle/serve/ReplicaRules.java
@@ -1,5 +1,6 @@
 package org.gullsaddle.serve;
 
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -11,12 +12,14 @@
 import org.gullsaddle.fleet.ReplicaDirectory;
 import org.gullsaddle.fleet.ReplicaId;
 import org.gullsaddle.fleet.ServiceName;
+import org.gullsaddle.suspect.CrashBook;
+import org.gullsaddle.suspect.Trait;
 
 /**
  * Which replicas a request may go to at all, whatever it would lose there: those that
  * take new work, in a region that is allowed, of the release that is its own, and within
  * the rate that they ask for. Cold ones come last, and only as many requests go there as
- * they bear. Confined to one thread.
+ * they bear. What crashes replicas may go to none. Confined to one thread.
  */
 public final class ReplicaRules {
 
@@ -28,18 +31,32 @@
 
 	private final BackpressureBook backpressure;
 
+	private final CrashBook crashes;
+
 	/**
 	 * Makes the rules of a node.
 	 * @param directory the replicas
 	 * @param place where the node is
 	 * @param pace what the node may send to cold replicas
 	 * @param backpressure what it may send to replicas that ask for fewer requests
+	 * @param crashes what is refused as it crashes replicas
 	 */
-	public ReplicaRules(ReplicaDirectory directory, Place place, ColdPace pace, BackpressureBook backpressure) {
+	public ReplicaRules(ReplicaDirectory directory, Place place, ColdPace pace, BackpressureBook backpressure,
+			CrashBook crashes) {
 		this.directory = directory;
 		this.place = place;
 		this.pace = pace;
 		this.backpressure = backpressure;
+		this.crashes = crashes;
+	}
+
+	/**
+	 * Says whether a request may go to no replica, as it would crash it.
+	 * @param wanted what the request asks of replicas
+	 * @return true if one of its traits is refused
+	 */
+	public boolean refuses(Wanted wanted) {
+		return this.crashes.refuses(wanted.traits());
 	}
 
 	/**
@@ -89,6 +106,9 @@
 	 * @return the reason
 	 */
 	public NoReplica whyNone(long now, Wanted wanted) {
+		if (refuses(wanted)) {
+			return NoReplica.CRASHES;
+		}
 		List<Replica> open = open(now, wanted);
 		if (!open.isEmpty()) {
 			return whyNoneOf(now, wanted, open);
@@ -114,12 +134,16 @@
 	}
 
 	/**
-	 * Returns when a caller is to come back for whom all replicas are limited or resting.
+	 * Returns when a caller is to come back for whom all replicas are limited or resting,
+	 * or whose request is refused for crashes.
 	 * @param now the time in milliseconds
 	 * @param wanted what the request asked of them
 	 * @return the time from now, in milliseconds
 	 */
 	public long backMillis(long now, Wanted wanted) {
+		if (refuses(wanted)) {
+			return this.crashes.backMillis(now, wanted.traits());
+		}
 		return this.backpressure.backMillis(now, wanted.service(), open(now, wanted));
 	}
 
@@ -162,6 +186,9 @@
 	}
 
 	private List<Replica> open(long now, Wanted wanted) {
+		if (refuses(wanted)) {
+			return List.of();
+		}
 		return this.directory.usable(now, wanted.service(),
 				(dataCenter) -> wanted.limit().allows(this.place.region(dataCenter)));
 	}
@@ -199,9 +226,10 @@
 	 * @param nodes how many nodes share that, or empty if that is not known
 	 * @param rollout the roll-out of the service, if there is one
 	 * @param key what it keeps its release by
+	 * @param traits what it has in common with others, as far as it is refused for it
 	 */
 	public record Wanted(ServiceName service, RegionLimit limit, ColdStart coldStart, Optional<Integer> nodes,
-			Optional<Rollout> rollout, ReleaseKey key) {
+			Optional<Rollout> rollout, ReleaseKey key, Collection<Trait> traits) {
 	}
 
 	/**
@@ -209,6 +237,9 @@
 	 */
 	public enum NoReplica {
 
+		/** Requests with a part or the content of this one have crashed replicas. */
+		CRASHES("crashes its replicas"),
+
 		/** None is known. */
 		NONE("no replica"),
 
--- /dev/null
+++ b/core/src/main/java/org/gullsaddle/suspect/Conviction.java
@@ -0,0 +1,104 @@
+package org.gullsaddle.suspect;
+
+/**
+ * A trait whose requests are refused. It lasts while such requests come; now and then one
+ * of them is let through, ever more rarely, which clears the trait if it is sound.
+ */
+final class Conviction {
+
+	/** When the first request is let through, in milliseconds; doubles with each. */
+	private static final long FIRST_TRIAL_MILLIS = 30_000;
+
+	private static final int MAX_DOUBLINGS = 5;
+
+	/** How long it lasts after the last request with the trait, in milliseconds. */
+	static final long QUIET_MILLIS = 600_000;
+
+	private final Trait trait;
+
+	private long crashAt;
+
+	private long seenAt;
+
+	private int trials;
+
+	private long trialAt;
+
+	/** When any node told last that such requests come. */
+	private long toldAt;
+
+	Conviction(Trait trait, long now, long crashAt) {
+		this.trait = trait;
+		this.crashAt = crashAt;
+		this.seenAt = now;
+		this.toldAt = now;
+		this.trialAt = now + FIRST_TRIAL_MILLIS;
+	}
+
+	/**
+	 * Takes in what another node told.
+	 */
+	void learn(long now, CrashNote.Refused told, long lagMillis) {
+		this.crashAt = Math.max(this.crashAt, now - lagMillis - told.crashAgeMillis());
+		this.seenAt = Math.max(this.seenAt, now - lagMillis - told.seenAgeMillis());
+		this.toldAt = Math.max(this.toldAt, now - lagMillis);
+		this.trialAt = Math.max(this.trialAt, now - lagMillis + told.trialInMillis());
+		this.trials = Math.max(this.trials, told.trials());
+	}
+
+	CrashNote.Refused tell(long now) {
+		this.toldAt = now;
+		return new CrashNote.Refused(this.trait, now - this.crashAt, now - this.seenAt, this.trials,
+				this.trialAt - now);
+	}
+
+	/**
+	 * Notes that a request with the trait came.
+	 * @return whether others are to be told, as they may not have seen any for long
+	 */
+	boolean seen(long now) {
+		this.seenAt = now;
+		return now - this.toldAt > QUIET_MILLIS / 4;
+	}
+
+	void crashed(long at) {
+		this.crashAt = Math.max(this.crashAt, at);
+	}
+
+	/**
+	 * Notes that a request is let through.
+	 */
+	void tried(long now) {
+		this.trials++;
+		this.trialAt = now + (FIRST_TRIAL_MILLIS << Math.min(this.trials, MAX_DOUBLINGS));
+	}
+
+	boolean over(long now) {
+		return now - this.seenAt > QUIET_MILLIS;
+	}
+
+	boolean trialDue(long now) {
+		return now >= this.trialAt;
+	}
+
+	long trialInMillis(long now) {
+		return Math.max(0, this.trialAt - now);
+	}
+
+	int trials() {
+		return this.trials;
+	}
+
+	long crashAt() {
+		return this.crashAt;
+	}
+
+	long seenAt() {
+		return this.seenAt;
+	}
+
+	Trait trait() {
+		return this.trait;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/gullsaddle/suspect/CrashBook.java
@@ -0,0 +1,488 @@
+package org.gullsaddle.suspect;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+
+/**
+ * Finds out what requests that crash replicas have in common, from what all nodes saw,
+ * and refuses it. Confined to one thread.
+ * <p>
+ * Many requests run on a replica, so that one crash convicts nothing. A trait is refused
+ * once requests with it were at several crashes one after the other, and none with it
+ * went well since the first. Crashes in one moment are one piece of evidence, as a rack
+ * may have failed; a request that came to a replica only after the crash before is one of
+ * its own. What was sound before needs more of them, and others that went well meanwhile.
+ * Of several traits the one that was never sound is refused first, and what it explains
+ * is evidence against no other.
+ */
+public final class CrashBook {
+
+	/**
+	 * At how many crashes a part must have been. A rare part that has nothing to do with
+	 * them is at one crash in ten at most, and ever so rarely at all of four.
+	 */
+	private static final int CRASHES_OF_PART = 4;
+
+	/**
+	 * The same for a content. With two, a stream that is moved from one replica of a
+	 * failing rack to another one would be refused.
+	 */
+	private static final int CRASHES_OF_CONTENT = 3;
+
+	/** The same for what was sound before. */
+	private static final int CRASHES_OF_SOUND = 6;
+
+	/** How far apart crashes are that do not have one cause, in milliseconds. */
+	private static final long APART_MILLIS = 300;
+
+	/** How long a crash is remembered, in milliseconds. */
+	private static final long MEMORY_MILLIS = 300_000;
+
+	/** How long a crash that is explained may still grow, in milliseconds. */
+	private static final long EXPLAINED_MILLIS = 10_000;
+
+	/** How long after a crash others' news of it are awaited, in milliseconds. */
+	private static final long UNSETTLED_MILLIS = 10_000;
+
+	/**
+	 * How long ago a note was written at least for its age to count, in milliseconds:
+	 * clocks differ.
+	 */
+	private static final long MIN_LAG_MILLIS = 10_000;
+
+	private static final int MAX_CRASHES = 100;
+
+	private static final int MAX_CONVICTIONS = 256;
+
+	private static final int MAX_TOLD = 32;
+
+	private static final int MAX_TOLD_CRASHES = 16;
+
+	private static final int MAX_TOLD_TRAITS = 16;
+
+	private static final int MAX_LIVING = 100;
+
+	/** The crashes that any node saw. */
+	private final Map<String, Crash> crashes = new LinkedHashMap<>();
+
+	/** Those that this node saw, as it saw them, which it tells the others. */
+	private final Map<String, Crash> own = new LinkedHashMap<>() {
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<String, Crash> eldest) {
+			return size() > MAX_TOLD_CRASHES;
+		}
+	};
+
+	private final Map<Trait, Conviction> convictions = new HashMap<>();
+
+	private final SoundMarks sound = new SoundMarks();
+
+	/** When processes that had been taken for dead were last known to live. */
+	private final Map<String, Long> living = new LinkedHashMap<>() {
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+			return size() > MAX_LIVING;
+		}
+	};
+
+	private long lastCrashAt = Long.MIN_VALUE / 2;
+
+	/** The traits of which it was told that they are sound since their last crash. */
+	private final Set<Trait> toldSound = new HashSet<>();
+
+	/**
+	 * Notes a crash that this node found.
+	 * @param now the time in milliseconds
+	 * @param crash the crash
+	 * @return the traits that are refused from now on
+	 */
+	public List<Trait> crashed(long now, Crash crash) {
+		this.own.merge(crash.process(), crash, Crash::and);
+		add(now, crash);
+		return judge(now);
+	}
+
+	private void add(long now, Crash crash) {
+		if (this.living.getOrDefault(crash.process(), Long.MIN_VALUE) > crash.at()) {
+			return;
+		}
+		Crash known = this.crashes.get(crash.process());
+		this.crashes.put(crash.process(), (known != null) ? known.and(crash) : crash);
+		if (known == null) {
+			this.toldSound.removeAll(crash.traits());
+			this.lastCrashAt = Math.max(this.lastCrashAt, now);
+		}
+		crash.traits().forEach((trait) -> {
+			Conviction conviction = this.convictions.get(trait);
+			if (conviction != null) {
+				conviction.crashed(crash.at());
+			}
+		});
+		if (this.crashes.size() > MAX_CRASHES) {
+			this.crashes.remove(this.crashes.keySet().iterator().next());
+		}
+	}
+
+	/**
+	 * Notes that a replica lives, which may have been taken for dead: a node that is cut
+	 * off from it sees it refuse connections.
+	 * @param process the process
+	 * @param sentAt when the request was sent that it answers, in milliseconds
+	 */
+	public void alive(String process, long sentAt) {
+		Crash known = this.crashes.get(process);
+		if (known != null && known.at() < sentAt) {
+			this.crashes.remove(process);
+			this.own.remove(process);
+			this.living.put(process, sentAt);
+		}
+	}
+
+	/**
+	 * Notes that a request went well: its answer came whole, or went on for a while after
+	 * it had begun.
+	 * @param now the time in milliseconds
+	 * @param traits the request's traits
+	 * @return the traits among them that are not refused any more
+	 */
+	public List<Trait> sound(long now, Collection<Trait> traits) {
+		this.sound.add(now, traits);
+		return clear(traits);
+	}
+
+	private List<Trait> clear(Collection<Trait> traits) {
+		if (this.convictions.isEmpty()) {
+			return List.of();
+		}
+		return traits.stream().filter(this::cleared).toList();
+	}
+
+	private boolean cleared(Trait trait) {
+		Conviction conviction = this.convictions.get(trait);
+		return conviction != null && this.sound.last(trait) > conviction.crashAt()
+				&& this.convictions.remove(trait) != null;
+	}
+
+	/**
+	 * Says whether a request may not be sent to any replica.
+	 * @param traits the request's traits
+	 * @return true if one of them is refused
+	 */
+	public boolean refuses(Collection<Trait> traits) {
+		return !this.convictions.isEmpty() && traits.stream().anyMatch(this.convictions::containsKey);
+	}
+
+	/**
+	 * Returns when a refused request may come back: when the next one is let through.
+	 * @param now the time in milliseconds
+	 * @param traits the request's traits
+	 * @return the time from now in milliseconds
+	 */
+	public long backMillis(long now, Collection<Trait> traits) {
+		return refused(traits).stream().mapToLong((conviction) -> conviction.trialInMillis(now)).max().orElse(0);
+	}
+
+	/**
+	 * Notes that a request came, which lets the refusal of its traits last.
+	 * @param now the time in milliseconds
+	 * @param traits the request's traits
+	 * @return whether others are to be told
+	 */
+	public boolean seen(long now, Collection<Trait> traits) {
+		boolean due = false;
+		for (Conviction conviction : refused(traits)) {
+			due |= conviction.seen(now);
+		}
+		return due;
+	}
+
+	/**
+	 * Returns the trait for which a request is to be let through, to find out whether it
+	 * is sound by now.
+	 * @param now the time in milliseconds
+	 * @param traits the request's traits
+	 * @return the trait, if a trial is due and nothing else speaks against the request
+	 */
+	public Optional<Trial> trial(long now, Collection<Trait> traits) {
+		List<Conviction> against = refused(traits);
+		if (against.size() != 1 || !against.get(0).trialDue(now)) {
+			return Optional.empty();
+		}
+		return Optional.of(new Trial(against.get(0).trait(), against.get(0).trials() + 1));
+	}
+
+	/**
+	 * Notes that a trial was decided on, here or at another node.
+	 * @param now the time in milliseconds
+	 * @param trial the trial
+	 */
+	public void tried(long now, Trial trial) {
+		Conviction conviction = this.convictions.get(trial.trait());
+		if (conviction != null && conviction.trials() < trial.number()) {
+			conviction.tried(now);
+		}
+	}
+
+	private List<Conviction> refused(Collection<Trait> traits) {
+		return traits.stream().distinct().filter(this.convictions::containsKey).map(this.convictions::get).toList();
+	}
+
+	/**
+	 * Takes in what another node told.
+	 * @param now the time in milliseconds
+	 * @param clock the Unix millisecond
+	 * @param note what it told
+	 * @return what changed
+	 */
+	public Learned learn(long now, long clock, CrashNote note) {
+		long told = clock - note.writtenAt();
+		long lag = (told >= MIN_LAG_MILLIS) ? told : 0;
+		if (lag > Conviction.QUIET_MILLIS) {
+			return new Learned(List.of(), List.of());
+		}
+		note.sound().forEach((trait, age) -> this.sound.mark(now - lag - age, trait));
+		List<Trait> cleared = clear(note.sound().keySet());
+		for (CrashNote.Ended each : note.crashes()) {
+			if (lag + each.ageMillis() < MEMORY_MILLIS) {
+				add(now, new Crash(each.process(), now - lag - each.ageMillis(), each.ran()));
+			}
+		}
+		List<Trait> refused = new ArrayList<>();
+		for (CrashNote.Refused each : note.refused()) {
+			if (adopt(now, lag, each)) {
+				refused.add(each.trait());
+			}
+		}
+		refused.addAll(judge(now));
+		return new Learned(refused, cleared);
+	}
+
+	private boolean adopt(long now, long lag, CrashNote.Refused told) {
+		boolean soundSince = this.sound.last(told.trait()) > now - lag - told.crashAgeMillis();
+		if (soundSince || explainedByPart(told.trait())) {
+			return false;
+		}
+		boolean known = this.convictions.containsKey(told.trait());
+		if (!known) {
+			convict(new Conviction(told.trait(), now - lag - told.seenAgeMillis(), now - lag - told.crashAgeMillis()));
+		}
+		this.convictions.get(told.trait()).learn(now, told, lag);
+		return !known;
+	}
+
+	/**
+	 * Says whether others are to be told that a trait is sound: it was at crashes that
+	 * they know, or they refuse it.
+	 * @param traits the traits of a request that went well
+	 * @return true once after each crash
+	 */
+	public boolean speaksFor(Collection<Trait> traits) {
+		List<Crash> open = this.crashes.values().stream().filter((crash) -> !explained(crash)).toList();
+		if (open.size() < 2) {
+			return false;
+		}
+		List<Trait> accused = traits.stream()
+			.filter((trait) -> !this.toldSound.contains(trait))
+			.filter((trait) -> open.stream().filter((crash) -> crash.has(trait)).count() > 1)
+			.toList();
+		this.toldSound.addAll(accused);
+		return !accused.isEmpty();
+	}
+
+	/**
+	 * Returns what is known, to tell other nodes.
+	 * @param now the time in milliseconds
+	 * @param clock the Unix millisecond
+	 * @return the note, empty if nothing is known
+	 */
+	public Optional<CrashNote> note(long now, long clock) {
+		forget(now);
+		List<CrashNote.Ended> ended = this.own.values()
+			.stream()
+			.map((crash) -> crash.with(mostSuspect(crash)))
+			.map((crash) -> new CrashNote.Ended(crash.process(), now - crash.at(), crash.ran()))
+			.toList();
+		Set<Trait> accused = new LinkedHashSet<>(this.convictions.keySet());
+		this.crashes.values().stream().filter((crash) -> !explained(crash)).map(Crash::traits).forEach(accused::addAll);
+		Map<Trait, Long> marks = new HashMap<>();
+		accused.stream()
+			.filter(this.sound::any)
+			.sorted(Comparator.comparingLong(this.sound::last).reversed())
+			.limit(MAX_TOLD)
+			.forEach((trait) -> marks.put(trait, Math.max(0, now - this.sound.last(trait))));
+		List<CrashNote.Refused> refused = this.convictions.values()
+			.stream()
+			.sorted(Comparator.comparingLong(Conviction::seenAt).reversed())
+			.limit(MAX_TOLD)
+			.map((conviction) -> conviction.tell(now))
+			.toList();
+		CrashNote note = new CrashNote(clock, ended, marks, refused);
+		return note.empty() ? Optional.empty() : Optional.of(note);
+	}
+
+	/**
+	 * Returns the traits of a crash that were sound longest ago, or never.
+	 */
+	private Set<Trait> mostSuspect(Crash crash) {
+		return new HashSet<>(crash.traits()
+			.stream()
+			.sorted(Comparator.comparingLong(this.sound::last).thenComparing((trait) -> !trait.isPart()))
+			.limit(MAX_TOLD_TRAITS)
+			.toList());
+	}
+
+	/**
+	 * Returns how many traits are refused.
+	 * @return the number
+	 */
+	public int countRefused() {
+		return this.convictions.size();
+	}
+
+	/**
+	 * Says whether any crash is remembered, or anything refused.
+	 * @return true if so
+	 */
+	public boolean any() {
+		return !this.crashes.isEmpty() || !this.convictions.isEmpty();
+	}
+
+	/**
+	 * Says whether crashes are so recent that others' news of them are awaited.
+	 * @param now the time in milliseconds
+	 * @return true if so
+	 */
+	public boolean unsettled(long now) {
+		return now - this.lastCrashAt < UNSETTLED_MILLIS;
+	}
+
+	private List<Trait> judge(long now) {
+		forget(now);
+		List<Trait> convicted = new ArrayList<>();
+		Optional<Accused> worst = worst();
+		while (worst.isPresent()) {
+			Trait trait = worst.get().trait;
+			convict(new Conviction(trait, now, worst.get().lastAt));
+			convicted.add(trait);
+			worst = worst();
+		}
+		return convicted;
+	}
+
+	private void convict(Conviction conviction) {
+		if (this.convictions.size() >= MAX_CONVICTIONS) {
+			this.convictions.values()
+				.stream()
+				.min(Comparator.comparingLong(Conviction::seenAt))
+				.ifPresent((oldest) -> this.convictions.remove(oldest.trait()));
+		}
+		this.convictions.put(conviction.trait(), conviction);
+		if (conviction.trait().isPart()) {
+			this.convictions.keySet().removeIf(this::explainedByPart);
+		}
+	}
+
+	/**
+	 * Says whether a trait is a content that was at a crash which a part explains.
+	 */
+	private boolean explainedByPart(Trait trait) {
+		return !trait.isPart()
+				&& this.crashes.values().stream().anyMatch((crash) -> crash.has(trait) && explained(crash));
+	}
+
+	/**
+	 * Returns what is to be refused next, if anything is.
+	 */
+	private Optional<Accused> worst() {
+		List<Crash> open = this.crashes.values()
+			.stream()
+			.filter((crash) -> !explained(crash))
+			.sorted(Comparator.comparingLong(Crash::at))
+			.toList();
+		Set<Trait> traits = new LinkedHashSet<>();
+		open.forEach((crash) -> traits.addAll(crash.traits()));
+		return traits.stream()
+			.filter((trait) -> !this.convictions.containsKey(trait))
+			.map((trait) -> accuse(trait, open))
+			.flatMap(Optional::stream)
+			.min(Comparator.comparing((Accused one) -> one.soundBefore)
+				.thenComparing((one) -> !one.trait.isPart())
+				.thenComparing((one) -> -one.crashes)
+				.thenComparing(Accused::trait));
+	}
+
+	private boolean explained(Crash crash) {
+		return crash.traits().stream().anyMatch((trait) -> trait.isPart() && this.convictions.containsKey(trait));
+	}
+
+	private Optional<Accused> accuse(Trait trait, List<Crash> open) {
+		long soundAt = this.sound.last(trait);
+		int count = 0;
+		OptionalLong first = OptionalLong.empty();
+		long last = Long.MIN_VALUE / 2;
+		for (Crash crash : open) {
+			boolean counts = crash.has(trait) && crash.at() > soundAt
+					&& (crash.at() - last >= APART_MILLIS || crash.startedAt(trait) >= last);
+			if (counts) {
+				count++;
+				last = crash.at();
+				first = first.isPresent() ? first : OptionalLong.of(last);
+			}
+		}
+		boolean soundBefore = this.sound.any(trait);
+		boolean enough = count >= needed(trait, soundBefore)
+				&& (!soundBefore || this.sound.withoutSince(trait, first.getAsLong()));
+		return enough ? Optional.of(new Accused(trait, soundBefore, count, last)) : Optional.empty();
+	}
+
+	private static int needed(Trait trait, boolean soundBefore) {
+		if (soundBefore) {
+			return CRASHES_OF_SOUND;
+		}
+		return trait.isPart() ? CRASHES_OF_PART : CRASHES_OF_CONTENT;
+	}
+
+	private void forget(long now) {
+		this.crashes.values().removeIf((crash) -> {
+			long age = now - crash.at();
+			return age >= MEMORY_MILLIS || (age >= EXPLAINED_MILLIS && explained(crash));
+		});
+		this.own.values().removeIf((crash) -> now - crash.at() >= MEMORY_MILLIS);
+		this.convictions.values().removeIf((conviction) -> conviction.over(now));
+		if (this.crashes.isEmpty()) {
+			this.toldSound.clear();
+		}
+	}
+
+	/**
+	 * A request that is let through although its trait is refused.
+	 *
+	 * @param trait the trait
+	 * @param number which of its trials it is, 1 for the first
+	 */
+	public record Trial(Trait trait, int number) {
+	}
+
+	/**
+	 * What another node's note changed.
+	 *
+	 * @param refused the traits that are refused from now on
+	 * @param cleared those that are not any more
+	 */
+	public record Learned(List<Trait> refused, List<Trait> cleared) {
+	}
+
+	private record Accused(Trait trait, boolean soundBefore, int crashes, long lastAt) {
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/gullsaddle/suspect/CrashWatch.java
@@ -0,0 +1,160 @@
+package org.gullsaddle.suspect;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.gullsaddle.fleet.Replica;
+import org.gullsaddle.fleet.ReplicaId;
+
+/**
+ * Finds the ends of replicas' processes under work, and what ran there then, from what
+ * one node sees. Confined to one thread.
+ * <p>
+ * A broken connection alone says little. If the replica is found dead soon after, what
+ * broke off there, or was given up in the same moment, may have been the cause. An answer
+ * that ends with its connection, without a length, may be whole or not: that shows when
+ * the replica answers a later request, or is found dead.
+ */
+public final class CrashWatch {
+
+	/**
+	 * How long after a broken connection a replica's death explains it, in milliseconds:
+	 * an entry lapses after three heartbeats of 1.2 s, and that takes a second to tell.
+	 */
+	private static final long SAME_CRASH_MILLIS = 6000;
+
+	/** How far the ends of attempts at one crash are apart at most, in milliseconds. */
+	private static final long SAME_MOMENT_MILLIS = 1000;
+
+	private final Map<ReplicaId, List<Ended>> ended = new HashMap<>();
+
+	/** The processes that were found dead lately. */
+	private final Map<String, Crash> found = new LinkedHashMap<>() {
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<String, Crash> eldest) {
+			return size() > MAX_FOUND;
+		}
+	};
+
+	private static final int MAX_FOUND = 100;
+
+	/**
+	 * Notes that an attempt ended without a whole answer that could be told as such.
+	 * @param now the time in milliseconds
+	 * @param replica the replica
+	 * @param startedAt when the request was sent, in milliseconds
+	 * @param manner how it ended
+	 * @param traits the request's traits
+	 * @return a crash that was found before, if this is a part of it
+	 */
+	public Optional<Crash> ended(long now, Replica replica, long startedAt, Manner manner, Collection<Trait> traits) {
+		Ended one = new Ended(replica, startedAt, now, manner, List.copyOf(traits));
+		Crash known = this.found.get(Crash.process(replica));
+		if (known != null) {
+			boolean same = Math.abs(now - known.at()) <= SAME_MOMENT_MILLIS;
+			return same ? Optional.of(crash(known.process(), known.at(), List.of(one))) : Optional.empty();
+		}
+		List<Ended> list = this.ended.computeIfAbsent(replica.id(), (id) -> new ArrayList<>());
+		list.removeIf((each) -> now - each.at > SAME_CRASH_MILLIS);
+		list.add(one);
+		return Optional.empty();
+	}
+
+	/**
+	 * Notes that a replica answered, so that it lives.
+	 * @param replica the replica
+	 * @param sentAt when the request was sent that it answers, in milliseconds
+	 * @return traits of earlier answers that are known to be whole by that
+	 */
+	public Set<Trait> answered(Replica replica, long sentAt) {
+		List<Ended> list = this.ended.get(replica.id());
+		if (list == null) {
+			return Set.of();
+		}
+		Set<Trait> whole = new LinkedHashSet<>();
+		list.removeIf((each) -> {
+			boolean before = each.replica.sameProcess(replica) && each.at < sentAt;
+			if (before && each.manner == Manner.CLOSED) {
+				whole.addAll(each.traits);
+			}
+			return before;
+		});
+		if (list.isEmpty()) {
+			this.ended.remove(replica.id());
+		}
+		return whole;
+	}
+
+	/**
+	 * Notes that a replica is dead: nothing listens there, its entry is gone, or another
+	 * process has its id or its address.
+	 * @param now the time in milliseconds
+	 * @param replica the replica
+	 * @return the crash, if anything ran there when it died
+	 */
+	public Optional<Crash> down(long now, ReplicaId replica) {
+		List<Ended> list = this.ended.remove(replica);
+		if (list == null) {
+			return Optional.empty();
+		}
+		list.removeIf((each) -> now - each.at > SAME_CRASH_MILLIS);
+		Optional<Ended> last = last(list, Manner.BROKEN).or(() -> last(list, Manner.CLOSED));
+		return last.map((end) -> {
+			list.removeIf((each) -> Math.abs(each.at - end.at) > SAME_MOMENT_MILLIS);
+			Crash crash = crash(Crash.process(end.replica), end.at, list);
+			this.found.put(crash.process(), crash);
+			return crash;
+		});
+	}
+
+	private static Optional<Ended> last(List<Ended> list, Manner manner) {
+		return list.stream().filter((each) -> each.manner == manner).reduce((one, later) -> later);
+	}
+
+	private static Crash crash(String process, long at, List<Ended> list) {
+		Map<Trait, Long> ran = new LinkedHashMap<>();
+		for (Ended each : list) {
+			each.traits.forEach((trait) -> ran.merge(trait, Math.max(0, each.at - each.startedAt), Math::min));
+		}
+		return new Crash(process, at, ran);
+	}
+
+	/**
+	 * Notes a replica's entry, which may tell that another process has its id.
+	 * @param now the time in milliseconds
+	 * @param replica the entry
+	 * @return the crash, if anything ran there when the process before died
+	 */
+	public Optional<Crash> listed(long now, Replica replica) {
+		List<Ended> list = this.ended.get(replica.id());
+		boolean another = list != null && !list.get(0).replica.sameProcess(replica);
+		return another ? down(now, replica.id()) : Optional.empty();
+	}
+
+	/**
+	 * How an attempt ended.
+	 */
+	public enum Manner {
+
+		/** Its connection broke. */
+		BROKEN,
+
+		/** Its answer ended with the connection and had no length. */
+		CLOSED,
+
+		/** It was given up, or its caller left, before it ended. */
+		GIVEN_UP
+
+	}
+
+	private record Ended(Replica replica, long startedAt, long at, Manner manner, List<Trait> traits) {
+	}
+
+}
--- a/core/src/test/java/org/gullsaddle/serve/ReplicaRulesTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/ReplicaRulesTests.java
@@ -25,6 +25,7 @@
 import org.gullsaddle.fleet.ServiceName;
 import org.gullsaddle.serve.ReplicaRules.NoReplica;
 import org.gullsaddle.serve.ReplicaRules.Wanted;
+import org.gullsaddle.suspect.CrashBook;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -45,7 +46,8 @@
 	private final BackpressureBook book = new BackpressureBook(NODE, this.place,
 			() -> Optional.of(List.of(new Peer(NODE, "a"))), new Random(1));
 
-	private final ReplicaRules rules = new ReplicaRules(this.directory, this.place, new ColdPace("node"), this.book);
+	private final ReplicaRules rules = new ReplicaRules(this.directory, this.place, new ColdPace("node"), this.book,
+			new CrashBook());
 
 	private static Replica replica(String dataCenter, String release) {
 		return new Replica(new ReplicaId(dataCenter + '-' + release), ENGINES, new Address("10.0.0.1", 80), dataCenter,
@@ -53,7 +55,7 @@
 	}
 
 	private static Wanted wanted(RegionLimit limit) {
-		return new Wanted(ENGINES, limit, COLD_START, Optional.of(1), Optional.empty(), KEY);
+		return new Wanted(ENGINES, limit, COLD_START, Optional.of(1), Optional.empty(), KEY, List.of());
 	}
 
 	private static RegionLimit limit(String regions) {
@@ -159,14 +161,15 @@
 		/** Guards against nodes that all take the whole of what a replica bears. */
 		@Test
 		void theyGetNothingFromANodeThatTheOthersMayNotCount() {
-			Wanted uncounted = new Wanted(ENGINES, limit("south"), COLD_START, Optional.empty(), Optional.empty(), KEY);
+			Wanted uncounted = new Wanted(ENGINES, limit("south"), COLD_START, Optional.empty(), Optional.empty(), KEY,
+					List.of());
 			assertThat(usable(uncounted)).isEmpty();
 		}
 
 		@Test
 		void theyAreUsedAsUsualIfTheyBearAsMuchAsWarmOnes() {
 			Wanted unlimited = new Wanted(ENGINES, limit("south"), ColdStart.NONE, Optional.empty(), Optional.empty(),
-					KEY);
+					KEY, List.of());
 			assertThat(usable(unlimited)).isEqualTo("c-v1");
 		}
 
@@ -232,7 +235,7 @@
 			Rollout justBegun = new Rollout(0, new RolloutOrder(ENGINES, "v2", 10_000), 1);
 			ReleaseKey session = new ReleaseKey("session", true);
 			Wanted wanted = new Wanted(ENGINES, RegionLimit.ANYWHERE, COLD_START, Optional.of(1),
-					Optional.of(justBegun), session);
+					Optional.of(justBegun), session, List.of());
 			Set<ReplicaId> leftOut = leftOut(wanted);
 			assertThat(ReplicaRulesTests.this.rules.usable(0, wanted, leftOut))
 				.allMatch((replica) -> leftOut.contains(replica.id()));
@@ -244,7 +247,7 @@
 			rest("a", "v2");
 			Rollout done = new Rollout(-9900, new RolloutOrder(ENGINES, "v2", 10_000), 1);
 			Wanted wanted = new Wanted(ENGINES, RegionLimit.ANYWHERE, COLD_START, Optional.of(1), Optional.of(done),
-					KEY);
+					KEY, List.of());
 			assertThat(ReplicaRulesTests.this.rules.usable(0, wanted, leftOut(wanted))).extracting(Replica::release)
 				.containsOnly("v1");
 		}
@@ -265,7 +268,7 @@
 			ReplicaRulesTests.this.directory.cold(0, fresh, 1000);
 			Rollout rollout = new Rollout(-9000, new RolloutOrder(ENGINES, "v2", 10_000), 1);
 			Wanted wanted = new Wanted(ENGINES, RegionLimit.ANYWHERE, COLD_START, Optional.of(1), Optional.of(rollout),
-					KEY);
+					KEY, List.of());
 			assertThat(usable(wanted)).isEqualTo("a-v1 b-v1 c-v1");
 			ReplicaRulesTests.this.directory.cold(0, fresh, 0);
 			assertThat(usable(wanted)).isEqualTo("a-v2");
--- /dev/null
+++ b/core/src/test/java/org/gullsaddle/suspect/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of what is found out about requests that crash replicas. */
+package org.gullsaddle.suspect;
--- a/daemon/src/main/java/org/gullsaddle/gateway/Attempt.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Attempt.java
@@ -7,6 +7,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 
@@ -51,6 +52,18 @@
 
 	private boolean ended;
 
+	/** Whether its connection broke, or none could be had as nothing listens there. */
+	private boolean lost;
+
+	private boolean connectRefused;
+
+	/** When the first bytes of the body came, negative before. */
+	private long bodyAt = -1;
+
+	private boolean toldThatItGoesOn;
+
+	private boolean endedWithConnection;
+
 	private long lastByteAt = this.startedAt;
 
 	private long headAt = this.startedAt;
@@ -73,6 +86,7 @@
 	void send(HttpMethod method, String uri, MultiMap headers, Buffer body, boolean fresh) {
 		this.pool.take(this.choice.replica(), fresh).onComplete((taken, failure) -> {
 			if (failure != null) {
+				this.connectRefused = ChannelPool.refused(failure);
 				end(new AttemptEnd.NotRun(true, "unreachable"));
 				return;
 			}
@@ -101,10 +115,10 @@
 	private void send(HttpClientRequest request, MultiMap headers, Buffer body) {
 		this.sent = true;
 		request.headers().setAll(headers);
-		request.exceptionHandler((failure) -> fail("connection broke"));
+		request.exceptionHandler((failure) -> lose("connection broke"));
 		request.response().onComplete((response, failure) -> {
 			if (failure != null) {
-				fail("no answer: " + failure.getMessage());
+				lose("no answer: " + failure.getMessage());
 			}
 			else {
 				head(response);
@@ -137,9 +151,10 @@
 			fail("answer is not the replica's");
 			return;
 		}
-		response.exceptionHandler((failure) -> fail("answer broke off"));
+		response.exceptionHandler((failure) -> lose("answer broke off"));
 		response.handler((bytes) -> {
 			this.lastByteAt = Clock.millis();
+			this.bodyAt = (this.bodyAt < 0) ? this.lastByteAt : this.bodyAt;
 			if (!this.ended && !this.notRun()) {
 				this.listener.data(this, bytes);
 			}
@@ -151,7 +166,51 @@
 	}
 
 	private boolean notRun() {
-		return this.answer.notRun() || this.answer.status() == Statuses.MISDIRECTED;
+		return this.answer.notRun() || misdirected();
+	}
+
+	/**
+	 * Says whether another process answered than the one that the request was for.
+	 */
+	boolean misdirected() {
+		return this.answer != null && this.answer.status() == Statuses.MISDIRECTED;
+	}
+
+	/**
+	 * Says whether the answer had neither a length nor chunks and ended with its
+	 * connection, which tells nothing of whether it is whole.
+	 */
+	boolean endedWithConnection() {
+		return this.endedWithConnection;
+	}
+
+	private static boolean framed(MultiMap headers) {
+		return headers.contains(HttpHeaders.CONTENT_LENGTH) || headers.contains(HttpHeaders.TRANSFER_ENCODING);
+	}
+
+	/**
+	 * Says, once, that the answer has gone on for some time since its body began.
+	 */
+	boolean goesOnFor(long millis) {
+		if (this.toldThatItGoesOn || this.bodyAt < 0 || this.lastByteAt - this.bodyAt < millis) {
+			return false;
+		}
+		this.toldThatItGoesOn = true;
+		return true;
+	}
+
+	/**
+	 * Says whether the connection broke before the answer was whole.
+	 */
+	boolean lost() {
+		return this.lost;
+	}
+
+	/**
+	 * Says whether nothing listens where the replica was.
+	 */
+	boolean connectRefused() {
+		return this.connectRefused;
 	}
 
 	/**
@@ -164,9 +223,10 @@
 			return;
 		}
 		if (this.channel.failed()) {
-			fail("connection broke in an answer without a length");
+			lose("connection broke in an answer without a length");
 			return;
 		}
+		this.endedWithConnection = !framed(this.response.headers());
 		if (this.answer.closes()) {
 			this.channel.close();
 		}
@@ -177,6 +237,11 @@
 				: new AttemptEnd.Answered(this.answer.status()));
 	}
 
+	private void lose(String reason) {
+		this.lost = true;
+		fail(reason);
+	}
+
 	private void fail(String reason) {
 		if (this.channel != null) {
 			this.channel.close();
--- a/daemon/src/main/java/org/gullsaddle/gateway/ChannelPool.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/ChannelPool.java
@@ -1,5 +1,6 @@
 package org.gullsaddle.gateway;
 
+import java.net.ConnectException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -7,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 
+import io.netty.channel.ConnectTimeoutException;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClientAgent;
@@ -73,6 +75,15 @@
 		return this.client.connect(options).map((connection) -> new Channel(replica, connection));
 	}
 
+	/**
+	 * Says whether a connection could not be had as nothing listens there. One that is
+	 * not answered at all tells nothing of the replica.
+	 * @param failure why it could not be had
+	 */
+	static boolean refused(Throwable failure) {
+		return failure instanceof ConnectException && !(failure instanceof ConnectTimeoutException);
+	}
+
 	/**
 	 * Takes a connection back after a whole answer.
 	 * @param channel the connection
--- a/daemon/src/main/java/org/gullsaddle/gateway/CrashController.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/CrashController.java
@@ -1,23 +1,31 @@
 package org.gullsaddle.gateway;
 
 import java.io.IOException;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
 
 import io.vertx.core.Vertx;
 
-import org.gullsaddle.base.Fingerprint;
 import org.gullsaddle.base.Json;
 import org.gullsaddle.fleet.FleetChange;
 import org.gullsaddle.fleet.Replica;
 import org.gullsaddle.fleet.ReplicaId;
 import org.gullsaddle.serve.AttemptEnd;
-import org.gullsaddle.serve.CrashNote;
-import org.gullsaddle.serve.CrashWatch;
 import org.gullsaddle.store.Store;
+import org.gullsaddle.suspect.Crash;
+import org.gullsaddle.suspect.CrashBook;
+import org.gullsaddle.suspect.CrashNote;
+import org.gullsaddle.suspect.CrashWatch;
+import org.gullsaddle.suspect.Trait;
 import org.gullsaddle.telemetry.Telemetry;
 
 /**
- * Watches for requests that crash their replicas, and tells the other nodes by a note.
+ * Watches for requests that crash their replicas, finds out at once whether a replica is
+ * dead whose connections broke, and tells the other nodes by a note. Confined to the
+ * event loop.
  */
 final class CrashController {
 
@@ -29,11 +37,34 @@
 	 */
 	private static final long GATHER_MILLIS = 200;
 
+	/**
+	 * What each node adds to that at most before it speaks for a trait, in milliseconds.
+	 */
+	private static final long SPREAD_MILLIS = 4;
+
 	/** When a note is written again that the store may not have, in milliseconds. */
 	private static final long AGAIN_MILLIS = 1000;
 
+	/**
+	 * How long after its connections broke a replica is asked whether it lives, in
+	 * milliseconds: by then all that broke in the same moment is known.
+	 */
+	private static final long ASK_MILLIS = 50;
+
+	/**
+	 * How long an answer has gone on for its engine to have borne the request, in
+	 * milliseconds.
+	 */
+	private static final long BORNE_MILLIS = 500;
+
 	private final Vertx vertx;
 
+	private final ChannelPool pool;
+
+	private final Decisions decisions;
+
+	private final NodeRegister nodes;
+
 	private final DecisionLog log;
 
 	private final Telemetry telemetry;
@@ -42,39 +73,155 @@
 
 	private final NodeNote note;
 
+	private final CrashTrials trials;
+
 	private final CrashWatch watch = new CrashWatch();
 
+	private final CrashBook book = new CrashBook();
+
+	/** The processes that are asked whether they live. */
+	private final Set<String> asked = new HashSet<>();
+
+	private final RandomGenerator random = RandomGenerator.getDefault();
+
+	private boolean wrote;
+
 	private boolean due;
 
-	CrashController(Vertx vertx, Store store, String node, DecisionLog log, Telemetry telemetry) {
+	CrashController(Vertx vertx, Store store, String node, ChannelPool pool, Decisions decisions, NodeRegister nodes,
+			DecisionLog log, Telemetry telemetry) {
 		this.vertx = vertx;
+		this.pool = pool;
+		this.decisions = decisions;
+		this.nodes = nodes;
 		this.log = log;
 		this.telemetry = telemetry;
 		this.key = NOTES + node;
 		this.note = new NodeNote(store, this.key);
+		this.trials = new CrashTrials(store, node, this.book, log, telemetry);
+		telemetry.gauge("traits.refused", this.book::countRefused);
+	}
+
+	CrashBook book() {
+		return this.book;
+	}
+
+	/**
+	 * Says whether others' news of crashes are awaited.
+	 */
+	boolean unsettled() {
+		return this.book.unsettled(Clock.millis());
+	}
+
+	/**
+	 * Lets a request go on: at once, or once it is known whether it is let through to try
+	 * a trait that is refused.
+	 */
+	void ask(ServedRequest request, Runnable then) {
+		if (!refuses(request)) {
+			then.run();
+			return;
+		}
+		if (this.book.seen(Clock.millis(), request.traits())) {
+			tellIn(GATHER_MILLIS);
+		}
+		this.trials.ask(request, then);
+	}
+
+	private boolean refuses(ServedRequest request) {
+		return this.book.countRefused() > 0 && this.book.refuses(request.traits());
+	}
+
+	/**
+	 * Notes that the head of an answer came.
+	 */
+	void head(Attempt attempt) {
+		Replica replica = attempt.choice().replica();
+		this.book.alive(Crash.process(replica), attempt.startedAt());
+		Set<Trait> whole = this.watch.answered(replica, attempt.startedAt());
+		if (!whole.isEmpty()) {
+			sound(List.copyOf(whole));
+		}
+	}
+
+	/**
+	 * Notes that more of an answer came.
+	 */
+	void data(ServedRequest request, Attempt attempt) {
+		if (attempt.goesOnFor(BORNE_MILLIS)) {
+			sound(traits(request));
+		}
 	}
 
 	/**
 	 * Notes how an attempt ended.
 	 */
-	void ended(Serving serving, Replica replica, AttemptEnd end) {
+	void ended(ServedRequest request, Attempt attempt, AttemptEnd end) {
 		switch (end) {
-			case AttemptEnd.Broken broken -> this.watch.broke(Clock.millis(), replica, serving.request().content());
-			case AttemptEnd.Answered answered -> {
-				if (this.watch.any()) {
-					this.watch.answered(serving.request().content());
-				}
-			}
-			case AttemptEnd.NotRun notRun -> {
-				if (notRun.unreachable()) {
-					suspected(replica.id(), "refuses connections", this.watch.down(Clock.millis(), replica.id()));
-				}
+			case AttemptEnd.Broken broken -> {
+				boolean lost = attempt.lost() || attempt.endedWithConnection();
+				ended(request, attempt, lost ? CrashWatch.Manner.BROKEN : CrashWatch.Manner.GIVEN_UP);
 			}
-			case AttemptEnd.Withdrawn withdrawn -> {
+			case AttemptEnd.Answered answered -> answered(request, attempt, answered);
+			case AttemptEnd.NotRun notRun -> notRun(attempt);
+			case AttemptEnd.Withdrawn withdrawn -> ended(request, attempt, CrashWatch.Manner.GIVEN_UP);
+			case AttemptEnd.Dropped dropped -> ended(request, attempt, CrashWatch.Manner.GIVEN_UP);
+		}
+	}
+
+	private void answered(ServedRequest request, Attempt attempt, AttemptEnd.Answered answered) {
+		if (answered.failure()) {
+			return;
+		}
+		if (attempt.endedWithConnection()) {
+			ended(request, attempt, CrashWatch.Manner.CLOSED);
+		}
+		else {
+			sound(traits(request));
+		}
+	}
+
+	private void ended(ServedRequest request, Attempt attempt, CrashWatch.Manner manner) {
+		Replica replica = attempt.choice().replica();
+		if (replica.draining()) {
+			return;
+		}
+		this.watch.ended(Clock.millis(), replica, attempt.startedAt(), manner, request.traits())
+			.ifPresent((crash) -> crashed(crash, "more that ran there"));
+		if (manner == CrashWatch.Manner.BROKEN) {
+			askWhetherItLives(replica);
+		}
+	}
+
+	/**
+	 * A connection that is refused, or accepted by another process, tells that the
+	 * replica is dead.
+	 */
+	private void notRun(Attempt attempt) {
+		Replica replica = attempt.choice().replica();
+		if (attempt.connectRefused()) {
+			down(replica.id(), "refuses connections");
+		}
+		else if (attempt.misdirected()) {
+			down(replica.id(), "another process has its address");
+		}
+	}
+
+	private void askWhetherItLives(Replica replica) {
+		String process = Crash.process(replica);
+		if (!this.asked.add(process)) {
+			return;
+		}
+		this.vertx.setTimer(ASK_MILLIS, (timer) -> this.pool.take(replica, true).onComplete((channel, failure) -> {
+			this.asked.remove(process);
+			if (failure == null) {
+				channel.close();
 			}
-			case AttemptEnd.Dropped dropped -> {
+			else if (ChannelPool.refused(failure)) {
+				this.decisions.picker().unreachable(Clock.millis(), replica);
+				down(replica.id(), "refuses connections");
 			}
-		}
+		}));
 	}
 
 	/**
@@ -82,14 +229,13 @@
 	 */
 	void learned(FleetChange change) {
 		switch (change) {
-			case FleetChange.Unlisted unlisted ->
-				suspected(unlisted.id(), "is not listed any more", this.watch.down(Clock.millis(), unlisted.id()));
-			case FleetChange.Listed listed -> {
-				ReplicaId id = listed.replica().id();
-				suspected(id, "another process has its id", this.watch.listed(Clock.millis(), listed.replica()));
-			}
+			case FleetChange.Unlisted unlisted -> down(unlisted.id(), "is not listed any more");
+			case FleetChange.Listed listed -> this.watch.listed(Clock.millis(), listed.replica())
+				.ifPresent((crash) -> crashed(crash, "another process has its id"));
 			case FleetChange.Noted noted -> {
-				if (noted.key().startsWith(NOTES) && !noted.key().equals(this.key)) {
+				// What this node told in an earlier life is news to it.
+				boolean own = noted.key().equals(this.key) && this.wrote;
+				if (noted.key().startsWith(NOTES) && !own) {
 					learn(noted);
 				}
 			}
@@ -98,36 +244,52 @@
 		}
 	}
 
+	private void down(ReplicaId replica, String how) {
+		this.watch.down(Clock.millis(), replica).ifPresent((crash) -> crashed(crash, how));
+	}
+
+	private void crashed(Crash crash, String how) {
+		long now = Clock.millis();
+		this.log.replicaEnded(crash, now, how);
+		this.telemetry.count("replicas.ended.under.work");
+		refused(this.book.crashed(now, crash), "this node");
+		tellIn(GATHER_MILLIS);
+	}
+
+	private void sound(List<Trait> traits) {
+		long now = Clock.millis();
+		List<Trait> cleared = this.book.sound(now, traits);
+		cleared.forEach((trait) -> this.log.acquitted(trait, "this node"));
+		if (!cleared.isEmpty()) {
+			tellIn(GATHER_MILLIS);
+		}
+		else if (this.book.speaksFor(traits)) {
+			long nodes = this.nodes.known().orElse(1);
+			tellIn(GATHER_MILLIS + this.random.nextLong(SPREAD_MILLIS * nodes));
+		}
+	}
+
 	/**
-	 * Returns how long a request is refused for the crashes of its content.
-	 * @return milliseconds, 0 if it may run
+	 * Hashing the content is left out while nothing is known of any crash.
 	 */
-	long refusedFor(Serving serving) {
-		long millis = this.watch.any() ? this.watch.refusedFor(Clock.millis(), serving.request().content()) : 0;
-		if (millis > 0) {
-			this.telemetry.count("refused.for.crashes");
-		}
-		return millis;
+	private List<Trait> traits(ServedRequest request) {
+		return this.book.any() ? request.traits() : request.partTraits();
 	}
 
 	private void learn(FleetChange.Noted noted) {
 		try {
-			this.watch.learn(Clock.millis(), Json.read(noted.value(), CrashNote.class));
+			CrashBook.Learned learned = this.book.learn(Clock.millis(), System.currentTimeMillis(),
+					Json.read(noted.value(), CrashNote.class));
+			refused(learned.refused(), noted.key());
+			learned.cleared().forEach((trait) -> this.log.acquitted(trait, noted.key()));
 		}
 		catch (IOException ex) {
 			this.log.unreadable(noted.key(), ex.getMessage());
 		}
 	}
 
-	private void suspected(ReplicaId replica, String how, List<Fingerprint> contents) {
-		if (!contents.isEmpty()) {
-			this.log.replicaEnded(replica, how);
-			this.telemetry.count("replicas.ended.under.work");
-		}
-		contents.forEach((content) -> this.log.suspected(content, replica));
-		if (!contents.isEmpty()) {
-			tellIn(GATHER_MILLIS);
-		}
+	private void refused(List<Trait> traits, String source) {
+		traits.forEach((trait) -> this.log.convicted(trait, source));
 	}
 
 	private void tellIn(long millis) {
@@ -143,9 +305,10 @@
 			tellIn(GATHER_MILLIS);
 			return;
 		}
-		CrashNote told = this.watch.note(Clock.millis());
-		if (!told.crashes().isEmpty()) {
-			this.note.write(Json.write(told), () -> tellIn(AGAIN_MILLIS));
+		Optional<CrashNote> told = this.book.note(Clock.millis(), System.currentTimeMillis());
+		if (told.isPresent()) {
+			this.wrote = true;
+			this.note.write(Json.write(told.get()), () -> tellIn(AGAIN_MILLIS));
 		}
 	}
 
--- a/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
@@ -7,7 +7,6 @@
 import org.slf4j.LoggerFactory;
 import org.slf4j.spi.LoggingEventBuilder;
 
-import org.gullsaddle.base.Fingerprint;
 import org.gullsaddle.base.LoadReport;
 import org.gullsaddle.fleet.FleetChange;
 import org.gullsaddle.fleet.ReplicaId;
@@ -15,6 +14,9 @@
 import org.gullsaddle.serve.Choice;
 import org.gullsaddle.serve.Rollout;
 import org.gullsaddle.serve.RolloutProgress;
+import org.gullsaddle.suspect.Crash;
+import org.gullsaddle.suspect.CrashBook;
+import org.gullsaddle.suspect.Trait;
 
 /**
  * One line for each decision on a request and each change of what the node believes. The
@@ -138,6 +140,15 @@
 		}
 	}
 
+	void trialNotDecided(CrashBook.Trial trial, String reason) {
+		if (allowed(true)) {
+			LOG.atInfo()
+				.addKeyValue("trait", trial.trait().value())
+				.addKeyValue("reason", reason)
+				.log("trial not decided");
+		}
+	}
+
 	void rollout(String service, String target, String state, double evidence, int answers, String outcome) {
 		LOG.atInfo()
 			.addKeyValue("service", service)
@@ -286,21 +297,42 @@
 	}
 
 	/**
-	 * Tells that a replica's process has ended.
+	 * Tells that a replica's process has ended under work.
 	 * @param how what showed it
 	 */
-	void replicaEnded(ReplicaId replica, String how) {
+	void replicaEnded(Crash crash, long now, String how) {
 		if (allowed(true)) {
-			LOG.atInfo().addKeyValue("replica", replica.value()).addKeyValue("how", how).log("replica ended");
+			LOG.atInfo()
+				.addKeyValue("process", crash.process())
+				.addKeyValue("how", how)
+				.addKeyValue("ageMillis", now - crash.at())
+				.addKeyValue("parts", crash.parts())
+				.log("replica ended");
 		}
 	}
 
-	void suspected(Fingerprint content, ReplicaId replica) {
+	void convicted(Trait trait, String source) {
+		if (allowed(true)) {
+			LOG.atInfo().addKeyValue("trait", trait.value()).addKeyValue("source", source).log("refused for crashes");
+		}
+	}
+
+	void acquitted(Trait trait, String source) {
 		if (allowed(true)) {
 			LOG.atInfo()
-				.addKeyValue("content", content.value())
-				.addKeyValue("replica", replica.value())
-				.log("content suspected of a crash");
+				.addKeyValue("trait", trait.value())
+				.addKeyValue("source", source)
+				.log("refused for crashes no more");
+		}
+	}
+
+	void trial(CrashBook.Trial trial, String id) {
+		if (allowed(true)) {
+			LOG.atInfo()
+				.addKeyValue("trait", trial.trait().value())
+				.addKeyValue("number", trial.number())
+				.addKeyValue("id", id)
+				.log("let through to try");
 		}
 	}
 
--- a/daemon/src/main/java/org/gullsaddle/gateway/Decisions.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Decisions.java
@@ -143,7 +143,7 @@
 	 */
 	long comeBackMillis(ReplicaRules.NoReplica why) {
 		long soonest = switch (why) {
-			case NONE, TRIED, LIMITED, RESTING -> COME_BACK_MILLIS;
+			case NONE, TRIED, LIMITED, RESTING, CRASHES -> COME_BACK_MILLIS;
 			case COLD -> COLD_BACK_MILLIS;
 			case EVACUATED, OTHER_REGION -> REOPENED_BACK_MILLIS;
 		};
--- a/daemon/src/main/java/org/gullsaddle/gateway/FleetFeed.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/FleetFeed.java
@@ -1,6 +1,7 @@
 package org.gullsaddle.gateway;
 
 import java.util.OptionalLong;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 import io.reactivex.rxjava3.core.Single;
@@ -41,6 +42,9 @@
 
 	private static final long MIN_ROLLOUT_EVERY_MILLIS = 500;
 
+	/** The same while others' news of crashes are awaited, in milliseconds. */
+	private static final long CRASHES_EVERY_MILLIS = 500;
+
 	/** How long after a reading of everything replicas come back, in milliseconds. */
 	private static final long SETTLE_MILLIS = 5000;
 
@@ -74,6 +78,8 @@
 
 	private final long everyMillis;
 
+	private final BooleanSupplier crashes;
+
 	private long revision = -1;
 
 	private long readAllAt = Long.MIN_VALUE;
@@ -87,15 +93,17 @@
 	/**
 	 * Makes a feed.
 	 * @param newsMillis how soon a change must be in force here, in milliseconds
+	 * @param crashes says whether others' news of crashes are awaited
 	 */
 	FleetFeed(Vertx vertx, FleetSource source, FleetState state, DecisionLog log, Consumer<FleetChange> listener,
-			long newsMillis) {
+			long newsMillis, BooleanSupplier crashes) {
 		this.vertx = vertx;
 		this.source = source;
 		this.state = state;
 		this.log = log;
 		this.listener = listener;
 		this.everyMillis = Math.max(BUSY_EVERY_MILLIS, Math.round(NEWS_PART * newsMillis));
+		this.crashes = crashes;
 	}
 
 	void start() {
@@ -155,6 +163,9 @@
 	 * Returns how far calls for changes are apart at a time, in milliseconds.
 	 */
 	long everyMillis(long now) {
+		if (this.crashes.getAsBoolean()) {
+			return CRASHES_EVERY_MILLIS;
+		}
 		boolean settling = this.readAllAt != Long.MIN_VALUE && now - this.readAllAt < SETTLE_MILLIS;
 		if (settling) {
 			return BUSY_EVERY_MILLIS;
--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -114,13 +114,15 @@
 		this.backpressure = new BackpressureController(vertx, builder.store, this.fleet, book, this.log,
 				this.telemetry);
 		this.probe = new LoadProbe(vertx, this.pool, this.codec, this.decisions.picker(), this.backpressure, this.log);
-		this.rules = new ReplicaRules(this.fleet.directory(), this.settings.place(), this.coldPace, book);
+		this.crashes = new CrashController(vertx, builder.store, this.settings.node(), this.pool, this.decisions,
+				this.nodes, this.log, this.telemetry);
+		this.rules = new ReplicaRules(this.fleet.directory(), this.settings.place(), this.coldPace, book,
+				this.crashes.book());
 		this.rollouts = new RolloutController(vertx, builder.board, builder.store, this.settings.node(), this.fleet,
 				this.log);
-		this.crashes = new CrashController(vertx, builder.store, this.settings.node(), this.log, this.telemetry);
 		this.dispatcher = new RequestDispatcher(vertx, this);
 		this.feed = new FleetFeed(vertx, builder.source, this.fleet, this.log, this::learned,
-				this.settings.newsMillis());
+				this.settings.newsMillis(), this.crashes::unsettled);
 		this.configCheck = new ConfigCheck(builder.source, this.fleet, this.settings.newsMillis(), this::learned,
 				this.log, this.telemetry);
 	}
@@ -280,7 +282,7 @@
 	void attemptEnded(Serving serving, Attempt attempt, AttemptEnd end, long now) {
 		long millis = now - attempt.startedAt();
 		this.decisions.picker().ended(now, attempt.choice(), end);
-		this.crashes.ended(serving, attempt.choice().replica(), end);
+		this.crashes.ended(serving.request(), attempt, end);
 		this.log.attempt(serving.request(), attempt, serving.model(), end.toString(), millis, serving.clock(),
 				!(end instanceof AttemptEnd.Answered answered) || answered.failure());
 		this.telemetry.attempt(serving.service().value(), end.word());
--- a/daemon/src/main/java/org/gullsaddle/gateway/ReplicaChooser.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/ReplicaChooser.java
@@ -1,5 +1,7 @@
 package org.gullsaddle.gateway;
 
+import java.util.Comparator;
+import java.util.EnumSet;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -16,12 +18,18 @@
 import org.gullsaddle.serve.ReplicaPicker;
 import org.gullsaddle.serve.ReplicaRules;
 import org.gullsaddle.serve.Task;
+import org.gullsaddle.suspect.CrashBook;
+import org.gullsaddle.suspect.Trait;
 
 /**
  * Chooses the replicas that one request goes to.
  */
 final class ReplicaChooser {
 
+	/** Why there is no replica for a time that the rules know. */
+	private static final Set<ReplicaRules.NoReplica> BY_THE_RULES = EnumSet.of(ReplicaRules.NoReplica.LIMITED,
+			ReplicaRules.NoReplica.RESTING, ReplicaRules.NoReplica.CRASHES);
+
 	private final Gateway gateway;
 
 	private final ServedRequest request;
@@ -39,6 +47,13 @@
 		return usable(leftOut).stream().anyMatch((replica) -> !leftOut.contains(replica.id()));
 	}
 
+	/**
+	 * Says whether the request may go to no replica, as it would crash it.
+	 */
+	boolean refused() {
+		return rules().refuses(wanted());
+	}
+
 	/**
 	 * Says why there is no replica for the request.
 	 */
@@ -50,7 +65,7 @@
 	 * Returns when the caller is to come back, as there is no replica for the request.
 	 */
 	long comeBackMillis(ReplicaRules.NoReplica why) {
-		if (why == ReplicaRules.NoReplica.LIMITED || why == ReplicaRules.NoReplica.RESTING) {
+		if (BY_THE_RULES.contains(why)) {
 			return this.gateway.decisions().comeBackMillis(rules().backMillis(Clock.millis(), wanted()));
 		}
 		return this.gateway.decisions().comeBackMillis(why);
@@ -67,7 +82,7 @@
 	 * Says whether a replica that was given the request may still be sent it.
 	 */
 	boolean stillOpen(Replica chosen, Admission admission) {
-		return this.gateway.fleet().directory().stillTakes(Clock.millis(), chosen)
+		return !refused() && this.gateway.fleet().directory().stillTakes(Clock.millis(), chosen)
 				&& this.gateway.backpressure().book().mayStillSend(Clock.millis(), chosen, admission);
 	}
 
@@ -94,9 +109,12 @@
 	}
 
 	private ReplicaRules.Wanted wanted() {
+		CrashBook crashes = this.gateway.crashes().book();
+		List<Trait> traits = (crashes.countRefused() == 0 || this.request.isTrial()) ? List.of()
+				: this.request.traits();
 		return new ReplicaRules.Wanted(this.request.service(), this.request.limit(), this.request.coldStart(),
 				this.gateway.nodes().known(), this.gateway.fleet().rollout(this.request.service()),
-				this.request.releaseKey());
+				this.request.releaseKey(), traits);
 	}
 
 	/**
@@ -108,6 +126,10 @@
 	void choose(Task task, Set<ReplicaId> tried, Consumer<Optional<Choice>> then) {
 		Set<ReplicaId> leftOut = leftOut(tried);
 		List<Replica> usable = usable(leftOut);
+		if (this.request.isTrial()) {
+			then.accept(emptiest(task, usable, leftOut));
+			return;
+		}
 		List<Replica> asked = toAsk(usable, task, leftOut);
 		if (asked.isEmpty()) {
 			then.accept(picker().pick(Clock.millis(), usable, leftOut, task));
@@ -122,6 +144,15 @@
 		});
 	}
 
+	/**
+	 * Chooses the replica with the fewest requests, which are lost if it crashes.
+	 */
+	private Optional<Choice> emptiest(Task task, List<Replica> usable, Set<ReplicaId> leftOut) {
+		return picker().best(Clock.millis(), usable, leftOut, task, usable.size())
+			.stream()
+			.min(Comparator.comparingDouble((choice) -> choice.load().requests()));
+	}
+
 	/**
 	 * Chooses among the replicas that told their load lately, without asking any.
 	 * @param tried replicas that are left out
--- a/daemon/src/main/java/org/gullsaddle/gateway/ServedRequest.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/ServedRequest.java
@@ -1,5 +1,6 @@
 package org.gullsaddle.gateway;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -23,6 +24,7 @@
 import org.gullsaddle.serve.ReleaseKey;
 import org.gullsaddle.serve.Task;
 import org.gullsaddle.serve.TimeLeft;
+import org.gullsaddle.suspect.Trait;
 
 /**
  * A request that is served, as it was read: what it asks for, under which configuration,
@@ -50,6 +52,12 @@
 
 	private Fingerprint content;
 
+	private List<Trait> partTraits;
+
+	private List<Trait> traits;
+
+	private boolean letThrough;
+
 	private ServedRequest(Builder builder) {
 		this.http = builder.http;
 		this.caller = builder.caller;
@@ -194,6 +202,51 @@
 		return this.content;
 	}
 
+	/**
+	 * Returns what it has in common with others that share parts of its prompt.
+	 */
+	List<Trait> partTraits() {
+		if (this.partTraits == null) {
+			this.partTraits = this.caller.prompt().sharedParts().stream().distinct().map(Trait::part).toList();
+		}
+		return this.partTraits;
+	}
+
+	/**
+	 * Returns what it has in common with others: parts of its prompt, and all its content
+	 * with those that repeat it.
+	 */
+	List<Trait> traits() {
+		if (this.traits == null) {
+			List<Trait> all = new ArrayList<>(partTraits());
+			all.add(Trait.content(
+					ContentHash.of(teamName(), this.http.method(), this.caller.host(), this.http.uri(), this.body)));
+			this.traits = List.copyOf(all);
+		}
+		return this.traits;
+	}
+
+	/**
+	 * Lets it go to one replica although one of its traits is refused.
+	 */
+	void letThrough() {
+		this.letThrough = true;
+	}
+
+	/**
+	 * Notes that it was tried: no other replica gets it for the same reason.
+	 */
+	void tried() {
+		this.letThrough = false;
+	}
+
+	/**
+	 * Says whether it may go to one replica although one of its traits is refused.
+	 */
+	boolean isTrial() {
+		return this.letThrough;
+	}
+
 	/**
 	 * Collects what a {@link ServedRequest} consists of.
 	 */
--- a/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
@@ -79,9 +79,15 @@
 		response.closeHandler((nothing) -> left());
 		response.exceptionHandler((failure) -> left());
 		this.gateway.opened(this);
-		long refusedFor = this.gateway.crashes().refusedFor(this);
-		if (refusedFor > 0) {
-			refuse("crashes its replicas", refusedFor);
+		this.gateway.crashes().ask(this.request, this::begin);
+	}
+
+	private void begin() {
+		if (this.done) {
+			return;
+		}
+		if (this.replicas.refused()) {
+			refuseForNone();
 			return;
 		}
 		this.gateway.decisions().earnRetry();
@@ -166,6 +172,7 @@
 	@Override
 	public void head(Attempt from, ReplicaAnswer answer, MultiMap headers) {
 		readPrompt(from);
+		this.gateway.crashes().head(from);
 		this.gateway.decisions().told(Clock.millis(), from.choice().replica(), answer);
 		this.gateway.rollouts().answered(new AnswerKind(route().name(), model()), from, answer);
 		if (answer.success()) {
@@ -175,7 +182,7 @@
 		if (this.relay.begun() && !answer.success()) {
 			from.withdraw(new AttemptEnd.Broken("no answer to go on with"));
 		}
-		else if (answer.success() && !this.relay.begun()) {
+		else if (answer.success() && !this.relay.begun() && !this.request.isTrial()) {
 			doubt(from, answer);
 		}
 	}
@@ -212,6 +219,7 @@
 			return;
 		}
 		this.gateway.decisions().picker().heard(Clock.millis(), from.choice().replica());
+		this.gateway.crashes().data(this.request, from);
 		if (!streamed(from)) {
 			this.relay.hold(from, bytes);
 		}
@@ -238,6 +246,7 @@
 		this.turn.ended(now, from.choice(), this.task, counted);
 		this.rule.ended(counted);
 		this.gateway.attemptEnded(this, from, counted, now);
+		this.request.tried();
 		if (this.done) {
 			return;
 		}
--- a/daemon/src/main/java/org/gullsaddle/gateway/Silence.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Silence.java
@@ -186,8 +186,7 @@
 	 * Says whether another replica could go on with what the caller has.
 	 */
 	boolean mayGoOn() {
-		boolean held = !this.relay.begun() || (this.serving.route().resumable() && this.relay.lastEvent().isPresent());
-		return held && this.gateway.crashes().refusedFor(this.serving) <= 0;
+		return !this.relay.begun() || (this.serving.route().resumable() && this.relay.lastEvent().isPresent());
 	}
 
 	/**
--- a/daemon/src/test/java/org/gullsaddle/gateway/FleetFeedTests.java
+++ b/daemon/src/test/java/org/gullsaddle/gateway/FleetFeedTests.java
@@ -107,7 +107,7 @@
 
 		private FleetFeed feed(long newsMillis) {
 			return new FleetFeed(null, STORE_THAT_NEVER_ANSWERS, this.state, new DecisionLog(), (change) -> {
-			}, newsMillis);
+			}, newsMillis, () -> false);
 		}
 
 	}
