A model of many nodes that find out together what crashes replicas

Nodes with a CrashBook each, notes that take up to 0.9 s, replicas that end on a part, by racks, or again and again by themselves, on a virtual clock; 1, 4 and 40 nodes, four seeds in the checks. Nothing but the part is refused, and no more than three requests with it are sent later than 4 s after the fifth crash.

--- /dev/null
+++ b/core/src/test/java/org/gullsaddle/suspect/CrashModel.java
@@ -0,0 +1,240 @@
+package org.gullsaddle.suspect;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+
+import org.gullsaddle.base.Fingerprint;
+
+/**
+ * Nodes with a {@link CrashBook} each before replicas that end on a part, or for no
+ * reason of their requests, on a virtual clock. Notes take a while from node to node.
+ */
+final class CrashModel {
+
+	static final Trait DEADLY = Trait.part("deadly");
+
+	private static final long CLOCK = 1_700_000_000_000L;
+
+	private static final long BACK_MILLIS = 2500;
+
+	private static final long FOUND_MILLIS = 60;
+
+	private static final long NOTE_MILLIS = 200;
+
+	/** The most that a note takes from its writing until another node has read it. */
+	private static final int READ_MILLIS = 900;
+
+	private static final long SOUND_MILLIS = 500;
+
+	private static final int MAX_ATTEMPTS = 3;
+
+	private static final int SUBJECTS = 40;
+
+	private final Random random;
+
+	private final PriorityQueue<Event> events = new PriorityQueue<>(
+			Comparator.comparingLong(Event::at).thenComparingInt(Event::number));
+
+	private final List<CrashBook> books = new ArrayList<>();
+
+	private final Set<Integer> telling = new HashSet<>();
+
+	private final List<Set<Run>> replicas = new ArrayList<>();
+
+	private final int[] lives;
+
+	private final boolean[] up;
+
+	final Set<Trait> refused = new HashSet<>();
+
+	final List<Long> crashes = new ArrayList<>();
+
+	final List<Long> deadlySent = new ArrayList<>();
+
+	private long now;
+
+	private int numbers;
+
+	private int requests;
+
+	CrashModel(long seed, int nodes, int replicas) {
+		this.random = new Random(seed);
+		for (int i = 0; i < nodes; i++) {
+			this.books.add(new CrashBook());
+		}
+		for (int i = 0; i < replicas; i++) {
+			this.replicas.add(new HashSet<>());
+		}
+		this.lives = new int[replicas];
+		this.up = new boolean[replicas];
+		Arrays.fill(this.up, true);
+	}
+
+	private void at(long time, Runnable action) {
+		this.events.add(new Event(time, this.numbers++, action));
+	}
+
+	/**
+	 * Has requests come for a time.
+	 * @param everyMillis how far they are apart
+	 * @param deadlyShare the share of them that has the part
+	 */
+	void traffic(long from, long to, long everyMillis, double deadlyShare) {
+		for (long time = from; time < to; time += everyMillis) {
+			at(time, () -> {
+				boolean deadly = this.random.nextDouble() < deadlyShare;
+				List<Trait> traits = new ArrayList<>(List.of(Trait.part("first")));
+				traits.add(Trait.part("subject-" + this.random.nextInt(SUBJECTS)));
+				if (deadly) {
+					traits.add(DEADLY);
+				}
+				traits.add(Trait.content(new Fingerprint("content-" + this.requests++)));
+				send(this.random.nextInt(this.books.size()), traits, 1);
+			});
+		}
+	}
+
+	/** Has a share of the replicas end in one moment. */
+	void rackFails(long time, double share) {
+		at(time, () -> {
+			int last = (int) Math.round(share * this.replicas.size());
+			for (int i = 0; i < last; i++) {
+				die(i);
+			}
+		});
+	}
+
+	/** Has one replica end by itself again and again. */
+	void replicaFails(int replica, long from, long to, long everyMillis) {
+		for (long time = from; time < to; time += everyMillis) {
+			at(time, () -> die(replica));
+		}
+	}
+
+	void play(long until) {
+		while (!this.events.isEmpty() && this.events.peek().at <= until) {
+			Event event = this.events.poll();
+			this.now = event.at;
+			event.action.run();
+		}
+	}
+
+	private void send(int node, List<Trait> traits, int attempt) {
+		if (this.books.get(node).refuses(traits)) {
+			return;
+		}
+		int replica = this.random.nextInt(this.replicas.size());
+		if (!this.up[replica]) {
+			if (attempt < MAX_ATTEMPTS) {
+				at(this.now + 5, () -> send(node, traits, attempt + 1));
+			}
+			return;
+		}
+		Run run = new Run(node, traits, this.now, attempt);
+		this.replicas.get(replica).add(run);
+		int life = this.lives[replica];
+		long begins = this.now + 40 + this.random.nextInt(400);
+		boolean deadly = traits.contains(DEADLY);
+		if (deadly) {
+			this.deadlySent.add(this.now);
+		}
+		at(begins, () -> {
+			if (deadly && alive(replica, life, run)) {
+				die(replica);
+			}
+		});
+		at(begins + SOUND_MILLIS, () -> {
+			if (alive(replica, life, run)) {
+				sound(run);
+			}
+		});
+		at(begins + SOUND_MILLIS + this.random.nextInt(2000), () -> this.replicas.get(replica).remove(run));
+	}
+
+	private boolean alive(int replica, int life, Run run) {
+		return this.up[replica] && this.lives[replica] == life && this.replicas.get(replica).contains(run);
+	}
+
+	private void sound(Run run) {
+		CrashBook book = this.books.get(run.node);
+		boolean cleared = !book.sound(this.now, run.traits).isEmpty();
+		if (cleared || book.speaksFor(run.traits)) {
+			tell(run.node);
+		}
+	}
+
+	private void die(int replica) {
+		if (!this.up[replica]) {
+			return;
+		}
+		String process = "replica-" + replica + "@" + this.lives[replica];
+		Map<Integer, Map<Trait, Long>> seen = new HashMap<>();
+		for (Run run : this.replicas.get(replica)) {
+			Map<Trait, Long> ran = seen.computeIfAbsent(run.node, (node) -> new HashMap<>());
+			run.traits.forEach((trait) -> ran.merge(trait, this.now - run.startedAt, Math::min));
+			if (run.attempt < MAX_ATTEMPTS) {
+				at(this.now + 2, () -> send(run.node, run.traits, run.attempt + 1));
+			}
+		}
+		this.crashes.add(this.now);
+		this.replicas.get(replica).clear();
+		this.up[replica] = false;
+		long died = this.now;
+		seen.forEach((node, ran) -> at(died + FOUND_MILLIS, () -> {
+			this.refused.addAll(this.books.get(node).crashed(this.now, new Crash(process, died, ran)));
+			tell(node);
+		}));
+		at(died + BACK_MILLIS, () -> {
+			this.up[replica] = true;
+			this.lives[replica]++;
+		});
+	}
+
+	private void tell(int node) {
+		if (!this.telling.add(node)) {
+			return;
+		}
+		at(this.now + NOTE_MILLIS, () -> {
+			this.telling.remove(node);
+			this.books.get(node).note(this.now, CLOCK + this.now).ifPresent((note) -> {
+				for (int i = 0; i < this.books.size(); i++) {
+					CrashBook other = this.books.get(i);
+					if (i != node) {
+						at(this.now + 20 + this.random.nextInt(READ_MILLIS),
+								() -> this.refused.addAll(other.learn(this.now, CLOCK + this.now, note).refused()));
+					}
+				}
+			});
+		});
+	}
+
+	/**
+	 * Counts the requests with the part that were sent later than a time after one of the
+	 * crashes.
+	 */
+	long sentAfter(int crash, long millis) {
+		if (this.crashes.size() < crash) {
+			return 0;
+		}
+		return this.deadlySent.stream().filter((at) -> at > this.crashes.get(crash - 1) + millis).count();
+	}
+
+	boolean allRefuse(Trait trait) {
+		return this.books.stream().allMatch((book) -> book.refuses(List.of(trait)));
+	}
+
+	private record Run(int node, List<Trait> traits, long startedAt, int attempt) {
+	}
+
+	private record Event(long at, int number, Runnable action) {
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/gullsaddle/suspect/CrashModelTests.java
@@ -0,0 +1,83 @@
+package org.gullsaddle.suspect;
+
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Many nodes find out together what crashes replicas, and blame nothing else. */
+class CrashModelTests {
+
+	private static final long SECOND = 1000;
+
+	private static final long CONTACT_MILLIS = 4 * SECOND;
+
+	/** More of them are played by hand, with {@code -Dcrash.seeds=50}. */
+	private static final int SEEDS = Integer.getInteger("crash.seeds", 4);
+
+	static Stream<Arguments> deployments() {
+		return Stream.of(Arguments.of(1, 6), Arguments.of(4, 8), Arguments.of(40, 40))
+			.flatMap((size) -> IntStream.rangeClosed(1, SEEDS)
+				.mapToObj((seed) -> Arguments.of(size.get()[0], size.get()[1], seed)));
+	}
+
+	/** Guards against replicas lost one by one, however many nodes share the evidence. */
+	@ParameterizedTest
+	@MethodSource("deployments")
+	void deadlyPartIsRefusedByAllNodesInTimeAndNoOther(int nodes, int replicas, int seed) {
+		CrashModel model = new CrashModel(seed, nodes, replicas);
+		model.traffic(0, 3 * SECOND, 40, 0);
+		model.traffic(3 * SECOND, 30 * SECOND, 40, 0.2);
+		model.play(30 * SECOND);
+		assertThat(model.sentAfter(5, CONTACT_MILLIS)).isLessThanOrEqualTo(3);
+		assertThat(model.allRefuse(CrashModel.DEADLY)).isTrue();
+		assertThat(model.refused).filteredOn(Trait::isPart).containsExactly(CrashModel.DEADLY);
+	}
+
+	/** Guards against a rare part whose few requests end each replica they come to. */
+	@ParameterizedTest
+	@MethodSource("deployments")
+	void rareDeadlyPartIsRefusedAfterAFewCrashes(int nodes, int replicas, int seed) {
+		CrashModel model = new CrashModel(seed, nodes, replicas);
+		model.traffic(0, 120 * SECOND, 40, 0.01);
+		model.play(120 * SECOND);
+		assertThat(model.sentAfter(5, CONTACT_MILLIS)).isLessThanOrEqualTo(3);
+		assertThat(model.refused).filteredOn(Trait::isPart).isSubsetOf(CrashModel.DEADLY);
+	}
+
+	/** Guards against sound requests refused as their replicas fail by themselves. */
+	@ParameterizedTest
+	@MethodSource("deployments")
+	void racksAndReplicasThatFailConvictNoPart(int nodes, int replicas, int seed) {
+		CrashModel model = new CrashModel(seed, nodes, replicas);
+		model.traffic(0, 60 * SECOND, 40, 0);
+		for (int i = 0; i < 8; i++) {
+			model.rackFails((5 + 7 * i) * SECOND, 0.4);
+		}
+		model.replicaFails(0, 3 * SECOND, 60 * SECOND, 3 * SECOND);
+		model.replicaFails(1, 3 * SECOND, 60 * SECOND, 4 * SECOND);
+		model.play(60 * SECOND);
+		assertThat(model.crashes).isNotEmpty();
+		assertThat(model.refused).filteredOn(Trait::isPart).isEmpty();
+	}
+
+	/**
+	 * Guards against the part that all requests share, blamed while all replicas fail.
+	 */
+	@ParameterizedTest
+	@MethodSource("deployments")
+	void outageOfAllReplicasConvictsNotWhatAllRequestsHave(int nodes, int replicas, int seed) {
+		CrashModel model = new CrashModel(seed, nodes, replicas);
+		model.traffic(0, 40 * SECOND, 40, 0);
+		for (int i = 0; i < replicas; i++) {
+			model.replicaFails(i, (5 + i % 3) * SECOND, 30 * SECOND, 2 * SECOND + 600);
+		}
+		model.play(40 * SECOND);
+		assertThat(model.refused).doesNotContain(Trait.part("first"));
+	}
+
+}
