A refused trait is tried again four times as rarely after each trial

Each trial of a part that still crashes engines costs one of them and what runs beside it. Doubled, four of them came within 8 minutes; now it takes 42. A trait that was refused by mistake is still tried after 30 s. CrashBookTests asserts the new waits.

--- a/core/src/main/java/org/gullsaddle/suspect/Conviction.java
+++ b/core/src/main/java/org/gullsaddle/suspect/Conviction.java
@@ -6,10 +6,14 @@
  */
 final class Conviction {
 
-	/** When the first request is let through, in milliseconds; doubles with each. */
+	/** When the first request is let through, in milliseconds. */
 	private static final long FIRST_TRIAL_MILLIS = 30_000;
 
-	private static final int MAX_DOUBLINGS = 5;
+	/** How many times longer than before the wait is after each of them. */
+	private static final int LONGER = 4;
+
+	/** The longest wait, in milliseconds. */
+	private static final long LAST_TRIAL_MILLIS = 7_200_000;
 
 	/** How long it lasts after the last request with the trait, in milliseconds. */
 	static final long QUIET_MILLIS = 600_000;
@@ -70,7 +74,8 @@
 	 */
 	void tried(long now) {
 		this.trials++;
-		this.trialAt = now + (FIRST_TRIAL_MILLIS << Math.min(this.trials, MAX_DOUBLINGS));
+		double wait = FIRST_TRIAL_MILLIS * Math.pow(LONGER, this.trials);
+		this.trialAt = now + Math.round(Math.min(LAST_TRIAL_MILLIS, wait));
 	}
 
 	boolean over(long now) {
--- a/core/src/test/java/org/gullsaddle/suspect/CrashBookTests.java
+++ b/core/src/test/java/org/gullsaddle/suspect/CrashBookTests.java
@@ -306,7 +306,7 @@
 			convict();
 			long now = 3 * SECOND;
 			for (int number = 1; number <= 3; number++) {
-				long pause = FIRST_TRIAL << (number - 1);
+				long pause = FIRST_TRIAL << (2 * (number - 1));
 				assertThat(CrashBookTests.this.book.backMillis(now, List.of(DEADLY))).isEqualTo(pause);
 				assertThat(CrashBookTests.this.book.trial(now + pause - 1, List.of(DEADLY))).isEmpty();
 				now += pause;
