Revert: a node that is behind in a surge leaves connections to the others

The stand-in's balancer and its test stay: a gateway that is handed all new connections, also with a tenth of its event loop's time, serves what it reads.

--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -139,7 +139,6 @@
 	private void showGauges() {
 		this.telemetry.gauge("open.requests", this.open::size);
 		this.telemetry.gauge("held.requests", this.dispatcher::held);
-		this.telemetry.gauge("connections.turned.away.part", this.dispatcher.gate()::turnedAway);
 		this.telemetry.gauge("replicas.known", () -> this.fleet.directory().known().size());
 		this.telemetry.gauge("replicas.cold", () -> this.fleet.directory().countCold(Clock.millis()));
 		this.telemetry.gauge("replicas.telling.pace", this.decisions.picker()::countPaces);
@@ -323,7 +322,6 @@
 		long now = Clock.millis();
 		this.configCheck.lookForSuspension(now);
 		long stalled = this.stalls.look(now);
-		this.dispatcher.gate().look(now, this.stalls.sinceLook() - TICK_MILLIS);
 		if (stalled > 0) {
 			this.log.stalled(stalled, this.open.size());
 		}
--- a/daemon/src/main/java/org/gullsaddle/gateway/RequestDispatcher.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/RequestDispatcher.java
@@ -3,7 +3,6 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
-import java.util.random.RandomGenerator;
 
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -13,7 +12,6 @@
 import org.gullsaddle.fleet.FleetConfig;
 import org.gullsaddle.fleet.Route;
 import org.gullsaddle.fleet.Team;
-import org.gullsaddle.hold.ConnectionGate;
 
 /**
  * Decides what becomes of requests that were read: they are held for the configuration,
@@ -27,10 +25,6 @@
 
 	private final HeldRequests held = new HeldRequests();
 
-	private final ConnectionGate gate = new ConnectionGate();
-
-	private final RandomGenerator random = RandomGenerator.getDefault();
-
 	/** Callers' connections that were opened after the balancer should have noticed. */
 	private final Set<HttpConnection> lateCallers = new HashSet<>();
 
@@ -39,20 +33,10 @@
 		this.gateway = gateway;
 	}
 
-	ConnectionGate gate() {
-		return this.gate;
-	}
-
 	/**
-	 * Takes in that a caller has connected. A connection that is closed here has not been
-	 * read.
+	 * Takes in that a caller has connected.
 	 */
 	void connected(HttpConnection connection) {
-		if (!this.gate.takes(Clock.millis(), this.random.nextDouble())) {
-			this.gateway.telemetry().count("connections.turned.away");
-			connection.close();
-			return;
-		}
 		if (!this.gateway.stop().takesAll(Clock.millis())) {
 			this.lateCallers.add(connection);
 			connection.closeHandler((nothing) -> this.lateCallers.remove(connection));
--- a/daemon/src/main/java/org/gullsaddle/gateway/StallWatch.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/StallWatch.java
@@ -27,8 +27,6 @@
 
 	private long lastLook = Long.MAX_VALUE;
 
-	private long sinceLook;
-
 	private long caughtUpAt = Long.MIN_VALUE;
 
 	private long awakeSince = Long.MIN_VALUE;
@@ -41,7 +39,6 @@
 	long look(long now) {
 		long late = (this.lastLook == Long.MAX_VALUE) ? 0 : now - this.lastLook;
 		this.lastLook = now;
-		this.sinceLook = late;
 		if (late >= BEHIND_MILLIS) {
 			this.caughtUpAt = now + CATCH_UP_MILLIS;
 		}
@@ -52,13 +49,6 @@
 		return late;
 	}
 
-	/**
-	 * Returns how long there was no look before the last one, in milliseconds.
-	 */
-	long sinceLook() {
-		return this.sinceLook;
-	}
-
 	/**
 	 * Says whether bytes that are read now may have come long ago.
 	 */
