An answer without a length is asked after if its parts were never sound

What callers saw: engines lost to answers that look whole. An engine that ends after a whole event of an answer without a length leaves an orderly close; if nothing else ran there, its death showed only when a later request met a refused connection, or not at all. Then, on the other side, a sound answer of that kind was blamed when its replica was taken away seconds later.

An accepted connection settles such answers, not what broke off: why those did is open until the replica answers.

--- a/core/src/main/java/org/gullsaddle/suspect/CrashBook.java
+++ b/core/src/main/java/org/gullsaddle/suspect/CrashBook.java
@@ -173,6 +173,15 @@
 				&& this.convictions.remove(trait) != null;
 	}
 
+	/**
+	 * Says whether requests with each of some traits have gone well.
+	 * @param traits the traits
+	 * @return true if one went well with each, as far as is remembered
+	 */
+	public boolean everSound(Collection<Trait> traits) {
+		return traits.stream().allMatch(this.sound::any);
+	}
+
 	/**
 	 * Says whether a request may not be sent to any replica.
 	 * @param traits the request's traits
--- a/core/src/main/java/org/gullsaddle/suspect/CrashWatch.java
+++ b/core/src/main/java/org/gullsaddle/suspect/CrashWatch.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -74,17 +75,32 @@
 	 * @return traits of earlier answers that are known to be whole by that
 	 */
 	public Set<Trait> answered(Replica replica, long sentAt) {
+		return lives(replica, sentAt, EnumSet.allOf(Manner.class));
+	}
+
+	/**
+	 * Notes that a replica accepts connections, so that answers without a length that
+	 * ended before are whole. Why others broke off is still open.
+	 * @param replica the replica
+	 * @param askedAt when it was asked, in milliseconds
+	 * @return traits of earlier answers that are known to be whole by that
+	 */
+	public Set<Trait> accepts(Replica replica, long askedAt) {
+		return lives(replica, askedAt, EnumSet.of(Manner.CLOSED));
+	}
+
+	private Set<Trait> lives(Replica replica, long since, Set<Manner> settled) {
 		List<Ended> list = this.ended.get(replica.id());
 		if (list == null) {
 			return Set.of();
 		}
 		Set<Trait> whole = new LinkedHashSet<>();
 		list.removeIf((each) -> {
-			boolean before = each.replica.sameProcess(replica) && each.at < sentAt;
-			if (before && each.manner == Manner.CLOSED) {
+			boolean over = each.replica.sameProcess(replica) && each.at < since && settled.contains(each.manner);
+			if (over && each.manner == Manner.CLOSED) {
 				whole.addAll(each.traits);
 			}
-			return before;
+			return over;
 		});
 		if (list.isEmpty()) {
 			this.ended.remove(replica.id());
@@ -105,7 +121,9 @@
 			return Optional.empty();
 		}
 		list.removeIf((each) -> now - each.at > SAME_CRASH_MILLIS);
-		Optional<Ended> last = last(list, Manner.BROKEN).or(() -> last(list, Manner.CLOSED));
+		// One that lived on after an answer without a length did not end under it.
+		Optional<Ended> last = last(list, Manner.BROKEN)
+			.or(() -> last(list, Manner.CLOSED).filter((end) -> now - end.at <= SAME_MOMENT_MILLIS));
 		return last.map((end) -> {
 			list.removeIf((each) -> Math.abs(each.at - end.at) > SAME_MOMENT_MILLIS);
 			Crash crash = crash(Crash.process(end.replica), end.at, list);
--- a/core/src/test/java/org/gullsaddle/suspect/CrashWatchTests.java
+++ b/core/src/test/java/org/gullsaddle/suspect/CrashWatchTests.java
@@ -81,6 +81,21 @@
 		assertThat(down(600)).isEmpty();
 	}
 
+	@Test
+	void replicaThatAcceptsAConnectionMayHaveBrokenOffOthers() {
+		ended(500, 400, Manner.CLOSED, OTHER);
+		ended(500, 400, Manner.BROKEN, DEADLY);
+		assertThat(this.watch.accepts(replica("r1"), 550)).containsExactly(OTHER);
+		assertThat(down(900).orElseThrow().traits()).containsExactly(DEADLY);
+	}
+
+	/** Guards against sound requests blamed for a replica that is taken away later. */
+	@Test
+	void answerWithoutALengthIsNoPartOfAnEndThatComesLater() {
+		ended(500, 400, Manner.CLOSED, OTHER);
+		assertThat(down(3000)).isEmpty();
+	}
+
 	/** Guards against evidence that is lost as a caller leaves while a replica dies. */
 	@Test
 	void whatIsGivenUpWhileAReplicaDiesIsPartOfTheCrash() {
--- a/daemon/src/main/java/org/gullsaddle/gateway/CrashController.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/CrashController.java
@@ -138,10 +138,7 @@
 	void head(Attempt attempt) {
 		Replica replica = attempt.choice().replica();
 		this.book.alive(Crash.process(replica), attempt.startedAt());
-		Set<Trait> whole = this.watch.answered(replica, attempt.startedAt());
-		if (!whole.isEmpty()) {
-			sound(List.copyOf(whole));
-		}
+		whole(this.watch.answered(replica, attempt.startedAt()));
 	}
 
 	/**
@@ -175,6 +172,9 @@
 		}
 		if (attempt.endedWithConnection()) {
 			ended(request, attempt, CrashWatch.Manner.CLOSED);
+			if (!this.book.everSound(request.partTraits())) {
+				askWhetherItLives(attempt.choice().replica());
+			}
 		}
 		else {
 			sound(traits(request));
@@ -212,16 +212,29 @@
 		if (!this.asked.add(process)) {
 			return;
 		}
-		this.vertx.setTimer(ASK_MILLIS, (timer) -> this.pool.take(replica, true).onComplete((channel, failure) -> {
-			this.asked.remove(process);
-			if (failure == null) {
-				channel.close();
-			}
-			else if (ChannelPool.refused(failure)) {
-				this.decisions.picker().unreachable(Clock.millis(), replica);
-				down(replica.id(), "refuses connections");
-			}
-		}));
+		this.vertx.setTimer(ASK_MILLIS, (timer) -> {
+			long askedAt = Clock.millis();
+			this.pool.take(replica, true).onComplete((channel, failure) -> {
+				this.asked.remove(process);
+				if (failure == null) {
+					channel.close();
+					whole(this.watch.accepts(replica, askedAt));
+				}
+				else if (ChannelPool.refused(failure)) {
+					this.decisions.picker().unreachable(Clock.millis(), replica);
+					down(replica.id(), "refuses connections");
+				}
+			});
+		});
+	}
+
+	/**
+	 * Takes in that answers without a length turned out to be whole.
+	 */
+	private void whole(Set<Trait> traits) {
+		if (!traits.isEmpty()) {
+			sound(List.copyOf(traits));
+		}
 	}
 
 	/**
