A part that one model only crashes on is refused for that model

Cause: a part was one trait whatever ran it, so that answers of another model cleared it again and again while the model that ends on it went on to lose engines; refusing it for all models would have taken away answers that others give.

A part that all models crash on is refused for all after four crashes as before.

CrashBookTests.UnderOneModel failed to compile on the code before; Crash*Tests, GatewayTests, SilenceTests and CrashingPartTests pass.

--- a/core/src/main/java/org/gullsaddle/suspect/CrashBook.java
+++ b/core/src/main/java/org/gullsaddle/suspect/CrashBook.java
@@ -10,7 +10,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 
 /**
@@ -19,38 +18,11 @@
  * <p>
  * Many requests run on a replica, so that one crash convicts nothing. A trait is refused
  * once requests with it were at several crashes one after the other, and none with it
- * went well since the first. Crashes in one moment are one piece of evidence, as a rack
- * may have failed; a request that came to a replica only after the crash before is one of
- * its own. What was sound before needs more of them, and others that went well meanwhile.
- * Of several traits the one that was never sound is refused first, and what it explains
- * is evidence against no other.
+ * went well since the first; see {@link CrashEvidence}. It is refused as long as such
+ * requests come, but for a trial now and then.
  */
 public final class CrashBook {
 
-	/**
-	 * At how many crashes a part must have been. A rare part that has nothing to do with
-	 * them is at one crash in ten at most, and ever so rarely at all of four.
-	 */
-	private static final int CRASHES_OF_PART = 4;
-
-	/**
-	 * The same for a content. With two, a stream that is moved from one replica of a
-	 * failing rack to another one would be refused.
-	 */
-	private static final int CRASHES_OF_CONTENT = 3;
-
-	/** The same for what was sound before. */
-	private static final int CRASHES_OF_SOUND = 6;
-
-	/** How far apart crashes are that do not have one cause, in milliseconds. */
-	private static final long APART_MILLIS = 300;
-
-	/** How long a crash is remembered, in milliseconds. */
-	private static final long MEMORY_MILLIS = 300_000;
-
-	/** How long a crash that is explained may still grow, in milliseconds. */
-	private static final long EXPLAINED_MILLIS = 10_000;
-
 	/** How long after a crash others' news of it are awaited, in milliseconds. */
 	private static final long UNSETTLED_MILLIS = 10_000;
 
@@ -60,22 +32,15 @@
 	 */
 	private static final long MIN_LAG_MILLIS = 10_000;
 
-	private static final int MAX_CRASHES = 100;
-
 	private static final int MAX_CONVICTIONS = 256;
 
 	private static final int MAX_TOLD = 32;
 
 	private static final int MAX_TOLD_CRASHES = 16;
 
-	private static final int MAX_TOLD_TRAITS = 16;
+	private static final int MAX_TOLD_TRAITS = 24;
 
-	private static final int MAX_LIVING = 100;
-
-	/** The crashes that any node saw. */
-	private final Map<String, Crash> crashes = new LinkedHashMap<>();
-
-	/** Those that this node saw, as it saw them, which it tells the others. */
+	/** The crashes that this node saw, as it saw them, which it tells the others. */
 	private final Map<String, Crash> own = new LinkedHashMap<>() {
 		@Override
 		protected boolean removeEldestEntry(Map.Entry<String, Crash> eldest) {
@@ -85,15 +50,9 @@
 
 	private final Map<Trait, Conviction> convictions = new HashMap<>();
 
-	private final SoundMarks sound = new SoundMarks();
+	private final CrashEvidence evidence = new CrashEvidence(this.convictions::containsKey);
 
-	/** When processes that had been taken for dead were last known to live. */
-	private final Map<String, Long> living = new LinkedHashMap<>() {
-		@Override
-		protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
-			return size() > MAX_LIVING;
-		}
-	};
+	private final SoundMarks sound = this.evidence.sound();
 
 	private long lastCrashAt = Long.MIN_VALUE / 2;
 
@@ -113,12 +72,7 @@
 	}
 
 	private void add(long now, Crash crash) {
-		if (this.living.getOrDefault(crash.process(), Long.MIN_VALUE) > crash.at()) {
-			return;
-		}
-		Crash known = this.crashes.get(crash.process());
-		this.crashes.put(crash.process(), (known != null) ? known.and(crash) : crash);
-		if (known == null) {
+		if (this.evidence.add(crash)) {
 			this.toldSound.removeAll(crash.traits());
 			this.lastCrashAt = Math.max(this.lastCrashAt, now);
 		}
@@ -128,9 +82,6 @@
 				conviction.crashed(crash.at());
 			}
 		});
-		if (this.crashes.size() > MAX_CRASHES) {
-			this.crashes.remove(this.crashes.keySet().iterator().next());
-		}
 	}
 
 	/**
@@ -140,11 +91,8 @@
 	 * @param sentAt when the request was sent that it answers, in milliseconds
 	 */
 	public void alive(String process, long sentAt) {
-		Crash known = this.crashes.get(process);
-		if (known != null && known.at() < sentAt) {
-			this.crashes.remove(process);
+		if (this.evidence.alive(process, sentAt)) {
 			this.own.remove(process);
-			this.living.put(process, sentAt);
 		}
 	}
 
@@ -262,7 +210,7 @@
 		note.sound().forEach((trait, age) -> this.sound.mark(now - lag - age, trait));
 		List<Trait> cleared = clear(note.sound().keySet());
 		for (CrashNote.Ended each : note.crashes()) {
-			if (lag + each.ageMillis() < MEMORY_MILLIS) {
+			if (lag + each.ageMillis() < CrashEvidence.MEMORY_MILLIS) {
 				add(now, new Crash(each.process(), now - lag - each.ageMillis(), each.ran()));
 			}
 		}
@@ -278,7 +226,7 @@
 
 	private boolean adopt(long now, long lag, CrashNote.Refused told) {
 		boolean soundSince = this.sound.last(told.trait()) > now - lag - told.crashAgeMillis();
-		if (soundSince || explainedByPart(told.trait())) {
+		if (soundSince || this.evidence.explainedByPart(told.trait())) {
 			return false;
 		}
 		boolean known = this.convictions.containsKey(told.trait());
@@ -296,16 +244,11 @@
 	 * @return true once after each crash
 	 */
 	public boolean speaksFor(Collection<Trait> traits) {
-		List<Crash> open = this.crashes.values().stream().filter((crash) -> !explained(crash)).toList();
-		if (open.size() < 2) {
+		if (!this.evidence.any()) {
 			return false;
 		}
-		List<Trait> accused = traits.stream()
-			.filter((trait) -> !this.toldSound.contains(trait))
-			.filter((trait) -> open.stream().filter((crash) -> crash.has(trait)).count() > 1)
-			.toList();
-		this.toldSound.addAll(accused);
-		return !accused.isEmpty();
+		List<Trait> accused = this.evidence.accused(traits);
+		return this.toldSound.addAll(accused);
 	}
 
 	/**
@@ -322,7 +265,7 @@
 			.map((crash) -> new CrashNote.Ended(crash.process(), now - crash.at(), crash.ran()))
 			.toList();
 		Set<Trait> accused = new LinkedHashSet<>(this.convictions.keySet());
-		this.crashes.values().stream().filter((crash) -> !explained(crash)).map(Crash::traits).forEach(accused::addAll);
+		this.evidence.open().forEach((crash) -> accused.addAll(crash.traits()));
 		Map<Trait, Long> marks = new HashMap<>();
 		accused.stream()
 			.filter(this.sound::any)
@@ -345,7 +288,7 @@
 	private Set<Trait> mostSuspect(Crash crash) {
 		return new HashSet<>(crash.traits()
 			.stream()
-			.sorted(Comparator.comparingLong(this.sound::last).thenComparing((trait) -> !trait.isPart()))
+			.sorted(Comparator.comparingLong(this.sound::last).thenComparing(Trait::kind))
 			.limit(MAX_TOLD_TRAITS)
 			.toList());
 	}
@@ -363,7 +306,7 @@
 	 * @return true if so
 	 */
 	public boolean any() {
-		return !this.crashes.isEmpty() || !this.convictions.isEmpty();
+		return this.evidence.any() || !this.convictions.isEmpty();
 	}
 
 	/**
@@ -378,12 +321,12 @@
 	private List<Trait> judge(long now) {
 		forget(now);
 		List<Trait> convicted = new ArrayList<>();
-		Optional<Accused> worst = worst();
+		Optional<CrashEvidence.Accused> worst = this.evidence.worst();
 		while (worst.isPresent()) {
-			Trait trait = worst.get().trait;
-			convict(new Conviction(trait, now, worst.get().lastAt));
+			Trait trait = worst.get().trait();
+			convict(new Conviction(trait, now, worst.get().lastAt()));
 			convicted.add(trait);
-			worst = worst();
+			worst = this.evidence.worst();
 		}
 		return convicted;
 	}
@@ -397,78 +340,15 @@
 		}
 		this.convictions.put(conviction.trait(), conviction);
 		if (conviction.trait().isPart()) {
-			this.convictions.keySet().removeIf(this::explainedByPart);
+			this.convictions.keySet().removeIf(this.evidence::explainedByPart);
 		}
 	}
 
-	/**
-	 * Says whether a trait is a content that was at a crash which a part explains.
-	 */
-	private boolean explainedByPart(Trait trait) {
-		return !trait.isPart()
-				&& this.crashes.values().stream().anyMatch((crash) -> crash.has(trait) && explained(crash));
-	}
-
-	/**
-	 * Returns what is to be refused next, if anything is.
-	 */
-	private Optional<Accused> worst() {
-		List<Crash> open = this.crashes.values()
-			.stream()
-			.filter((crash) -> !explained(crash))
-			.sorted(Comparator.comparingLong(Crash::at))
-			.toList();
-		Set<Trait> traits = new LinkedHashSet<>();
-		open.forEach((crash) -> traits.addAll(crash.traits()));
-		return traits.stream()
-			.filter((trait) -> !this.convictions.containsKey(trait))
-			.map((trait) -> accuse(trait, open))
-			.flatMap(Optional::stream)
-			.min(Comparator.comparing((Accused one) -> one.soundBefore)
-				.thenComparing((one) -> !one.trait.isPart())
-				.thenComparing((one) -> -one.crashes)
-				.thenComparing(Accused::trait));
-	}
-
-	private boolean explained(Crash crash) {
-		return crash.traits().stream().anyMatch((trait) -> trait.isPart() && this.convictions.containsKey(trait));
-	}
-
-	private Optional<Accused> accuse(Trait trait, List<Crash> open) {
-		long soundAt = this.sound.last(trait);
-		int count = 0;
-		OptionalLong first = OptionalLong.empty();
-		long last = Long.MIN_VALUE / 2;
-		for (Crash crash : open) {
-			boolean counts = crash.has(trait) && crash.at() > soundAt
-					&& (crash.at() - last >= APART_MILLIS || crash.startedAt(trait) >= last);
-			if (counts) {
-				count++;
-				last = crash.at();
-				first = first.isPresent() ? first : OptionalLong.of(last);
-			}
-		}
-		boolean soundBefore = this.sound.any(trait);
-		boolean enough = count >= needed(trait, soundBefore)
-				&& (!soundBefore || this.sound.withoutSince(trait, first.getAsLong()));
-		return enough ? Optional.of(new Accused(trait, soundBefore, count, last)) : Optional.empty();
-	}
-
-	private static int needed(Trait trait, boolean soundBefore) {
-		if (soundBefore) {
-			return CRASHES_OF_SOUND;
-		}
-		return trait.isPart() ? CRASHES_OF_PART : CRASHES_OF_CONTENT;
-	}
-
 	private void forget(long now) {
-		this.crashes.values().removeIf((crash) -> {
-			long age = now - crash.at();
-			return age >= MEMORY_MILLIS || (age >= EXPLAINED_MILLIS && explained(crash));
-		});
-		this.own.values().removeIf((crash) -> now - crash.at() >= MEMORY_MILLIS);
+		this.evidence.forget(now);
+		this.own.values().removeIf((crash) -> now - crash.at() >= CrashEvidence.MEMORY_MILLIS);
 		this.convictions.values().removeIf((conviction) -> conviction.over(now));
-		if (this.crashes.isEmpty()) {
+		if (!this.evidence.any()) {
 			this.toldSound.clear();
 		}
 	}
@@ -491,7 +371,4 @@
 	public record Learned(List<Trait> refused, List<Trait> cleared) {
 	}
 
-	private record Accused(Trait trait, boolean soundBefore, int crashes, long lastAt) {
-	}
-
 }
--- a/core/src/main/java/org/gullsaddle/suspect/Trait.java
+++ b/core/src/main/java/org/gullsaddle/suspect/Trait.java
@@ -7,7 +7,8 @@
 import org.gullsaddle.base.Fingerprint;
 
 /**
- * What requests may have in common: a part of their prompts, or all of their content.
+ * What requests may have in common: a part of their prompts, under any model or one, or
+ * all of their content.
  *
  * @param value the text form, never {@code null}
  */
@@ -15,6 +16,8 @@
 
 	private static final String PART = "part:";
 
+	private static final String UNDER = "part-under-model:";
+
 	private static final String CONTENT = "content:";
 
 	@JsonCreator(mode = JsonCreator.Mode.DELEGATING)
@@ -31,6 +34,16 @@
 		return new Trait(PART + id);
 	}
 
+	/**
+	 * Returns the trait of all requests with a part in their prompts that one model runs.
+	 * @param id identifies the part
+	 * @param model the model
+	 * @return the trait
+	 */
+	public static Trait part(String id, String model) {
+		return new Trait(UNDER + model + '/' + id);
+	}
+
 	/**
 	 * Returns the trait of a request and all that repeat it.
 	 * @param content the hash of its team and content
@@ -45,7 +58,30 @@
 	 * @return true for a part of prompts
 	 */
 	public boolean isPart() {
-		return this.value.startsWith(PART);
+		return kind() != Kind.CONTENT;
+	}
+
+	Kind kind() {
+		if (this.value.startsWith(PART)) {
+			return Kind.PART;
+		}
+		return this.value.startsWith(UNDER) ? Kind.PART_UNDER_MODEL : Kind.CONTENT;
+	}
+
+	/**
+	 * What a trait is, that which most requests may have first.
+	 */
+	enum Kind {
+
+		/** A part of prompts. */
+		PART,
+
+		/** A part of prompts, if one model runs them. */
+		PART_UNDER_MODEL,
+
+		/** All of a request's content. */
+		CONTENT
+
 	}
 
 	@Override
--- a/daemon/src/main/java/org/gullsaddle/gateway/CrashController.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/CrashController.java
@@ -116,20 +116,18 @@
 	/**
 	 * Lets a request go on: at once, or once it is known whether it is let through to try
 	 * a trait that is refused.
+	 * @param model the model that is to run it first
 	 */
-	void ask(ServedRequest request, Runnable then) {
-		if (!refuses(request)) {
+	void ask(ServedRequest request, String model, Runnable then) {
+		List<Trait> traits = (this.book.countRefused() > 0) ? request.traits(model) : List.of();
+		if (!this.book.refuses(traits)) {
 			then.run();
 			return;
 		}
-		if (this.book.seen(Clock.millis(), request.traits())) {
+		if (this.book.seen(Clock.millis(), traits)) {
 			tellIn(GATHER_MILLIS);
 		}
-		this.trials.ask(request, then);
-	}
-
-	private boolean refuses(ServedRequest request) {
-		return this.book.countRefused() > 0 && this.book.refuses(request.traits());
+		this.trials.ask(request, traits, then);
 	}
 
 	/**
@@ -144,49 +142,49 @@
 	/**
 	 * Notes that more of an answer came.
 	 */
-	void data(ServedRequest request, Attempt attempt) {
+	void data(ServedRequest request, String model, Attempt attempt) {
 		if (attempt.goesOnFor(BORNE_MILLIS)) {
-			sound(traits(request));
+			sound(traits(request, model));
 		}
 	}
 
 	/**
 	 * Notes how an attempt ended.
 	 */
-	void ended(ServedRequest request, Attempt attempt, AttemptEnd end) {
+	void ended(ServedRequest request, String model, Attempt attempt, AttemptEnd end) {
 		switch (end) {
 			case AttemptEnd.Broken broken -> {
 				boolean lost = attempt.lost() || attempt.endedWithConnection();
-				ended(request, attempt, lost ? CrashWatch.Manner.BROKEN : CrashWatch.Manner.GIVEN_UP);
+				ended(request, model, attempt, lost ? CrashWatch.Manner.BROKEN : CrashWatch.Manner.GIVEN_UP);
 			}
-			case AttemptEnd.Answered answered -> answered(request, attempt, answered);
+			case AttemptEnd.Answered answered -> answered(request, model, attempt, answered);
 			case AttemptEnd.NotRun notRun -> notRun(attempt);
-			case AttemptEnd.Withdrawn withdrawn -> ended(request, attempt, CrashWatch.Manner.GIVEN_UP);
-			case AttemptEnd.Dropped dropped -> ended(request, attempt, CrashWatch.Manner.GIVEN_UP);
+			case AttemptEnd.Withdrawn withdrawn -> ended(request, model, attempt, CrashWatch.Manner.GIVEN_UP);
+			case AttemptEnd.Dropped dropped -> ended(request, model, attempt, CrashWatch.Manner.GIVEN_UP);
 		}
 	}
 
-	private void answered(ServedRequest request, Attempt attempt, AttemptEnd.Answered answered) {
+	private void answered(ServedRequest request, String model, Attempt attempt, AttemptEnd.Answered answered) {
 		if (answered.failure()) {
 			return;
 		}
 		if (attempt.endedWithConnection()) {
-			ended(request, attempt, CrashWatch.Manner.CLOSED);
-			if (!this.book.everSound(request.partTraits())) {
+			ended(request, model, attempt, CrashWatch.Manner.CLOSED);
+			if (!this.book.everSound(request.partTraits(model))) {
 				askWhetherItLives(attempt.choice().replica());
 			}
 		}
 		else {
-			sound(traits(request));
+			sound(traits(request, model));
 		}
 	}
 
-	private void ended(ServedRequest request, Attempt attempt, CrashWatch.Manner manner) {
+	private void ended(ServedRequest request, String model, Attempt attempt, CrashWatch.Manner manner) {
 		Replica replica = attempt.choice().replica();
 		if (replica.draining()) {
 			return;
 		}
-		this.watch.ended(Clock.millis(), replica, attempt.startedAt(), manner, request.traits())
+		this.watch.ended(Clock.millis(), replica, attempt.startedAt(), manner, request.traits(model))
 			.ifPresent((crash) -> crashed(crash, "more that ran there"));
 		if (manner == CrashWatch.Manner.BROKEN) {
 			askWhetherItLives(replica);
@@ -285,8 +283,8 @@
 	/**
 	 * Hashing the content is left out while nothing is known of any crash.
 	 */
-	private List<Trait> traits(ServedRequest request) {
-		return this.book.any() ? request.traits() : request.partTraits();
+	private List<Trait> traits(ServedRequest request, String model) {
+		return this.book.any() ? request.traits(model) : request.partTraits(model);
 	}
 
 	private void learn(FleetChange.Noted noted) {
--- a/daemon/src/main/java/org/gullsaddle/gateway/CrashTrials.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/CrashTrials.java
@@ -52,10 +52,11 @@
 
 	/**
 	 * Finds out whether a request that is refused is let through.
+	 * @param traits the request's traits
 	 * @param then goes on with it
 	 */
-	void ask(ServedRequest request, Runnable then) {
-		Optional<CrashBook.Trial> trial = this.book.trial(Clock.millis(), request.traits());
+	void ask(ServedRequest request, List<Trait> traits, Runnable then) {
+		Optional<CrashBook.Trial> trial = this.book.trial(Clock.millis(), traits);
 		if (trial.isEmpty() || !this.asking.add(trial.get().trait())) {
 			then.run();
 			return;
--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -282,7 +282,7 @@
 	void attemptEnded(Serving serving, Attempt attempt, AttemptEnd end, long now) {
 		long millis = now - attempt.startedAt();
 		this.decisions.picker().ended(now, attempt.choice(), end);
-		this.crashes.ended(serving.request(), attempt, end);
+		this.crashes.ended(serving.request(), serving.model(), attempt, end);
 		this.log.attempt(serving.request(), attempt, serving.model(), end.toString(), millis, serving.clock(),
 				!(end instanceof AttemptEnd.Answered answered) || answered.failure());
 		this.telemetry.attempt(serving.service().value(), end.word());
--- a/daemon/src/main/java/org/gullsaddle/gateway/ReplicaChooser.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/ReplicaChooser.java
@@ -42,31 +42,31 @@
 	/**
 	 * Says whether there is a replica that the request was not sent to yet.
 	 */
-	boolean another(Set<ReplicaId> tried) {
-		Set<ReplicaId> leftOut = leftOut(tried);
-		return usable(leftOut).stream().anyMatch((replica) -> !leftOut.contains(replica.id()));
+	boolean another(Set<ReplicaId> tried, String model) {
+		Set<ReplicaId> leftOut = leftOut(tried, model);
+		return usable(leftOut, model).stream().anyMatch((replica) -> !leftOut.contains(replica.id()));
 	}
 
 	/**
 	 * Says whether the request may go to no replica, as it would crash it.
 	 */
-	boolean refused() {
-		return rules().refuses(wanted());
+	boolean refused(String model) {
+		return rules().refuses(wanted(model));
 	}
 
 	/**
 	 * Says why there is no replica for the request.
 	 */
-	ReplicaRules.NoReplica whyNone() {
-		return rules().whyNone(Clock.millis(), wanted());
+	ReplicaRules.NoReplica whyNone(String model) {
+		return rules().whyNone(Clock.millis(), wanted(model));
 	}
 
 	/**
 	 * Returns when the caller is to come back, as there is no replica for the request.
 	 */
-	long comeBackMillis(ReplicaRules.NoReplica why) {
+	long comeBackMillis(ReplicaRules.NoReplica why, String model) {
 		if (BY_THE_RULES.contains(why)) {
-			return this.gateway.decisions().comeBackMillis(rules().backMillis(Clock.millis(), wanted()));
+			return this.gateway.decisions().comeBackMillis(rules().backMillis(Clock.millis(), wanted(model)));
 		}
 		return this.gateway.decisions().comeBackMillis(why);
 	}
@@ -81,8 +81,8 @@
 	/**
 	 * Says whether a replica that was given the request may still be sent it.
 	 */
-	boolean stillOpen(Replica chosen, Admission admission) {
-		return !refused() && this.gateway.fleet().directory().stillTakes(Clock.millis(), chosen)
+	boolean stillOpen(Replica chosen, Admission admission, String model) {
+		return !refused(model) && this.gateway.fleet().directory().stillTakes(Clock.millis(), chosen)
 				&& this.gateway.backpressure().book().mayStillSend(Clock.millis(), chosen, admission);
 	}
 
@@ -97,21 +97,21 @@
 	 * Notes that the request is sent to a replica.
 	 */
 	void sent(Replica replica) {
-		rules().sent(Clock.millis(), wanted(), replica);
+		rules().sent(Clock.millis(), wanted(""), replica);
 	}
 
-	private Set<ReplicaId> leftOut(Set<ReplicaId> tried) {
-		return rules().leftOut(Clock.millis(), wanted(), tried);
+	private Set<ReplicaId> leftOut(Set<ReplicaId> tried, String model) {
+		return rules().leftOut(Clock.millis(), wanted(model), tried);
 	}
 
-	private List<Replica> usable(Set<ReplicaId> leftOut) {
-		return rules().usable(Clock.millis(), wanted(), leftOut);
+	private List<Replica> usable(Set<ReplicaId> leftOut, String model) {
+		return rules().usable(Clock.millis(), wanted(model), leftOut);
 	}
 
-	private ReplicaRules.Wanted wanted() {
+	private ReplicaRules.Wanted wanted(String model) {
 		CrashBook crashes = this.gateway.crashes().book();
 		List<Trait> traits = (crashes.countRefused() == 0 || this.request.isTrial()) ? List.of()
-				: this.request.traits();
+				: this.request.traits(model);
 		return new ReplicaRules.Wanted(this.request.service(), this.request.limit(), this.request.coldStart(),
 				this.gateway.nodes().known(), this.gateway.fleet().rollout(this.request.service()),
 				this.request.releaseKey(), traits);
@@ -124,8 +124,8 @@
 	 * @param then is given the choice, at once or when the replicas have told
 	 */
 	void choose(Task task, Set<ReplicaId> tried, Consumer<Optional<Choice>> then) {
-		Set<ReplicaId> leftOut = leftOut(tried);
-		List<Replica> usable = usable(leftOut);
+		Set<ReplicaId> leftOut = leftOut(tried, task.model());
+		List<Replica> usable = usable(leftOut, task.model());
 		if (this.request.isTrial()) {
 			then.accept(emptiest(task, usable, leftOut));
 			return;
@@ -136,8 +136,8 @@
 			return;
 		}
 		this.gateway.probe().ask(asked, (told) -> {
-			Set<ReplicaId> leftOutNow = leftOut(tried);
-			List<Replica> stillUsable = usable(leftOutNow);
+			Set<ReplicaId> leftOutNow = leftOut(tried, task.model());
+			List<Replica> stillUsable = usable(leftOutNow, task.model());
 			List<Replica> left = withoutSilent(stillUsable, asked, told);
 			then.accept(picker().pick(Clock.millis(), left, leftOutNow, task)
 				.or(() -> picker().pick(Clock.millis(), stillUsable, leftOutNow, task)));
@@ -159,8 +159,8 @@
 	 */
 	Optional<Choice> known(Task task, Set<ReplicaId> tried) {
 		long now = Clock.millis();
-		Set<ReplicaId> leftOut = new HashSet<>(leftOut(tried));
-		List<Replica> usable = usable(leftOut);
+		Set<ReplicaId> leftOut = new HashSet<>(leftOut(tried, task.model()));
+		List<Replica> usable = usable(leftOut, task.model());
 		usable.stream()
 			.filter((replica) -> !picker().toldLately(now, replica))
 			.forEach((replica) -> leftOut.add(replica.id()));
@@ -172,7 +172,7 @@
 	 * of which nothing is known is taken to be as full as the others, tried ones too.
 	 */
 	Delay delayAt(Replica replica, Task task) {
-		return picker().delayAt(Clock.millis(), usable(Set.of()), replica, task);
+		return picker().delayAt(Clock.millis(), usable(Set.of(), task.model()), replica, task);
 	}
 
 	/**
@@ -186,9 +186,9 @@
 		}
 		long now = Clock.millis();
 		// Limited ones are among them: they may take it yet.
-		List<Replica> usable = usable(Set.of());
+		List<Replica> usable = usable(Set.of(), task.model());
 		List<Choice> all = picker().best(now, usable, Set.of(), task, usable.size());
-		boolean refused = !rules().anyCold(now, wanted())
+		boolean refused = !rules().anyCold(now, wanted(task.model()))
 				&& this.gateway.decisions().hopeless().refuses(now, this.request.service(), all, left);
 		if (refused) {
 			this.gateway.telemetry().count("would.not.begin");
@@ -208,7 +208,7 @@
 	 * Says whether a replica may be asked for its load.
 	 */
 	boolean mayAsk(Replica replica) {
-		return !rules().cold(Clock.millis(), wanted(), replica) && this.gateway.backpressure().mayAsk(replica);
+		return !rules().cold(Clock.millis(), wanted(""), replica) && this.gateway.backpressure().mayAsk(replica);
 	}
 
 	private static List<Replica> withoutSilent(List<Replica> usable, List<Replica> asked, List<Replica> told) {
--- a/daemon/src/main/java/org/gullsaddle/gateway/ServedRequest.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/ServedRequest.java
@@ -52,10 +52,6 @@
 
 	private Fingerprint content;
 
-	private List<Trait> partTraits;
-
-	private List<Trait> traits;
-
 	private boolean letThrough;
 
 	private ServedRequest(Builder builder) {
@@ -204,26 +200,26 @@
 
 	/**
 	 * Returns what it has in common with others that share parts of its prompt.
+	 * @param model the model that runs it, empty for a plain service
 	 */
-	List<Trait> partTraits() {
-		if (this.partTraits == null) {
-			this.partTraits = this.caller.prompt().sharedParts().stream().distinct().map(Trait::part).toList();
+	List<Trait> partTraits(String model) {
+		List<Trait> traits = new ArrayList<>();
+		for (String part : this.caller.prompt().sharedParts()) {
+			traits.add(Trait.part(part));
+			traits.add(Trait.part(part, model));
 		}
-		return this.partTraits;
+		return traits;
 	}
 
 	/**
 	 * Returns what it has in common with others: parts of its prompt, and all its content
 	 * with those that repeat it.
+	 * @param model the model that runs it, empty for a plain service
 	 */
-	List<Trait> traits() {
-		if (this.traits == null) {
-			List<Trait> all = new ArrayList<>(partTraits());
-			all.add(Trait.content(
-					ContentHash.of(teamName(), this.http.method(), this.caller.host(), this.http.uri(), this.body)));
-			this.traits = List.copyOf(all);
-		}
-		return this.traits;
+	List<Trait> traits(String model) {
+		List<Trait> traits = partTraits(model);
+		traits.add(Trait.content(content()));
+		return traits;
 	}
 
 	/**
--- a/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
@@ -79,14 +79,14 @@
 		response.closeHandler((nothing) -> left());
 		response.exceptionHandler((failure) -> left());
 		this.gateway.opened(this);
-		this.gateway.crashes().ask(this.request, this::begin);
+		this.gateway.crashes().ask(this.request, model(), this::begin);
 	}
 
 	private void begin() {
 		if (this.done) {
 			return;
 		}
-		if (this.replicas.refused()) {
+		if (this.replicas.refused(model())) {
 			refuseForNone();
 			return;
 		}
@@ -135,9 +135,9 @@
 	}
 
 	private void refuseForNone() {
-		ReplicaRules.NoReplica why = this.replicas.whyNone();
+		ReplicaRules.NoReplica why = this.replicas.whyNone(model());
 		this.gateway.telemetry().count("no.replica." + why.name().toLowerCase(Locale.ROOT));
-		refuse(why.reason(), this.replicas.comeBackMillis(why));
+		refuse(why.reason(), this.replicas.comeBackMillis(why, model()));
 	}
 
 	private void send(Choice choice, long left) {
@@ -161,7 +161,7 @@
 
 	@Override
 	public boolean stillOpen(Attempt from) {
-		return this.replicas.stillOpen(from.choice().replica(), from.admission());
+		return this.replicas.stillOpen(from.choice().replica(), from.admission(), model());
 	}
 
 	@Override
@@ -219,7 +219,7 @@
 			return;
 		}
 		this.gateway.decisions().picker().heard(Clock.millis(), from.choice().replica());
-		this.gateway.crashes().data(this.request, from);
+		this.gateway.crashes().data(this.request, model(), from);
 		if (!streamed(from)) {
 			this.relay.hold(from, bytes);
 		}
@@ -276,7 +276,7 @@
 		if (!this.rule.mayTryAgain(this.request.left(now)) || !this.silence.mayGoOn()) {
 			return false;
 		}
-		if (!this.replicas.another(this.tried) || !this.gateway.decisions().spendRetry()) {
+		if (!this.replicas.another(this.tried, model()) || !this.gateway.decisions().spendRetry()) {
 			return false;
 		}
 		tryNext();
@@ -308,7 +308,7 @@
 	}
 
 	private void giveUp(AttemptEnd end) {
-		refuse(end.why(), this.replicas.comeBackMillis(this.replicas.whyNone()));
+		refuse(end.why(), this.replicas.comeBackMillis(this.replicas.whyNone(model()), model()));
 	}
 
 	/**
--- a/daemon/src/main/java/org/gullsaddle/gateway/Silence.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Silence.java
@@ -179,7 +179,7 @@
 		if (!mayGoOn()) {
 			return "no way to go on with the answer";
 		}
-		return this.replicas.another(tried) ? "" : "no replica";
+		return this.replicas.another(tried, this.serving.model()) ? "" : "no replica";
 	}
 
 	/**
