Where several parts are nearly as suspect, others' news are awaited for a moment

Cause: what a node knows of crashes is in parts. Of a crash it may have read which sound requests broke off there before it read of the deadly one, so that a part of one request in forty led by one crash and was refused.

Now a trait is refused at once only if no other part that was never sound is at as many crashes or one less; else after a second, by what is known then, which nodes look at with each tick. A content waits for parts likewise.

--- a/core/src/main/java/org/gullsaddle/suspect/Conviction.java
+++ b/core/src/main/java/org/gullsaddle/suspect/Conviction.java
@@ -31,6 +31,9 @@
 	/** When any node told last that such requests come. */
 	private long toldAt;
 
+	/** Whether any node told of it at all. */
+	private boolean told;
+
 	Conviction(Trait trait, long now, long crashAt) {
 		this.trait = trait;
 		this.crashAt = crashAt;
@@ -43,6 +46,7 @@
 	 * Takes in what another node told.
 	 */
 	void learn(long now, CrashNote.Refused told, long lagMillis) {
+		this.told = true;
 		this.crashAt = Math.max(this.crashAt, now - lagMillis - told.crashAgeMillis());
 		this.seenAt = Math.max(this.seenAt, now - lagMillis - told.seenAgeMillis());
 		this.toldAt = Math.max(this.toldAt, now - lagMillis);
@@ -51,6 +55,7 @@
 	}
 
 	CrashNote.Refused tell(long now) {
+		this.told = true;
 		this.toldAt = now;
 		return new CrashNote.Refused(this.trait, now - this.crashAt, now - this.seenAt, this.trials,
 				this.trialAt - now);
@@ -78,6 +83,10 @@
 		this.trialAt = now + Math.round(Math.min(LAST_TRIAL_MILLIS, wait));
 	}
 
+	boolean told() {
+		return this.told;
+	}
+
 	boolean over(long now) {
 		return now - this.seenAt > QUIET_MILLIS;
 	}
--- a/core/src/main/java/org/gullsaddle/suspect/CrashBook.java
+++ b/core/src/main/java/org/gullsaddle/suspect/CrashBook.java
@@ -318,15 +318,32 @@
 		return now - this.lastCrashAt < UNSETTLED_MILLIS;
 	}
 
+	/**
+	 * Says whether this node refuses anything of which no node has told the others yet.
+	 * @return true if so
+	 */
+	public boolean untold() {
+		return this.convictions.values().stream().anyMatch((conviction) -> !conviction.told());
+	}
+
+	/**
+	 * Finds out what is to be refused by now. Is to be called some times a second.
+	 * @param now the time in milliseconds
+	 * @return the traits that are refused from now on
+	 */
+	public List<Trait> look(long now) {
+		return this.evidence.any() ? judge(now) : List.of();
+	}
+
 	private List<Trait> judge(long now) {
 		forget(now);
 		List<Trait> convicted = new ArrayList<>();
-		Optional<CrashEvidence.Accused> worst = this.evidence.worst();
+		Optional<CrashEvidence.Accused> worst = this.evidence.worst(now);
 		while (worst.isPresent()) {
 			Trait trait = worst.get().trait();
 			convict(new Conviction(trait, now, worst.get().lastAt()));
 			convicted.add(trait);
-			worst = this.evidence.worst();
+			worst = this.evidence.worst(now);
 		}
 		return convicted;
 	}
--- a/core/src/main/java/org/gullsaddle/suspect/CrashEvidence.java
+++ b/core/src/main/java/org/gullsaddle/suspect/CrashEvidence.java
@@ -2,12 +2,12 @@
 
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Predicate;
 
@@ -18,7 +18,7 @@
  * that came to a replica only after the crash before is one of its own. What was sound
  * before needs more of them, and others that went well meanwhile. Of several traits the
  * one that was never sound is worst, and what a refused part explains is evidence against
- * no other.
+ * no other. Where several are nearly as bad, others' news are awaited for a moment.
  */
 final class CrashEvidence {
 
@@ -49,6 +49,12 @@
 	/** How long a crash that is explained may still grow, in milliseconds. */
 	private static final long EXPLAINED_MILLIS = 10_000;
 
+	/**
+	 * How long others' news are awaited while another part is at nearly as many crashes,
+	 * in milliseconds: what one node saw of a crash may come before what another did.
+	 */
+	private static final long RIVALS_MILLIS = 1000;
+
 	private static final int MAX_CRASHES = 100;
 
 	private static final int MAX_LIVING = 100;
@@ -57,6 +63,9 @@
 
 	private final SoundMarks sound = new SoundMarks();
 
+	/** Since when there is enough evidence against a trait, in milliseconds. */
+	private final Map<Trait, Long> enoughSince = new HashMap<>();
+
 	/** Says which traits are refused. */
 	private final Predicate<Trait> refused;
 
@@ -154,24 +163,43 @@
 	/**
 	 * Returns what is to be refused next, if anything is.
 	 */
-	Optional<Accused> worst() {
+	Optional<Accused> worst(long now) {
 		List<Crash> open = open();
 		Set<Trait> traits = new LinkedHashSet<>();
 		open.forEach((crash) -> traits.addAll(crash.traits()));
-		return traits.stream()
+		List<Accused> accused = traits.stream()
 			.filter((trait) -> !this.refused.test(trait))
 			.map((trait) -> accuse(trait, open))
-			.flatMap(Optional::stream)
+			.toList();
+		List<Accused> enough = accused.stream().filter(this::isEnough).toList();
+		this.enoughSince.keySet().retainAll(enough.stream().map(Accused::trait).toList());
+		enough.forEach((one) -> this.enoughSince.putIfAbsent(one.trait(), now));
+		return enough.stream()
 			.min(Comparator.comparing(Accused::soundBefore)
 				.thenComparing((one) -> one.trait().kind())
 				.thenComparing((one) -> -one.crashes())
-				.thenComparing(Accused::trait));
+				.thenComparing(Accused::trait))
+			.filter((worst) -> now - this.enoughSince.get(worst.trait()) >= RIVALS_MILLIS
+					|| accused.stream().noneMatch((other) -> rivals(other, worst)));
+	}
+
+	/**
+	 * Says whether a part may turn out to be at more crashes than the worst trait.
+	 */
+	private static boolean rivals(Accused other, Accused worst) {
+		return !other.trait().equals(worst.trait()) && other.trait().kind() == Trait.Kind.PART && !other.soundBefore()
+				&& other.crashes() >= worst.crashes() - 1;
+	}
+
+	private boolean isEnough(Accused one) {
+		return one.crashes() >= needed(one.trait(), one.soundBefore())
+				&& (!one.soundBefore() || this.sound.withoutSince(one.trait(), one.firstAt()));
 	}
 
-	private Optional<Accused> accuse(Trait trait, List<Crash> open) {
+	private Accused accuse(Trait trait, List<Crash> open) {
 		long soundAt = this.sound.last(trait);
 		int count = 0;
-		OptionalLong first = OptionalLong.empty();
+		long first = Long.MAX_VALUE;
 		long last = Long.MIN_VALUE / 2;
 		for (Crash crash : open) {
 			boolean counts = crash.has(trait) && crash.at() > soundAt
@@ -179,13 +207,11 @@
 			if (counts) {
 				count++;
 				last = crash.at();
-				first = first.isPresent() ? first : OptionalLong.of(last);
+				first = Math.min(first, last);
 			}
 		}
 		boolean soundBefore = this.sound.any(trait) || trait.kind() == Trait.Kind.PART_UNDER_MODEL;
-		boolean enough = count >= needed(trait, soundBefore)
-				&& (!soundBefore || this.sound.withoutSince(trait, first.getAsLong()));
-		return enough ? Optional.of(new Accused(trait, soundBefore, count, last)) : Optional.empty();
+		return new Accused(trait, soundBefore, count, first, last);
 	}
 
 	private static int needed(Trait trait, boolean soundBefore) {
@@ -196,14 +222,15 @@
 	}
 
 	/**
-	 * A trait against which there is enough evidence.
+	 * What speaks against a trait.
 	 *
 	 * @param trait the trait
 	 * @param soundBefore whether requests with it went well, or may have, before
 	 * @param crashes how many crashes speak against it
+	 * @param firstAt when the first of them was, in milliseconds
 	 * @param lastAt when the last of them was, in milliseconds
 	 */
-	record Accused(Trait trait, boolean soundBefore, int crashes, long lastAt) {
+	record Accused(Trait trait, boolean soundBefore, int crashes, long firstAt, long lastAt) {
 	}
 
 }
--- a/core/src/test/java/org/gullsaddle/suspect/CrashModel.java
+++ b/core/src/test/java/org/gullsaddle/suspect/CrashModel.java
@@ -34,6 +34,11 @@
 
 	private static final long SOUND_MILLIS = 500;
 
+	private static final long LOOK_MILLIS = 200;
+
+	/** In what time nodes that find the same out tell it, in milliseconds. */
+	private static final int SPREAD_MILLIS = 200;
+
 	private static final int MAX_ATTEMPTS = 3;
 
 	private static final int SUBJECTS = 40;
@@ -120,6 +125,9 @@
 	}
 
 	void play(long until) {
+		for (long time = LOOK_MILLIS; time < until; time += LOOK_MILLIS) {
+			at(time, this::look);
+		}
 		while (!this.events.isEmpty() && this.events.peek().at <= until) {
 			Event event = this.events.poll();
 			this.now = event.at;
@@ -127,6 +135,20 @@
 		}
 	}
 
+	private void look() {
+		for (int i = 0; i < this.books.size(); i++) {
+			int node = i;
+			this.refused.addAll(this.books.get(i).look(this.now));
+			if (this.books.get(i).untold()) {
+				at(this.now + this.random.nextInt(SPREAD_MILLIS), () -> {
+					if (this.books.get(node).untold()) {
+						tell(node);
+					}
+				});
+			}
+		}
+	}
+
 	private void send(int node, List<Trait> traits, int attempt) {
 		if (this.books.get(node).refuses(traits)) {
 			return;
--- a/daemon/src/main/java/org/gullsaddle/gateway/CrashController.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/CrashController.java
@@ -38,7 +38,7 @@
 	private static final long GATHER_MILLIS = 200;
 
 	/**
-	 * What each node adds to that at most before it speaks for a trait, in milliseconds.
+	 * In what time for each node they tell what several may tell, in milliseconds.
 	 */
 	private static final long SPREAD_MILLIS = 4;
 
@@ -88,6 +88,8 @@
 
 	private boolean due;
 
+	private boolean telling;
+
 	CrashController(Vertx vertx, Store store, String node, ChannelPool pool, Decisions decisions, NodeRegister nodes,
 			DecisionLog log, Telemetry telemetry) {
 		this.vertx = vertx;
@@ -235,6 +237,27 @@
 		}
 	}
 
+	/**
+	 * Is called some times a second.
+	 */
+	void look(long now) {
+		refused(this.book.look(now), "this node");
+		if (this.book.untold() && !this.telling) {
+			// Other nodes find the same out at the same time; one of them tells it.
+			this.telling = true;
+			this.vertx.setTimer(spreadMillis(), (timer) -> {
+				this.telling = false;
+				if (this.book.untold()) {
+					tellIn(1);
+				}
+			});
+		}
+	}
+
+	private long spreadMillis() {
+		return 1 + this.random.nextLong(SPREAD_MILLIS * this.nodes.known().orElse(1));
+	}
+
 	/**
 	 * Takes in a change of the deployment, or another node's note.
 	 */
@@ -275,8 +298,7 @@
 			tellIn(GATHER_MILLIS);
 		}
 		else if (this.book.speaksFor(traits)) {
-			long nodes = this.nodes.known().orElse(1);
-			tellIn(GATHER_MILLIS + this.random.nextLong(SPREAD_MILLIS * nodes));
+			tellIn(GATHER_MILLIS + spreadMillis());
 		}
 	}
 
--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -329,6 +329,7 @@
 			List.copyOf(this.open).forEach((serving) -> serving.tick(now));
 		}
 		this.holdings.look(now);
+		this.crashes.look(now);
 	}
 
 	private void tidy() {
