--- a/core/src/main/java/org/gullsaddle/suspect/CrashWatch.java
+++ b/core/src/main/java/org/gullsaddle/suspect/CrashWatch.java
@@ -34,6 +34,8 @@
 	/** How far the ends of attempts at one crash are apart at most, in milliseconds. */
 	private static final long SAME_MOMENT_MILLIS = 1000;
 
+	private static final int MAX_FOUND = 100;
+
 	private final Map<ReplicaId, List<Ended>> ended = new HashMap<>();
 
 	/** The processes that were found dead lately. */
@@ -44,8 +46,6 @@
 		}
 	};
 
-	private static final int MAX_FOUND = 100;
-
 	/**
 	 * Notes that an attempt ended without a whole answer that could be told as such.
 	 * @param now the time in milliseconds
--- a/daemon/src/main/java/org/gullsaddle/gateway/CrashTrials.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/CrashTrials.java
@@ -69,6 +69,7 @@
 	 * not known, and no request of this node goes.
 	 */
 	private void claim(CrashBook.Trial trial, ServedRequest request, Runnable then) {
+		// Keys are short: traits of the same hash share their trials.
 		String key = TRIALS + Integer.toHexString(trial.trait().value().hashCode());
 		this.store.get(key).flatMap((before) -> {
 			if (before.isPresent() && System.currentTimeMillis() - at(before.get().value()) < APART_MILLIS) {
