--- a/daemon/src/main/java/org/gullsaddle/gateway/Attempt.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Attempt.java
@@ -52,9 +52,10 @@
 
 	private boolean ended;
 
-	/** Whether its connection broke, or none could be had as nothing listens there. */
+	/** Whether its connection broke. */
 	private boolean lost;
 
+	/** Whether it got no connection as nothing listens there. */
 	private boolean connectRefused;
 
 	/** When the first bytes of the body came, negative before. */
@@ -62,6 +63,7 @@
 
 	private boolean toldThatItGoesOn;
 
+	/** Whether its answer had no length and ended as its connection did. */
 	private boolean endedWithConnection;
 
 	private long lastByteAt = this.startedAt;
