Logs tell a request's content and what it keeps its release by, and how much spoke against what is refused

The record of the incident could not tell whether a refused content had run before, at how many crashes it had been, or which requests belong to one session. Attempt lines now name the content and the release key, request lines the content, ends of replicas the contents that ran there, refusals the crashes and whether the trait was sound before.

--- a/core/src/main/java/org/gullsaddle/suspect/Crash.java
+++ b/core/src/main/java/org/gullsaddle/suspect/Crash.java
@@ -36,7 +36,24 @@
 	 * @return their text forms, sorted
 	 */
 	public List<String> parts() {
-		return this.ran.keySet().stream().filter(Trait::isPart).map(Trait::value).sorted().toList();
+		return values(true);
+	}
+
+	/**
+	 * Returns the contents of requests among its traits.
+	 * @return their text forms, sorted
+	 */
+	public List<String> contents() {
+		return values(false);
+	}
+
+	private List<String> values(boolean parts) {
+		return this.ran.keySet()
+			.stream()
+			.filter((trait) -> trait.isPart() == parts)
+			.map(Trait::value)
+			.sorted()
+			.toList();
 	}
 
 	Set<Trait> traits() {
--- a/core/src/main/java/org/gullsaddle/suspect/CrashBook.java
+++ b/core/src/main/java/org/gullsaddle/suspect/CrashBook.java
@@ -293,6 +293,15 @@
 			.toList());
 	}
 
+	/**
+	 * Returns how many remembered crashes a trait was at, whatever explains them.
+	 * @param trait the trait
+	 * @return the number
+	 */
+	public int crashesWith(Trait trait) {
+		return this.evidence.countWith(trait);
+	}
+
 	/**
 	 * Returns how many traits are refused.
 	 * @return the number
--- a/core/src/main/java/org/gullsaddle/suspect/CrashEvidence.java
+++ b/core/src/main/java/org/gullsaddle/suspect/CrashEvidence.java
@@ -120,6 +120,10 @@
 		return !this.crashes.isEmpty();
 	}
 
+	int countWith(Trait trait) {
+		return (int) this.crashes.values().stream().filter((crash) -> crash.has(trait)).count();
+	}
+
 	void forget(long now) {
 		this.crashes.values().removeIf((crash) -> {
 			long age = now - crash.at();
--- a/daemon/src/main/java/org/gullsaddle/gateway/CrashController.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/CrashController.java
@@ -322,7 +322,7 @@
 	}
 
 	private void refused(List<Trait> traits, String source) {
-		traits.forEach((trait) -> this.log.convicted(trait, source));
+		traits.forEach((trait) -> this.log.convicted(trait, this.book, source));
 	}
 
 	private void tellIn(long millis) {
--- a/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
@@ -1,5 +1,6 @@
 package org.gullsaddle.gateway;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
 
@@ -185,6 +186,8 @@
 			LOG.atInfo()
 				.addKeyValue("id", request.id())
 				.addKeyValue("parts", request.caller().prompt().sharedParts())
+				.addKeyValue("content", request.content().toString())
+				.addKeyValue("releaseKey", request.releaseKey().value())
 				.addKeyValue("confidence", attempt.confidence())
 				.addKeyValue("replica", choice.replica().id().value())
 				.addKeyValue("dataCenter", choice.replica().dataCenter())
@@ -307,13 +310,19 @@
 				.addKeyValue("how", how)
 				.addKeyValue("ageMillis", now - crash.at())
 				.addKeyValue("parts", crash.parts())
+				.addKeyValue("contents", crash.contents())
 				.log("replica ended");
 		}
 	}
 
-	void convicted(Trait trait, String source) {
+	void convicted(Trait trait, CrashBook book, String source) {
 		if (allowed(true)) {
-			LOG.atInfo().addKeyValue("trait", trait.value()).addKeyValue("source", source).log("refused for crashes");
+			LOG.atInfo()
+				.addKeyValue("trait", trait.value())
+				.addKeyValue("source", source)
+				.addKeyValue("crashes", book.crashesWith(trait))
+				.addKeyValue("soundBefore", book.everSound(List.of(trait)))
+				.log("refused for crashes");
 		}
 	}
 
@@ -342,6 +351,7 @@
 				.addKeyValue("id", request.id())
 				.addKeyValue("route", request.route())
 				.addKeyValue("team", request.team())
+				.addKeyValue("content", request.content())
 				.addKeyValue("outcome", request.outcome())
 				.addKeyValue("status", request.status())
 				.addKeyValue("reason", request.reason())
@@ -384,6 +394,7 @@
 	 * @param id the caller's id of it
 	 * @param route its route, empty if none took it
 	 * @param team its team, empty if it presented no key
+	 * @param content the hash of its team and content, empty if no route took it
 	 * @param outcome {@code served}, {@code refused}, {@code failed} or {@code left}
 	 * @param status the status that the caller got, 0 for none
 	 * @param reason why, in a word
@@ -397,8 +408,8 @@
 	 * @param fleetAgeMillis how long ago the platform last told anything
 	 * @param millis how long it took
 	 */
-	record RequestLine(String id, String route, String team, String outcome, int status, String reason, String verdict,
-			int attempts, boolean overShare, long toldMillis, long objectiveMillis, long configVersion,
+	record RequestLine(String id, String route, String team, String content, String outcome, int status, String reason,
+			String verdict, int attempts, boolean overShare, long toldMillis, long objectiveMillis, long configVersion,
 			long fleetAgeMillis, long millis) {
 	}
 
--- a/daemon/src/main/java/org/gullsaddle/gateway/RequestDispatcher.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/RequestDispatcher.java
@@ -151,7 +151,7 @@
 		writer.error(status, after, reason);
 		long version = this.gateway.fleet().config().map(FleetConfig::version).orElse(0L);
 		this.gateway.log()
-			.request(new DecisionLog.RequestLine(caller.attemptId().orElse(""), "", "", "refused", status, reason,
+			.request(new DecisionLog.RequestLine(caller.attemptId().orElse(""), "", "", "", "refused", status, reason,
 					"not-run", 0, false, after.orElse(-1L), 0, version, this.gateway.fleet().age(Clock.millis()), 0));
 		this.gateway.telemetry().count("refused." + status);
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
@@ -454,9 +454,9 @@
 
 	DecisionLog.RequestLine line(String outcome, int status, String reason, long now, long age) {
 		return new DecisionLog.RequestLine(id(), route().name(), this.request.team().map(TeamId::value).orElse(""),
-				outcome, status, reason, this.rule.verdict().toString(), this.attempts, this.turn.over(),
-				this.relay.toldMillis(), route().targetMillis(), this.request.config().version(), age,
-				now - this.request.startedAt());
+				this.request.content().toString(), outcome, status, reason, this.rule.verdict().toString(),
+				this.attempts, this.turn.over(), this.relay.toldMillis(), route().targetMillis(),
+				this.request.config().version(), age, now - this.request.startedAt());
 	}
 
 }
