--- a/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
@@ -112,6 +112,7 @@
 				.addKeyValue("service", listed.replica().service().value())
 				.addKeyValue("address", listed.replica().address().toString())
 				.addKeyValue("release", listed.replica().release())
+				.addKeyValue("startedAt", listed.replica().startedAt())
 				.addKeyValue("draining", listed.replica().draining())
 				.addKeyValue("coldMillis", listed.coldMillis())
 				.log("replica listed");
