Sessions over nodes, routes and restarts in the model of roll-outs (known red)

Callers' sessions went back to the old release while a good one was brought in. The model's sessions were new with each request, so that it could not show it. They now live on, come to all nodes, use one route or two, and nodes learn of the order one after another or start in the middle.

--- /dev/null
+++ b/core/src/test/java/org/gullsaddle/serve/RolloutSessionTests.java
@@ -0,0 +1,68 @@
+package org.gullsaddle.serve;
+
+import java.util.function.UnaryOperator;
+
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import org.gullsaddle.fleet.RolloutState;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Sessions keep their release through a good roll-out, at whichever node they come. */
+@Tag("known-red")
+class RolloutSessionTests {
+
+	private static final int LIVE = 24;
+
+	private static final int SEEDS = 10;
+
+	/** How many requests may run on another release than their session's before. */
+	private static final int ALLOWED = 3;
+
+	private static void keeps(long duration, int nodes, UnaryOperator<RolloutModel> setup) {
+		for (int seed = 0; seed < SEEDS; seed++) {
+			RolloutModel model = setup.apply(new RolloutModel(RolloutModel.Badness.NONE, duration, nodes, seed));
+			model.run();
+			assertThat(model.movedBack()).as("seed " + seed).isLessThanOrEqualTo(ALLOWED);
+			assertThat(model.tooEarly()).as("seed " + seed).isZero();
+			assertThat(model.state()).as("seed " + seed).isEqualTo(RolloutState.COMPLETED);
+		}
+	}
+
+	/** Guards against sessions that are moved as a node has spent its allowance. */
+	@ParameterizedTest
+	@CsvSource({ "24000, 1", "24000, 4", "24000, 22", "16000, 22", "10000, 4", "10000, 22" })
+	void sessionOnOneRouteNeverGoesBack(long duration, int nodes) {
+		keeps(duration, nodes, (model) -> model.withSessions(LIVE, false));
+	}
+
+	/** Guards against a share of the new release that differs from route to route. */
+	@ParameterizedTest
+	@CsvSource({ "24000, 4", "24000, 22", "10000, 4" })
+	void sessionOnTwoRoutesNeverGoesBack(long duration, int nodes) {
+		keeps(duration, nodes, (model) -> model.withSessions(LIVE, true));
+	}
+
+	/** Guards against nodes that count a roll-out's time from when they heard of it. */
+	@ParameterizedTest
+	@CsvSource({ "24000, 4", "24000, 22", "10000, 22" })
+	void nodesThatLearnOfTheOrderOneAfterAnotherAgree(long duration, int nodes) {
+		keeps(duration, nodes, (model) -> model.withSessions(LIVE, false).learnOneAfterAnother());
+	}
+
+	/** Guards against a node that starts in a roll-out and takes it for a new one. */
+	@Test
+	void nodesThatStartInTheMiddleAgree() {
+		keeps(24_000, 4, (model) -> model.withSessions(LIVE, false).restart(1, 0.55).restart(2, 0.65).restart(3, 0.8));
+	}
+
+	/** Guards against a burst that spends the allowance while sessions are admitted. */
+	@Test
+	void burstInTheTrialMovesNoSession() {
+		keeps(24_000, 4, (model) -> model.withSessions(LIVE, false).burst(2, 0.55, 0.7));
+	}
+
+}
