All nodes count a roll-out's time from its first replica's start

Callers saw sessions go back and forth for up to 1.5 s around each step of the new release's share, and until the end where a node had started during the roll-out. Cause: each node counted from when it learned of the order, and asks for changes every 1.5 s; one that starts counts from its start, moved up by others' notes, which come later.

The order tells no time, but the entries of the release's replicas do, and all nodes read the same ones: RolloutTime counts from the earliest start. It is by the time of day, so it is taken only if it falls between what the node knew before the order and now, is read once, and is dropped if others are far ahead.

Ruled out: interpolation of the store's revisions (off by 0.2 s where few heartbeats come); the nodes' own time of day in a note (one wrong clock moves all).

--- a/core/src/main/java/org/gullsaddle/serve/Rollout.java
+++ b/core/src/main/java/org/gullsaddle/serve/Rollout.java
@@ -68,6 +68,8 @@
 
 	private final long seenAt;
 
+	private final RolloutTime time;
+
 	private final Map<AnswerKind, ReleaseTrial> trials = new HashMap<>();
 
 	private final PooledEvidence evidence = new PooledEvidence(THRESHOLD);
@@ -89,8 +91,6 @@
 
 	private long stateRevision;
 
-	private long headStart;
-
 	private boolean condemned;
 
 	/** When it was proved, by any node, in milliseconds since the order; 0 if not yet. */
@@ -100,14 +100,16 @@
 	private double provedShare;
 
 	/**
-	 * Makes a roll-out that was just ordered.
+	 * Makes a roll-out of which this node has just learned.
+	 * @param notBefore a time before which it was not ordered
 	 * @param now the time
 	 * @param order the order
 	 * @param revision the revision of the order
 	 * @param limits what the release may get before it is proved
 	 */
-	public Rollout(long now, RolloutOrder order, long revision, RolloutLimits limits) {
+	public Rollout(long notBefore, long now, RolloutOrder order, long revision, RolloutLimits limits) {
 		this.seenAt = now;
+		this.time = new RolloutTime(Math.max(notBefore, now - order.durationMillis()), now);
 		this.order = order;
 		this.revision = revision;
 		this.loadTrial = new LoadTrial(order.target());
@@ -122,7 +124,19 @@
 	 * @param revision the revision of the order
 	 */
 	public Rollout(long now, RolloutOrder order, long revision) {
-		this(now, order, revision, RolloutLimits.USUAL);
+		this(now, now, order, revision, RolloutLimits.USUAL);
+	}
+
+	/**
+	 * Takes in the entry of a replica of the service, which tells when it started.
+	 * @param now the time
+	 * @param timeOfDay the time of day here, in Unix milliseconds
+	 * @param replica the replica
+	 */
+	public void listed(long now, long timeOfDay, Replica replica) {
+		if (ofTarget(replica)) {
+			this.time.started(now, timeOfDay, replica.startedAt());
+		}
 	}
 
 	/**
@@ -259,7 +273,7 @@
 	 */
 	public void learn(long now, RolloutNote note) {
 		this.evidence.learn(note, note.elapsedMillis() - (now - this.seenAt) < LATE_MILLIS);
-		this.headStart = Math.max(this.headStart, note.elapsedMillis() - (now - this.seenAt));
+		this.time.told(now, note.elapsedMillis());
 		this.routes.learn(note);
 		if (note.provedMillis() > 0) {
 			proved(note.provedMillis());
@@ -342,7 +356,8 @@
 			return Optional.empty();
 		}
 		double part = part(now);
-		if (this.condemned || (this.provedShare < 1 && part >= ReleaseRamp.GIVE_UP_AT)) {
+		boolean late = elapsedPart(this.time.elapsedSinceOrder(now)) >= ReleaseRamp.GIVE_UP_AT;
+		if (this.condemned || (this.provedShare < 1 && late)) {
 			return Optional.of(RolloutState.ROLLED_BACK);
 		}
 		double completeAt = ReleaseRamp.completeAt(elapsedPart(this.provedMillis));
@@ -443,7 +458,7 @@
 	}
 
 	private long elapsed(long now) {
-		return now - this.seenAt + this.headStart;
+		return this.time.elapsed(now);
 	}
 
 }
--- a/core/src/test/java/org/gullsaddle/serve/RolloutModel.java
+++ b/core/src/test/java/org/gullsaddle/serve/RolloutModel.java
@@ -31,12 +31,22 @@
 
 	private static final String TARGET = "v2";
 
+	private static final long ORDER_REVISION = 10;
+
 	private static final int SLOTS = 16;
 
 	private static final int REPLICAS = 6;
 
 	private static final long STEP = 20;
 
+	/** The Unix millisecond of the order. */
+	private static final long CLOCK = 1_700_000_000_000L;
+
+	private static final long NEVER = Long.MIN_VALUE / 2;
+
+	/** How long after the order the first replica of the new release starts. */
+	private static final long FIRST_START_MILLIS = 300;
+
 	private static final long FIRST_MILLIS = 20;
 
 	/** How far apart a node's notes are, as a part of the roll-out's time. */
@@ -81,7 +91,7 @@
 
 	private RolloutState state;
 
-	private long revision = 10;
+	private long revision = ORDER_REVISION;
 
 	private int sent;
 
@@ -100,7 +110,7 @@
 		this.newsMillis = Math.min(MAX_NEWS_MILLIS, Math.round(NEWS_PART * duration));
 		this.random = new Random(seed);
 		for (int i = 0; i < nodes; i++) {
-			this.nodes.add(node(0));
+			this.nodes.add(node(-this.newsMillis, 0));
 		}
 		for (int i = 0; i < REPLICAS; i++) {
 			this.replicas.add(replica("old-" + i, "v1"));
@@ -108,12 +118,23 @@
 		}
 	}
 
-	private Rollout node(long now) {
-		return new Rollout(now, new RolloutOrder(SERVICE, TARGET, this.duration), this.revision, LIMITS);
+	/**
+	 * Makes a node that learns of the order.
+	 * @param asked when it asked for news before, {@link #NEVER} if it just started
+	 */
+	private Rollout node(long asked, long now) {
+		Rollout node = new Rollout(asked, now, new RolloutOrder(SERVICE, TARGET, this.duration), ORDER_REVISION,
+				LIMITS);
+		long listedAt = Math.max(now, FIRST_START_MILLIS);
+		this.events.add(new Event(listedAt,
+				() -> this.replicas.forEach((replica) -> node.listed(listedAt, CLOCK + listedAt, replica))));
+		return node;
 	}
 
 	private static Replica replica(String id, String release) {
-		return new Replica(new ReplicaId(id), SERVICE, new Address("10.0.0.1", 80), "a", release, SLOTS, false, 1);
+		long startedAt = CLOCK + (release.equals(TARGET) ? FIRST_START_MILLIS : -MAX_NEWS_MILLIS);
+		return new Replica(new ReplicaId(id), SERVICE, new Address("10.0.0.1", 80), "a", release, SLOTS, false,
+				startedAt);
 	}
 
 	/**
@@ -153,7 +174,8 @@
 	 */
 	RolloutModel learnOneAfterAnother() {
 		for (int i = 0; i < this.nodes.size(); i++) {
-			this.nodes.set(i, node(this.random.nextLong(this.newsMillis)));
+			long learnedAt = this.random.nextLong(this.newsMillis);
+			this.nodes.set(i, node(learnedAt - this.newsMillis, learnedAt));
 		}
 		return this;
 	}
@@ -165,7 +187,7 @@
 	RolloutModel restart(int node, double part) {
 		long at = Math.round(part * this.duration);
 		this.events.add(new Event(at, () -> {
-			Rollout fresh = node(at);
+			Rollout fresh = node(NEVER, at);
 			fresh.progressed(this.state, TARGET, this.revision);
 			for (int i = 0; i < this.nodes.size(); i++) {
 				if (i != node) {
--- a/core/src/test/java/org/gullsaddle/serve/RolloutSessionTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/RolloutSessionTests.java
@@ -17,7 +17,7 @@
 
 	private static final int LIVE = 24;
 
-	private static final int SEEDS = 10;
+	private static final int SEEDS = Integer.getInteger("rollout.seeds", 10);
 
 	/** How many requests may run on another release than their session's before. */
 	private static final int ALLOWED = 3;
--- a/daemon/src/main/java/org/gullsaddle/gateway/FleetState.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/FleetState.java
@@ -25,6 +25,8 @@
  */
 final class FleetState {
 
+	private static final long LONG_AGO = Long.MIN_VALUE / 2;
+
 	private final ReplicaDirectory directory = new ReplicaDirectory();
 
 	private final RolloutLimits limits;
@@ -42,6 +44,11 @@
 
 	private long configKnownAt;
 
+	/** The same of the deployment before the latest news. */
+	private long knownBefore = LONG_AGO;
+
+	private boolean heard;
+
 	FleetState(RolloutLimits limits) {
 		this.limits = limits;
 	}
@@ -90,6 +97,7 @@
 		Optional<Replica> before = this.directory.find(replica.id());
 		this.directory.put(replica);
 		this.directory.cold(now, replica, listed.coldMillis());
+		rollout(replica.service()).ifPresent((rollout) -> rollout.listed(now, System.currentTimeMillis(), replica));
 		return !before.equals(Optional.of(replica));
 	}
 
@@ -99,8 +107,14 @@
 		if (known != null && known.revision() >= ordered.revision()) {
 			return false;
 		}
-		Rollout rollout = new Rollout(now, ordered.order(), ordered.revision(), this.limits);
+		Rollout rollout = new Rollout(this.knownBefore, now, ordered.order(), ordered.revision(), this.limits);
 		this.rollouts.put(service, rollout);
+		long timeOfDay = System.currentTimeMillis();
+		this.directory.known()
+			.stream()
+			.flatMap((id) -> this.directory.find(id).stream())
+			.filter((replica) -> replica.service().equals(service))
+			.forEach((replica) -> rollout.listed(now, timeOfDay, replica));
 		FleetChange.Progressed state = this.progress.get(service);
 		if (state != null) {
 			rollout.progressed(state.state(), state.target(), state.revision());
@@ -147,6 +161,8 @@
 	 * @param askedAt when it was asked: of later ones nothing is known
 	 */
 	void heard(long askedAt) {
+		this.knownBefore = this.heard ? this.knownAt : LONG_AGO;
+		this.heard = true;
 		this.knownAt = askedAt;
 		configHeard(askedAt);
 	}
