--- /dev/null
+++ b/core/src/test/java/org/gullsaddle/suspect/RepeatedContentTests.java
@@ -0,0 +1,333 @@
+package org.gullsaddle.suspect;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import org.gullsaddle.base.Fingerprint;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** One request that comes again and crashes each replica that runs it. */
+@Tag("known-red")
+class RepeatedContentTests {
+
+	private static final Trait SYSTEM = Trait.part("system");
+
+	private static final Trait SUBJECT = Trait.part("subject");
+
+	private static final Trait DEADLY_PART = Trait.part("deadly");
+
+	private static final Trait POISON = content("poison");
+
+	private static final long SECOND = 1000;
+
+	private static final long CLOCK = 1_700_000_000_000L;
+
+	/** How long nodes may take to hear of each other, in milliseconds. */
+	private static final long CONTACT_MILLIS = 4000;
+
+	/** How many requests may come after contact since the third crash. */
+	private static final int ALLOWED = 3;
+
+	private final CrashBook book = new CrashBook();
+
+	private int processes;
+
+	private static Trait content(String name) {
+		return Trait.content(new Fingerprint(name));
+	}
+
+	private void crash(long now, Trait... traits) {
+		crash(now, 20, traits);
+	}
+
+	private void crash(long now, long ranMillis, Trait... traits) {
+		crash(this.book, now, ranMillis, traits);
+	}
+
+	private void crash(CrashBook at, long now, long ranMillis, Trait... traits) {
+		Map<Trait, Long> ran = new LinkedHashMap<>();
+		List.of(traits).forEach((trait) -> ran.put(trait, ranMillis));
+		at.crashed(now, new Crash("process-" + this.processes++, now, ran));
+	}
+
+	private void sound(long now, Trait... traits) {
+		this.book.sound(now, List.of(traits));
+	}
+
+	private boolean refuses(Trait... traits) {
+		return this.book.refuses(List.of(traits));
+	}
+
+	/** Guards against twice the crashes for a content that went well before. */
+	@Test
+	void contentThatWasSoundBeforeIsRefusedAfterThreeCrashesWhileOthersGoWell() {
+		crash(0, SYSTEM, content("first"));
+		sound(SECOND, SYSTEM, POISON);
+		for (int i = 2; i < 5; i++) {
+			assertThat(refuses(POISON)).isFalse();
+			crash(i * SECOND, SYSTEM, POISON);
+			sound(i * SECOND + 500, SYSTEM, content("sound-" + i));
+		}
+		RepeatedContentTests.this.book.look(5 * SECOND);
+		assertThat(refuses(POISON)).isTrue();
+	}
+
+	/** Guards against common parts refused as only requests of another kind go well. */
+	@Test
+	void plainRequestsThatGoWellSayNothingAgainstAPart() {
+		sound(0, SYSTEM, content("sound"));
+		for (int i = 1; i < 9; i++) {
+			crash(i * SECOND, SYSTEM, content("own-" + i));
+			sound(i * SECOND + 500, content("plain-" + i));
+		}
+		RepeatedContentTests.this.book.look(10 * SECOND);
+		assertThat(refuses(SYSTEM)).isFalse();
+	}
+
+	/**
+	 * Guards against a content that is left out of a note as many parts ran beside it.
+	 */
+	@Test
+	void contentAtSeveralCrashesIsToldBeforePartsOfOne() {
+		for (int i = 0; i < 2; i++) {
+			Trait[] traits = new Trait[60];
+			for (int j = 0; j < traits.length; j++) {
+				traits[j] = Trait.part("part-" + i + "-" + j);
+			}
+			traits[40] = POISON;
+			crash(i * SECOND, traits);
+		}
+		CrashNote note = this.book.note(2 * SECOND, CLOCK).orElseThrow();
+		assertThat(note.crashes()).hasSize(2).allSatisfy((crash) -> assertThat(crash.ran()).containsKey(POISON));
+	}
+
+	@Nested
+	class InCopies {
+
+		/**
+		 * Guards against copies that come together and crash a replica each, which are
+		 * taken for the failure of one rack.
+		 */
+		@ParameterizedTest
+		@CsvSource({ "1, 2000", "2, 2000", "2, 3500", "3, 1500", "3, 5000", "5, 1500", "5, 3500" })
+		void isRefusedSoonAfterTheThirdCrash(int copies, long everyMillis) {
+			long thirdAt = Long.MAX_VALUE / 2;
+			int late = 0;
+			for (long now = 0; now < 60 * SECOND && !refuses(POISON); now += everyMillis) {
+				late += (now > thirdAt + CONTACT_MILLIS) ? copies : 0;
+				for (int i = 0; i < copies; i++) {
+					crash(now + 300 + i, 300, SYSTEM, SUBJECT, POISON, content("beside-" + now + "-" + i));
+					thirdAt = (RepeatedContentTests.this.processes == 3) ? now + 300 + i : thirdAt;
+				}
+				sound(now + 800, SYSTEM, SUBJECT, content("sound-" + now));
+				RepeatedContentTests.this.book.look(now + 1400);
+			}
+			assertThat(refuses(POISON)).isTrue();
+			assertThat(late).isLessThanOrEqualTo(ALLOWED);
+			assertThat(refuses(SYSTEM, SUBJECT)).isFalse();
+		}
+
+		/**
+		 * Guards against a sound request refused as copies of it ran at a failing rack.
+		 */
+		@Test
+		void isNotRefusedForWhatOneRackTookAway() {
+			for (int i = 0; i < 5; i++) {
+				crash(SECOND + i, 300, SYSTEM, POISON);
+			}
+			crash(SECOND + 10, 300, SYSTEM, content("other"));
+			sound(2 * SECOND, SYSTEM, content("sound"));
+			RepeatedContentTests.this.book.look(4 * SECOND);
+			assertThat(refuses(POISON)).isFalse();
+		}
+
+		/** Guards against the same where nothing else ran on that rack. */
+		@Test
+		void isNotRefusedForOneMomentAlone() {
+			for (int i = 0; i < 5; i++) {
+				crash(SECOND + i, 300, SYSTEM, POISON);
+			}
+			sound(2 * SECOND, SYSTEM, content("sound"));
+			RepeatedContentTests.this.book.look(4 * SECOND);
+			assertThat(refuses(POISON)).isFalse();
+		}
+
+	}
+
+	@Nested
+	class BesideADeadlyPart {
+
+		/** Guards against a content that starts anew once a part is found out. */
+		@Test
+		void isRefusedAtItsNextCrash() {
+			for (int i = 0; i < 3; i++) {
+				crash(i * SECOND, DEADLY_PART, POISON, content("beside-" + i));
+			}
+			crash(3 * SECOND, DEADLY_PART, content("another"));
+			RepeatedContentTests.this.book.look(4 * SECOND);
+			assertThat(refuses(DEADLY_PART)).isTrue();
+			crash(20 * SECOND, SYSTEM, POISON);
+			RepeatedContentTests.this.book.look(21 * SECOND);
+			assertThat(refuses(POISON)).isTrue();
+		}
+
+		/** Guards against a content that is let go for one crash that a part was at. */
+		@Test
+		void staysRefusedIfItsOtherCrashesAreEnough() {
+			for (int i = 0; i < 4; i++) {
+				crash(i * SECOND, SYSTEM, POISON, content("beside-" + i));
+				sound(i * SECOND + 500, SYSTEM);
+			}
+			assertThat(refuses(POISON)).isTrue();
+			crash(5 * SECOND, DEADLY_PART, POISON);
+			for (int i = 6; i < 10; i++) {
+				crash(i * SECOND, DEADLY_PART, content("with-part-" + i));
+			}
+			RepeatedContentTests.this.book.look(11 * SECOND);
+			assertThat(refuses(DEADLY_PART)).isTrue();
+			assertThat(refuses(POISON)).isTrue();
+		}
+
+		/** Guards against a refusal for crashes that a part explains. */
+		@Test
+		void bystanderIsLetGo() {
+			Trait bystander = content("bystander");
+			for (int i = 0; i < 4; i++) {
+				crash(i * SECOND, (i < 3) ? new Trait[] { DEADLY_PART, bystander } : new Trait[] { DEADLY_PART });
+				RepeatedContentTests.this.book.look(i * SECOND + 900);
+			}
+			assertThat(refuses(DEADLY_PART)).isTrue();
+			assertThat(refuses(bystander)).isFalse();
+		}
+
+	}
+
+	@Nested
+	class AlsoHas {
+
+		/** Guards against a rare part refused for the one request that has it. */
+		@Test
+		void partsThatAreServedInOtherRequests() {
+			for (int i = 0; i < 6; i++) {
+				crash(i * 200L, SYSTEM, SUBJECT, POISON);
+			}
+			RepeatedContentTests.this.book.look(3 * SECOND);
+			assertThat(refuses(POISON)).isTrue();
+			assertThat(refuses(SYSTEM, SUBJECT)).isFalse();
+		}
+
+		/** Guards against requests refused that were moved along from crash to crash. */
+		@Test
+		void bystandersThatMovedAlong() {
+			Trait bystander = content("a-bystander");
+			for (int i = 0; i < 3; i++) {
+				Map<Trait, Long> ran = Map.of(POISON, 30L, bystander, 400L);
+				RepeatedContentTests.this.book.crashed(i * SECOND, new Crash("engine-" + i, i * SECOND, ran));
+			}
+			RepeatedContentTests.this.book.look(3 * SECOND);
+			assertThat(refuses(POISON)).isTrue();
+			assertThat(refuses(bystander)).isFalse();
+		}
+
+		/**
+		 * Guards against a part under one model refused for the one request that has it.
+		 */
+		@Test
+		void partsUnderOneModel() {
+			Trait underModel = Trait.part("subject", "large");
+			for (int i = 0; i < 8; i++) {
+				crash(i * 100L, SYSTEM, underModel, POISON);
+				sound(i * 100L + 50, SYSTEM);
+			}
+			RepeatedContentTests.this.book.look(3 * SECOND);
+			assertThat(refuses(POISON)).isTrue();
+			assertThat(refuses(underModel)).isFalse();
+		}
+
+	}
+
+	@Nested
+	class AfterARestart {
+
+		private final CrashBook fresh = new CrashBook();
+
+		private void learn(long now, CrashBook from) {
+			from.note(now, CLOCK + now).ifPresent((note) -> this.fresh.learn(now, CLOCK + now, note));
+		}
+
+		/**
+		 * Guards against sound parts refused by a node that knows of crashes from before
+		 * its start, and not of what went well then.
+		 */
+		@Test
+		void partsAtEarlierCrashesAreNotRefused() {
+			sound(0, SYSTEM, SUBJECT);
+			for (int i = 1; i < 8; i++) {
+				List<Trait> beside = IntStream.range(8 * i, 8 * i + 8)
+					.mapToObj((j) -> Trait.part("part-" + j))
+					.toList();
+				RepeatedContentTests.this.book.sound(i * SECOND - 1, beside);
+				List<Trait> ran = new ArrayList<>(beside);
+				ran.addAll(List.of(SYSTEM, SUBJECT, content("own-" + i)));
+				crash(i * SECOND, ran.toArray(Trait[]::new));
+			}
+			assertThat(refuses(SYSTEM, SUBJECT)).isFalse();
+			this.fresh.look(9 * SECOND);
+			learn(10 * SECOND, RepeatedContentTests.this.book);
+			this.fresh.look(12 * SECOND);
+			assertThat(this.fresh.refuses(List.of(SYSTEM, SUBJECT))).isFalse();
+		}
+
+		@Test
+		void contentAtEarlierCrashesIsRefusedAtItsNextOne() {
+			crash(0, SYSTEM, POISON);
+			crash(SECOND, SYSTEM, POISON);
+			this.fresh.look(3 * SECOND);
+			learn(3 * SECOND, RepeatedContentTests.this.book);
+			crash(this.fresh, 4 * SECOND, 20, SYSTEM, POISON);
+			this.fresh.look(6 * SECOND);
+			assertThat(this.fresh.refuses(List.of(POISON))).isTrue();
+		}
+
+		/**
+		 * Guards against what a node told before its restart, lost with its next note.
+		 */
+		@Test
+		void earlierNoteOfTheNodeIsToldAgain() {
+			crash(0, POISON);
+			learn(SECOND, RepeatedContentTests.this.book);
+			this.fresh.learn(SECOND, CLOCK + SECOND,
+					RepeatedContentTests.this.book.note(SECOND, CLOCK + SECOND).orElseThrow());
+			crash(this.fresh, 2 * SECOND, 20, content("another"));
+			assertThat(this.fresh.note(3 * SECOND, CLOCK + 3 * SECOND).orElseThrow().crashes()).hasSize(2);
+		}
+
+		/** Guards against a refusal that was lifted and comes back by an older note. */
+		@Test
+		void liftedRefusalDoesNotComeBack() {
+			for (int i = 0; i < 4; i++) {
+				crash(i * SECOND, DEADLY_PART, content("own-" + i));
+			}
+			CrashNote before = RepeatedContentTests.this.book.note(4 * SECOND, CLOCK + 4 * SECOND).orElseThrow();
+			CrashBook other = new CrashBook();
+			other.learn(5 * SECOND, CLOCK + 5 * SECOND, before);
+			other.sound(40 * SECOND, List.of(DEADLY_PART));
+			crash(other, 50 * SECOND, 20, content("later"));
+			this.fresh.learn(60 * SECOND, CLOCK + 60 * SECOND, before);
+			learn(60 * SECOND, other);
+			assertThat(this.fresh.refuses(List.of(DEADLY_PART))).isFalse();
+		}
+
+	}
+
+}
