What is refused explains its crashes, and a content is to blame before the parts that only it has

Callers saw a content reach engines after it had crashed three, and sound requests refused beside it. Five ways, all of them one fault: which trait a crash speaks against was decided by each trait's count alone. - Ends within 0.3 s were one piece of evidence whatever ran there. A part is to blame only if no content was at all of its crashes. - Contents that moved along from crash to crash were refused, too. A refused content now explains its crashes for others. - A part that was found out let go of each content that was at one of its crashes, and 10 s later nothing was known against them. A refusal now stays if the other crashes are enough, and explained crashes count again with the first one that nothing explains. - A content that was sound once took six crashes, but whether that was seen depended on whether crashes were remembered. It takes three, while others go well.

Requests without a prompt that go well say nothing against a part any more. Of a crash, notes tell those traits first that were at most crashes. Crashes from before a node's start say nothing against parts there, as it did not see what went well then; what it told before its start it tells again; a refusal that was lifted does not come back by an older note.

--- a/core/src/main/java/org/gullsaddle/suspect/Conviction.java
+++ b/core/src/main/java/org/gullsaddle/suspect/Conviction.java
@@ -20,6 +20,8 @@
 
 	private final Trait trait;
 
+	private final long since;
+
 	private long crashAt;
 
 	private long seenAt;
@@ -36,6 +38,7 @@
 
 	Conviction(Trait trait, long now, long crashAt) {
 		this.trait = trait;
+		this.since = now;
 		this.crashAt = crashAt;
 		this.seenAt = now;
 		this.toldAt = now;
@@ -103,6 +106,13 @@
 		return this.trials;
 	}
 
+	/**
+	 * Returns since when it is refused.
+	 */
+	long since() {
+		return this.since;
+	}
+
 	long crashAt() {
 		return this.crashAt;
 	}
--- a/core/src/main/java/org/gullsaddle/suspect/CrashBook.java
+++ b/core/src/main/java/org/gullsaddle/suspect/CrashBook.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /**
@@ -50,7 +51,7 @@
 
 	private final Map<Trait, Conviction> convictions = new HashMap<>();
 
-	private final CrashEvidence evidence = new CrashEvidence(this.convictions::containsKey);
+	private final CrashEvidence evidence = new CrashEvidence(this::refusedSince);
 
 	private final SoundMarks sound = this.evidence.sound();
 
@@ -59,6 +60,17 @@
 	/** The traits of which it was told that they are sound since their last crash. */
 	private final Set<Trait> toldSound = new HashSet<>();
 
+	/** The traits that this node's last note says are refused. */
+	private final Set<Trait> toldRefused = new HashSet<>();
+
+	/** The traits that were refused, and went well then. */
+	private final Map<Trait, Long> acquitted = new LinkedHashMap<>() {
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<Trait, Long> eldest) {
+			return size() > MAX_TOLD;
+		}
+	};
+
 	/**
 	 * Notes a crash that this node found.
 	 * @param now the time in milliseconds
@@ -66,11 +78,17 @@
 	 * @return the traits that are refused from now on
 	 */
 	public List<Trait> crashed(long now, Crash crash) {
+		this.evidence.seesFrom(crash.at());
 		this.own.merge(crash.process(), crash, Crash::and);
 		add(now, crash);
 		return judge(now);
 	}
 
+	private OptionalLong refusedSince(Trait trait) {
+		Conviction conviction = this.convictions.get(trait);
+		return (conviction != null) ? OptionalLong.of(conviction.since()) : OptionalLong.empty();
+	}
+
 	private void add(long now, Crash crash) {
 		if (this.evidence.add(crash)) {
 			this.toldSound.removeAll(crash.traits());
@@ -104,6 +122,7 @@
 	 * @return the traits among them that are not refused any more
 	 */
 	public List<Trait> sound(long now, Collection<Trait> traits) {
+		this.evidence.seesFrom(now);
 		this.sound.add(now, traits);
 		return clear(traits);
 	}
@@ -117,8 +136,12 @@
 
 	private boolean cleared(Trait trait) {
 		Conviction conviction = this.convictions.get(trait);
-		return conviction != null && this.sound.last(trait) > conviction.crashAt()
-				&& this.convictions.remove(trait) != null;
+		boolean clears = conviction != null && this.sound.last(trait) > conviction.crashAt();
+		if (clears) {
+			this.convictions.remove(trait);
+			this.acquitted.put(trait, this.sound.last(trait));
+		}
+		return clears;
 	}
 
 	/**
@@ -202,6 +225,7 @@
 	 * @return what changed
 	 */
 	public Learned learn(long now, long clock, CrashNote note) {
+		this.evidence.seesFrom(now);
 		long told = clock - note.writtenAt();
 		long lag = (told >= MIN_LAG_MILLIS) ? told : 0;
 		if (lag > Conviction.QUIET_MILLIS) {
@@ -224,9 +248,24 @@
 		return new Learned(refused, cleared);
 	}
 
+	/**
+	 * Takes in what this node told before it started anew, and tells it again.
+	 * @param now the time in milliseconds
+	 * @param clock the Unix millisecond
+	 * @param note what it told
+	 * @return what changed
+	 */
+	public Learned learnOwn(long now, long clock, CrashNote note) {
+		Learned learned = learn(now, clock, note);
+		for (CrashNote.Ended each : note.crashes()) {
+			this.evidence.find(each.process()).ifPresent((crash) -> this.own.putIfAbsent(each.process(), crash));
+		}
+		return learned;
+	}
+
 	private boolean adopt(long now, long lag, CrashNote.Refused told) {
 		boolean soundSince = this.sound.last(told.trait()) > now - lag - told.crashAgeMillis();
-		if (soundSince || this.evidence.explainedByPart(told.trait())) {
+		if (soundSince || this.evidence.explained(told.trait())) {
 			return false;
 		}
 		boolean known = this.convictions.containsKey(told.trait());
@@ -265,6 +304,7 @@
 			.map((crash) -> new CrashNote.Ended(crash.process(), now - crash.at(), crash.ran()))
 			.toList();
 		Set<Trait> accused = new LinkedHashSet<>(this.convictions.keySet());
+		accused.addAll(this.acquitted.keySet());
 		this.evidence.open().forEach((crash) -> accused.addAll(crash.traits()));
 		Map<Trait, Long> marks = new HashMap<>();
 		accused.stream()
@@ -278,17 +318,31 @@
 			.limit(MAX_TOLD)
 			.map((conviction) -> conviction.tell(now))
 			.toList();
+		this.toldRefused.clear();
+		refused.forEach((each) -> this.toldRefused.add(each.trait()));
 		CrashNote note = new CrashNote(clock, ended, marks, refused);
 		return note.empty() ? Optional.empty() : Optional.of(note);
 	}
 
 	/**
-	 * Returns the traits of a crash that were sound longest ago, or never.
+	 * Says whether this node told that traits are refused which are not any more.
+	 * @param cleared the traits
+	 * @return true if its note is to be written again
+	 */
+	public boolean toldRefused(Collection<Trait> cleared) {
+		return cleared.stream().anyMatch(this.toldRefused::contains);
+	}
+
+	/**
+	 * Returns the traits of a crash that were sound longest ago, or never, and of those
+	 * the ones that were at most crashes.
 	 */
 	private Set<Trait> mostSuspect(Crash crash) {
 		return new HashSet<>(crash.traits()
 			.stream()
-			.sorted(Comparator.comparingLong(this.sound::last).thenComparing(Trait::kind))
+			.sorted(Comparator.comparingLong(this.sound::last)
+				.thenComparing(Comparator.comparingInt(this::crashesWith).reversed())
+				.thenComparing(Trait::kind))
 			.limit(MAX_TOLD_TRAITS)
 			.toList());
 	}
@@ -341,6 +395,7 @@
 	 * @return the traits that are refused from now on
 	 */
 	public List<Trait> look(long now) {
+		this.evidence.seesFrom(now);
 		return this.evidence.any() ? judge(now) : List.of();
 	}
 
@@ -365,15 +420,19 @@
 				.ifPresent((oldest) -> this.convictions.remove(oldest.trait()));
 		}
 		this.convictions.put(conviction.trait(), conviction);
-		if (conviction.trait().isPart()) {
-			this.convictions.keySet().removeIf(this.evidence::explainedByPart);
-		}
+		List<Trait> others = this.convictions.keySet()
+			.stream()
+			.filter((trait) -> !trait.equals(conviction.trait()))
+			.filter(this.evidence::explained)
+			.toList();
+		this.convictions.keySet().removeAll(others);
 	}
 
 	private void forget(long now) {
 		this.evidence.forget(now);
 		this.own.values().removeIf((crash) -> now - crash.at() >= CrashEvidence.MEMORY_MILLIS);
 		this.convictions.values().removeIf((conviction) -> conviction.over(now));
+		this.acquitted.values().removeIf((at) -> now - at > Conviction.QUIET_MILLIS);
 		if (!this.evidence.any()) {
 			this.toldSound.clear();
 		}
--- a/core/src/main/java/org/gullsaddle/suspect/CrashEvidence.java
+++ b/core/src/main/java/org/gullsaddle/suspect/CrashEvidence.java
@@ -1,24 +1,27 @@
 package org.gullsaddle.suspect;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
-import java.util.function.Predicate;
+import java.util.OptionalLong;
+import java.util.function.Function;
 
 /**
  * The crashes that any node saw, weighed against the requests that went well.
  * <p>
  * Crashes in one moment are one piece of evidence, as a rack may have failed; a request
- * that came to a replica only after the crash before is one of its own. What was sound
- * before needs more of them, and others that went well meanwhile. Of several traits the
- * one that was never sound is worst, and what a refused part explains is evidence against
- * no other. Where several are nearly as bad, others' news are awaited for a moment.
+ * that came to a replica only after the crash before is one of its own. Where all that
+ * ended in a moment ran copies of one content, they are two. What was sound before needs
+ * more, and others that went well meanwhile. Of several traits the one that was never
+ * sound is worst. A part that was only at crashes of one content is not to blame for
+ * them, and what is refused explains its crashes: they are evidence against a content
+ * only together with one that it had when what explains them was refused already. Where
+ * several are nearly as bad, others' news are awaited for a moment.
  */
 final class CrashEvidence {
 
@@ -35,8 +38,8 @@
 	private static final int CRASHES_OF_CONTENT = 3;
 
 	/**
-	 * The same for what was sound before, and for a part under one model, which other
-	 * models may have borne.
+	 * The same for a part that was sound before, and for a part under one model, which
+	 * other models may have borne.
 	 */
 	private static final int CRASHES_OF_SOUND = 6;
 
@@ -46,9 +49,6 @@
 	/** How long a crash is remembered, in milliseconds. */
 	static final long MEMORY_MILLIS = 300_000;
 
-	/** How long a crash that is explained may still grow, in milliseconds. */
-	private static final long EXPLAINED_MILLIS = 10_000;
-
 	/**
 	 * How long others' news are awaited while another part is at nearly as many crashes,
 	 * in milliseconds: what one node saw of a crash may come before what another did.
@@ -66,8 +66,11 @@
 	/** Since when there is enough evidence against a trait, in milliseconds. */
 	private final Map<Trait, Long> enoughSince = new HashMap<>();
 
-	/** Says which traits are refused. */
-	private final Predicate<Trait> refused;
+	/** Since when each trait is refused that is. */
+	private final Function<Trait, OptionalLong> refusedSince;
+
+	/** When this node began to see what goes well, in milliseconds. */
+	private long seesSince = Long.MAX_VALUE;
 
 	/** When processes that had been taken for dead were last known to live. */
 	private final Map<String, Long> living = new LinkedHashMap<>() {
@@ -77,8 +80,15 @@
 		}
 	};
 
-	CrashEvidence(Predicate<Trait> refused) {
-		this.refused = refused;
+	CrashEvidence(Function<Trait, OptionalLong> refusedSince) {
+		this.refusedSince = refusedSince;
+	}
+
+	/**
+	 * Notes that this node sees what goes well from some time on, if not before.
+	 */
+	void seesFrom(long now) {
+		this.seesSince = Math.min(this.seesSince, now);
 	}
 
 	SoundMarks sound() {
@@ -120,15 +130,16 @@
 		return !this.crashes.isEmpty();
 	}
 
+	Optional<Crash> find(String process) {
+		return Optional.ofNullable(this.crashes.get(process));
+	}
+
 	int countWith(Trait trait) {
 		return (int) this.crashes.values().stream().filter((crash) -> crash.has(trait)).count();
 	}
 
 	void forget(long now) {
-		this.crashes.values().removeIf((crash) -> {
-			long age = now - crash.at();
-			return age >= MEMORY_MILLIS || (age >= EXPLAINED_MILLIS && explained(crash));
-		});
+		this.crashes.values().removeIf((crash) -> now - crash.at() >= MEMORY_MILLIS);
 	}
 
 	/**
@@ -137,21 +148,47 @@
 	List<Crash> open() {
 		return this.crashes.values()
 			.stream()
-			.filter((crash) -> !explained(crash))
+			.filter((crash) -> crash.traits().stream().noneMatch((trait) -> trait.isPart() && refused(trait)))
 			.sorted(Comparator.comparingLong(Crash::at))
 			.toList();
 	}
 
-	private boolean explained(Crash crash) {
-		return crash.traits().stream().anyMatch((trait) -> trait.isPart() && this.refused.test(trait));
+	private boolean refused(Trait trait) {
+		return this.refusedSince.apply(trait).isPresent();
 	}
 
 	/**
-	 * Says whether a trait is a content that was at a crash which a part explains.
+	 * Says whether a content was at a crash which something else that is refused
+	 * explains, and is not to blame for enough of the others.
 	 */
-	boolean explainedByPart(Trait trait) {
-		return !trait.isPart()
-				&& this.crashes.values().stream().anyMatch((crash) -> crash.has(trait) && explained(crash));
+	boolean explained(Trait trait) {
+		if (trait.isPart()) {
+			return false;
+		}
+		List<Crash> with = with(trait);
+		return with.stream().anyMatch((crash) -> explains(crash, trait).isPresent()) && !isEnough(accuse(trait, with));
+	}
+
+	private List<Crash> with(Trait trait) {
+		return this.crashes.values()
+			.stream()
+			.filter((crash) -> crash.has(trait))
+			.sorted(Comparator.comparingLong(Crash::at))
+			.toList();
+	}
+
+	/**
+	 * Returns since when something else is refused that explains a crash at which a trait
+	 * was. A refused content explains it for other contents only: requests without it may
+	 * have the part, too.
+	 */
+	private OptionalLong explains(Crash crash, Trait trait) {
+		return crash.traits()
+			.stream()
+			.filter((other) -> !other.equals(trait) && (other.isPart() || !trait.isPart()))
+			.map(this.refusedSince)
+			.flatMapToLong(OptionalLong::stream)
+			.min();
 	}
 
 	/**
@@ -168,12 +205,10 @@
 	 * Returns what is to be refused next, if anything is.
 	 */
 	Optional<Accused> worst(long now) {
-		List<Crash> open = open();
-		Set<Trait> traits = new LinkedHashSet<>();
-		open.forEach((crash) -> traits.addAll(crash.traits()));
-		List<Accused> accused = traits.stream()
-			.filter((trait) -> !this.refused.test(trait))
-			.map((trait) -> accuse(trait, open))
+		List<Accused> accused = suspects().entrySet()
+			.stream()
+			.filter((suspect) -> suspect.getValue().size() > 1 && !refused(suspect.getKey()))
+			.map((suspect) -> accuse(suspect.getKey(), suspect.getValue()))
 			.toList();
 		List<Accused> enough = accused.stream().filter(this::isEnough).toList();
 		this.enoughSince.keySet().retainAll(enough.stream().map(Accused::trait).toList());
@@ -182,11 +217,25 @@
 			.min(Comparator.comparing(Accused::soundBefore)
 				.thenComparing((one) -> one.trait().kind())
 				.thenComparing((one) -> -one.crashes())
+				.thenComparing(Accused::ranMillis)
 				.thenComparing(Accused::trait))
 			.filter((worst) -> now - this.enoughSince.get(worst.trait()) >= RIVALS_MILLIS
 					|| accused.stream().noneMatch((other) -> rivals(other, worst)));
 	}
 
+	/**
+	 * Returns the crashes of each trait, in their order.
+	 */
+	private Map<Trait, List<Crash>> suspects() {
+		Map<Trait, List<Crash>> suspects = new LinkedHashMap<>();
+		this.crashes.values()
+			.stream()
+			.sorted(Comparator.comparingLong(Crash::at))
+			.forEach((crash) -> crash.traits()
+				.forEach((trait) -> suspects.computeIfAbsent(trait, (missing) -> new ArrayList<>()).add(crash)));
+		return suspects;
+	}
+
 	/**
 	 * Says whether a part may turn out to be at more crashes than the worst trait.
 	 */
@@ -196,33 +245,85 @@
 	}
 
 	private boolean isEnough(Accused one) {
-		return one.crashes() >= needed(one.trait(), one.soundBefore())
+		return one.crashes() >= needed(one.trait(), one.soundBefore()) && !one.ofOneContent()
 				&& (!one.soundBefore() || this.sound.withoutSince(one.trait(), one.firstAt()));
 	}
 
-	private Accused accuse(Trait trait, List<Crash> open) {
+	/**
+	 * Weighs what speaks against a trait.
+	 * @param with the crashes at which it was, in their order
+	 */
+	private Accused accuse(Trait trait, List<Crash> with) {
 		long soundAt = this.sound.last(trait);
+		boolean soundBefore = this.sound.any(trait) || trait.kind() == Trait.Kind.PART_UNDER_MODEL;
+		List<Crash> against = with.stream()
+			.filter((crash) -> crash.at() > soundAt && (!trait.isPart() || crash.at() >= this.seesSince))
+			.toList();
+		List<Crash> counted = unexplained(trait, against);
 		int count = 0;
 		long first = Long.MAX_VALUE;
 		long last = Long.MIN_VALUE / 2;
-		for (Crash crash : open) {
-			boolean counts = crash.has(trait) && crash.at() > soundAt
-					&& (crash.at() - last >= APART_MILLIS || crash.startedAt(trait) >= last);
-			if (counts) {
+		long ran = 0;
+		boolean copies = false;
+		for (Crash crash : counted) {
+			if (crash.at() - last >= APART_MILLIS || crash.startedAt(trait) >= last) {
 				count++;
 				last = crash.at();
 				first = Math.min(first, last);
+				copies = false;
+			}
+			else if (!copies && !soundBefore && onlyItsOwn(trait, last, crash.at())) {
+				count++;
+				copies = true;
 			}
+			ran += crash.at() - crash.startedAt(trait);
 		}
-		boolean soundBefore = this.sound.any(trait) || trait.kind() == Trait.Kind.PART_UNDER_MODEL;
-		return new Accused(trait, soundBefore, count, first, last);
+		return new Accused(trait, soundBefore, count, first, last, ran, trait.isPart() && ofOneContent(counted));
+	}
+
+	/**
+	 * Returns the crashes that count against a trait. Explained ones count too once it
+	 * crashed a replica to which it came when what explains them was refused already.
+	 */
+	private List<Crash> unexplained(Trait trait, List<Crash> against) {
+		List<Crash> open = against.stream().filter((crash) -> explains(crash, trait).isEmpty()).toList();
+		if (open.isEmpty() || trait.isPart()) {
+			return open;
+		}
+		long refusedAt = against.stream()
+			.map((crash) -> explains(crash, trait))
+			.flatMapToLong(OptionalLong::stream)
+			.max()
+			.orElse(Long.MAX_VALUE);
+		return open.stream().anyMatch((crash) -> crash.startedAt(trait) >= refusedAt) ? against : open;
+	}
+
+	/**
+	 * Says whether all that ended in a moment ran a content, while others go well.
+	 */
+	private boolean onlyItsOwn(Trait trait, long from, long to) {
+		return !trait.isPart() && this.sound.withoutSince(trait, from)
+				&& this.crashes.values()
+					.stream()
+					.filter((crash) -> crash.at() > from - APART_MILLIS && crash.at() < to + APART_MILLIS)
+					.allMatch((crash) -> crash.has(trait));
+	}
+
+	/**
+	 * Says whether one content was at several crashes, and at all of them.
+	 */
+	private static boolean ofOneContent(List<Crash> crashes) {
+		return crashes.size() > 1 && crashes.get(0)
+			.traits()
+			.stream()
+			.anyMatch((trait) -> !trait.isPart() && crashes.stream().allMatch((crash) -> crash.has(trait)));
 	}
 
 	private static int needed(Trait trait, boolean soundBefore) {
-		if (soundBefore) {
-			return CRASHES_OF_SOUND;
+		if (!trait.isPart()) {
+			return CRASHES_OF_CONTENT;
 		}
-		return trait.isPart() ? CRASHES_OF_PART : CRASHES_OF_CONTENT;
+		return soundBefore ? CRASHES_OF_SOUND : CRASHES_OF_PART;
 	}
 
 	/**
@@ -233,8 +334,11 @@
 	 * @param crashes how many crashes speak against it
 	 * @param firstAt when the first of them was, in milliseconds
 	 * @param lastAt when the last of them was, in milliseconds
+	 * @param ranMillis how long its requests had run when replicas ended, in all
+	 * @param ofOneContent whether it is a part, and one content was at all of the crashes
 	 */
-	record Accused(Trait trait, boolean soundBefore, int crashes, long firstAt, long lastAt) {
+	record Accused(Trait trait, boolean soundBefore, int crashes, long firstAt, long lastAt, long ranMillis,
+			boolean ofOneContent) {
 	}
 
 }
--- a/core/src/main/java/org/gullsaddle/suspect/SoundMarks.java
+++ b/core/src/main/java/org/gullsaddle/suspect/SoundMarks.java
@@ -56,10 +56,13 @@
 	}
 
 	/**
-	 * Says whether a request without a trait went well here after some time.
+	 * Says whether a request without a trait went well here after some time. Requests
+	 * without a prompt say nothing of parts: other replicas serve them.
 	 */
 	boolean withoutSince(Trait trait, long time) {
-		return this.requests.stream().anyMatch((request) -> request.at > time && !request.traits.contains(trait));
+		return this.requests.stream()
+			.anyMatch((request) -> request.at > time && !request.traits.contains(trait)
+					&& (!trait.isPart() || request.traits.stream().anyMatch(Trait::isPart)));
 	}
 
 	private record Request(long at, Set<Trait> traits) {
