A node that starts again tells its earlier crashes again, and takes back what it told of lifted refusals

A node that hears that a trait is sound which its own note says is refused now writes the note again; a note of its own earlier life is read by learnOwn, so that its next note does not lose it.

--- a/daemon/src/main/java/org/gullsaddle/gateway/CrashController.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/CrashController.java
@@ -268,9 +268,9 @@
 				.ifPresent((crash) -> crashed(crash, "another process has its id"));
 			case FleetChange.Noted noted -> {
 				// What this node told in an earlier life is news to it.
-				boolean own = noted.key().equals(this.key) && this.wrote;
-				if (noted.key().startsWith(NOTES) && !own) {
-					learn(noted);
+				boolean own = noted.key().equals(this.key);
+				if (noted.key().startsWith(NOTES) && !(own && this.wrote)) {
+					learn(noted, own);
 				}
 			}
 			default -> {
@@ -309,12 +309,18 @@
 		return this.book.any() ? request.traits(model) : request.partTraits(model);
 	}
 
-	private void learn(FleetChange.Noted noted) {
+	private void learn(FleetChange.Noted noted, boolean own) {
 		try {
-			CrashBook.Learned learned = this.book.learn(Clock.millis(), System.currentTimeMillis(),
-					Json.read(noted.value(), CrashNote.class));
+			CrashNote told = Json.read(noted.value(), CrashNote.class);
+			long now = Clock.millis();
+			long timeOfDay = System.currentTimeMillis();
+			CrashBook.Learned learned = own ? this.book.learnOwn(now, timeOfDay, told)
+					: this.book.learn(now, timeOfDay, told);
 			refused(learned.refused(), noted.key());
 			learned.cleared().forEach((trait) -> this.log.acquitted(trait, noted.key()));
+			if (this.book.toldRefused(learned.cleared())) {
+				tellIn(GATHER_MILLIS + spreadMillis());
+			}
 		}
 		catch (IOException ex) {
 			this.log.unreadable(noted.key(), ex.getMessage());
