Large prompts that try a new release wait for none of their own node's

A node now sends a large prompt to a replica of the new release only if none of its own is read there; the next replica gets it otherwise.

--- a/core/src/main/java/org/gullsaddle/serve/LoadTrial.java
+++ b/core/src/main/java/org/gullsaddle/serve/LoadTrial.java
@@ -38,7 +38,8 @@
 
 	private final Map<ReplicaId, Long> fullUntil = new HashMap<>();
 
-	private final Map<ReplicaId, Long> waitingUntil = new HashMap<>();
+	/** Until when each replica is taken to have a large prompt to read. */
+	private final Map<ReplicaId, Long> busyUntil = new HashMap<>();
 
 	private final Map<ReplicaId, Loaded> loaded = new HashMap<>();
 
@@ -73,7 +74,7 @@
 		if (underLoad(replica.id(), sentAt)) {
 			this.answersUnderLoad++;
 		}
-		mark(this.waitingUntil, now, replica, load.waiting() > 0);
+		mark(this.busyUntil, now, replica, load.waiting() > 0);
 		boolean full = part(load) >= FULL_LOAD || load.waiting() > Math.max(1, MAX_WAITING * load.slots());
 		mark(this.fullUntil, now, replica, full);
 	}
@@ -87,6 +88,13 @@
 		}
 	}
 
+	/**
+	 * Notes that this node sent a large prompt to a replica, which reads it for a while.
+	 */
+	void sentLarge(long now, Replica replica) {
+		mark(this.busyUntil, now, replica, true);
+	}
+
 	/**
 	 * Says whether a request came to a replica that ran as much as a trial takes.
 	 * @param sentAt when it was sent
@@ -114,7 +122,8 @@
 	/**
 	 * Chooses the replicas that a request with a large prompt may go to: so few that they
 	 * get more than replicas of the old release do. Large prompts are read one after the
-	 * other, so that those at which requests wait are left out.
+	 * other, so that those at which requests wait are left out, and those that read one
+	 * of this node's.
 	 * @param replicas those of the new release
 	 * @param leftOut those that the request may not be sent to
 	 * @param share the share of all requests that go to the new release
@@ -126,7 +135,7 @@
 			return replicas;
 		}
 		int few = Math.max(1, (int) (share * replicas.size() / MORE_LOAD));
-		List<Replica> idle = open.stream().filter((replica) -> !waiting(now, replica) && !full(now, replica)).toList();
+		List<Replica> idle = open.stream().filter((replica) -> !busy(now, replica) && !full(now, replica)).toList();
 		return idle.isEmpty() ? open : idle.subList(0, Math.min(few, idle.size()));
 	}
 
@@ -137,8 +146,8 @@
 			.toList();
 	}
 
-	private boolean waiting(long now, Replica replica) {
-		return now < this.waitingUntil.getOrDefault(replica.id(), Long.MIN_VALUE);
+	private boolean busy(long now, Replica replica) {
+		return now < this.busyUntil.getOrDefault(replica.id(), Long.MIN_VALUE);
 	}
 
 	private boolean full(long now, Replica replica) {
--- a/core/src/main/java/org/gullsaddle/serve/Rollout.java
+++ b/core/src/main/java/org/gullsaddle/serve/Rollout.java
@@ -241,10 +241,15 @@
 
 	/**
 	 * Notes that this node sent a request to a replica.
+	 * @param now the time
 	 * @param replica the replica
+	 * @param key what decided by which release it is served
 	 */
-	public void sent(Replica replica) {
+	public void sent(long now, Replica replica, ReleaseKey key) {
 		this.use.sent(ofTarget(replica));
+		if (ofTarget(replica) && !this.routes.smallest(key.route())) {
+			this.loadTrial.sentLarge(now, replica);
+		}
 	}
 
 	/**
--- a/core/src/test/java/org/gullsaddle/serve/RolloutModel.java
+++ b/core/src/test/java/org/gullsaddle/serve/RolloutModel.java
@@ -254,7 +254,7 @@
 		follow(now, session, toTarget);
 		this.sent++;
 		this.sentToTarget += toTarget ? 1 : 0;
-		node.sent(replica);
+		node.sent(now, replica, key);
 		boolean fails = toTarget && bad(now, route, replica) && this.random.nextDouble() < BAD_RATE;
 		this.running.merge(replica.id(), 1, Integer::sum);
 		this.events.add(new Event(now + FIRST_MILLIS, () -> {
--- a/daemon/src/main/java/org/gullsaddle/gateway/RolloutController.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/RolloutController.java
@@ -93,8 +93,9 @@
 	/**
 	 * Notes that a request was sent to a replica.
 	 */
-	void sent(Replica replica) {
-		this.fleet.rollout(replica.service()).ifPresent((rollout) -> rollout.sent(replica));
+	void sent(ServedRequest request, Replica replica) {
+		this.fleet.rollout(replica.service())
+			.ifPresent((rollout) -> rollout.sent(Clock.millis(), replica, request.releaseKey()));
 	}
 
 	/**
