Answers that end with their connection, and replicas that leave, as evidence of crashes; news while a release grows

The end of such an answer is asked after if its content did so before, and twice: an engine that dies of it may accept a connection first. - Ends of replicas that leave were no evidence; now those in the first second after the news are, as planned ones come later.

A node that has heard nothing for long takes an unproved release for taken back.

--- a/core/src/main/java/org/gullsaddle/serve/LoadTrial.java
+++ b/core/src/main/java/org/gullsaddle/serve/LoadTrial.java
@@ -28,9 +28,6 @@
 	/** Which part of its slots may wait at a replica before the next one is used. */
 	private static final double MAX_WAITING = 0.25;
 
-	/** How many times more large prompts than a replica of the old release one gets. */
-	private static final double MORE_LOAD = 2.5;
-
 	/** How long a replica is taken to be as full as it told, in milliseconds. */
 	private static final long TOLD_MILLIS = 1000;
 
@@ -38,9 +35,6 @@
 
 	private final Map<ReplicaId, Long> fullUntil = new HashMap<>();
 
-	/** Until when each replica is taken to have a large prompt to read. */
-	private final Map<ReplicaId, Long> busyUntil = new HashMap<>();
-
 	private final Map<ReplicaId, Loaded> loaded = new HashMap<>();
 
 	private double triedLoad;
@@ -74,27 +68,15 @@
 		if (underLoad(replica.id(), sentAt)) {
 			this.answersUnderLoad++;
 		}
-		mark(this.busyUntil, now, replica, load.waiting() > 0);
 		boolean full = part(load) >= FULL_LOAD || load.waiting() > Math.max(1, MAX_WAITING * load.slots());
-		mark(this.fullUntil, now, replica, full);
-	}
-
-	private static void mark(Map<ReplicaId, Long> until, long now, Replica replica, boolean holds) {
-		if (holds) {
-			until.put(replica.id(), now + TOLD_MILLIS);
+		if (full) {
+			this.fullUntil.put(replica.id(), now + TOLD_MILLIS);
 		}
 		else {
-			until.remove(replica.id());
+			this.fullUntil.remove(replica.id());
 		}
 	}
 
-	/**
-	 * Notes that this node sent a large prompt to a replica, which reads it for a while.
-	 */
-	void sentLarge(long now, Replica replica) {
-		mark(this.busyUntil, now, replica, true);
-	}
-
 	/**
 	 * Says whether a request came to a replica that ran as much as a trial takes.
 	 * @param sentAt when it was sent
@@ -105,49 +87,26 @@
 	}
 
 	/**
-	 * Chooses the replica that a request with a small prompt may go to: those fill one
-	 * after the other.
-	 * @param replicas those of the new release
-	 * @param leftOut those that the request may not be sent to
-	 * @return one of them, or all if the request may be sent to none of them
-	 */
-	List<Replica> fill(long now, List<Replica> replicas, Set<ReplicaId> leftOut) {
-		List<Replica> open = open(replicas, leftOut);
-		if (open.isEmpty()) {
-			return replicas;
-		}
-		return List.of(open.stream().filter((replica) -> !full(now, replica)).findFirst().orElse(open.get(0)));
-	}
-
-	/**
-	 * Chooses the replicas that a request with a large prompt may go to: so few that they
-	 * get more than replicas of the old release do. Large prompts are read one after the
-	 * other, so that those at which requests wait are left out, and those that read one
-	 * of this node's.
+	 * Chooses the replicas that a request may go to. Those with the smallest prompts fill
+	 * one; large prompts, which are read one after the other and would keep its slots
+	 * empty, go to the others.
 	 * @param replicas those of the new release
 	 * @param leftOut those that the request may not be sent to
-	 * @param share the share of all requests that go to the new release
+	 * @param smallest whether the request's prompt is among the smallest
 	 * @return some of them, or all if the request may be sent to none of them
 	 */
-	List<Replica> few(long now, List<Replica> replicas, Set<ReplicaId> leftOut, double share) {
-		List<Replica> open = open(replicas, leftOut);
-		if (open.isEmpty()) {
-			return replicas;
-		}
-		int few = Math.max(1, (int) (share * replicas.size() / MORE_LOAD));
-		List<Replica> idle = open.stream().filter((replica) -> !busy(now, replica) && !full(now, replica)).toList();
-		return idle.isEmpty() ? open : idle.subList(0, Math.min(few, idle.size()));
-	}
-
-	private List<Replica> open(List<Replica> replicas, Set<ReplicaId> leftOut) {
-		return replicas.stream()
+	List<Replica> fill(long now, List<Replica> replicas, Set<ReplicaId> leftOut, boolean smallest) {
+		List<Replica> open = replicas.stream()
 			.filter((replica) -> !leftOut.contains(replica.id()))
 			.sorted(Comparator.comparingDouble((replica) -> Spread.unit(replica.id().value() + '@' + this.target)))
 			.toList();
-	}
-
-	private boolean busy(long now, Replica replica) {
-		return now < this.busyUntil.getOrDefault(replica.id(), Long.MIN_VALUE);
+		if (open.isEmpty()) {
+			return replicas;
+		}
+		if (!smallest) {
+			return open.subList(Math.min(1, open.size() - 1), open.size());
+		}
+		return List.of(open.stream().filter((replica) -> !full(now, replica)).findFirst().orElse(open.get(0)));
 	}
 
 	private boolean full(long now, Replica replica) {
--- a/core/src/main/java/org/gullsaddle/serve/ReleaseRamp.java
+++ b/core/src/main/java/org/gullsaddle/serve/ReleaseRamp.java
@@ -14,7 +14,7 @@
 	static final double SESSIONS_AT = 0.505;
 
 	/** When a proof is accepted that was not tried under as much load as it should be. */
-	static final double LATEST_TRIAL = 0.7;
+	static final double LATEST_TRIAL = 0.58;
 
 	/** Until when a proof leaves enough time for the share to rise. */
 	static final double LATEST_PROOF = 0.75;
@@ -25,6 +25,9 @@
 	 */
 	static final double COMPLETE_AT = 0.86;
 
+	/** When it ends at the latest if all requests go to the release. */
+	static final double LATEST_COMPLETE = 0.945;
+
 	/** What is not served by the new release alone by then is taken back. */
 	static final double GIVE_UP_AT = 0.96;
 
@@ -65,12 +68,15 @@
 	private static final double DOUBLES_IN = 0.02;
 
 	/** The shares after the proof, and how far apart they are. */
-	private static final double[] STEPS = { 0.35, 0.65, 1 };
+	private static final double[] STEPS = { 1 };
 
 	private static final double STEP = 0.035;
 
-	/** How long all requests go to the release at least before the roll-out ends. */
-	private static final double WHOLE = 0.04;
+	/**
+	 * How long all requests go to the release before the roll-out ends, if there is time:
+	 * those with small prompts try it under load until then.
+	 */
+	private static final double WHOLE = 0.08;
 
 	private ReleaseRamp() {
 	}
--- a/core/src/main/java/org/gullsaddle/serve/Rollout.java
+++ b/core/src/main/java/org/gullsaddle/serve/Rollout.java
@@ -99,6 +99,9 @@
 	 */
 	private long trustedUntil;
 
+	/** When it is so old that the release may have been taken back long ago. */
+	private long cutOffAt = Long.MAX_VALUE;
+
 	/** When it was proved, by any node, in milliseconds since the order; 0 if not yet. */
 	private long provedMillis;
 
@@ -241,15 +244,10 @@
 
 	/**
 	 * Notes that this node sent a request to a replica.
-	 * @param now the time
 	 * @param replica the replica
-	 * @param key what decided by which release it is served
 	 */
-	public void sent(long now, Replica replica, ReleaseKey key) {
+	public void sent(Replica replica) {
 		this.use.sent(ofTarget(replica));
-		if (ofTarget(replica) && !this.routes.smallest(key.route())) {
-			this.loadTrial.sentLarge(now, replica);
-		}
 	}
 
 	/**
@@ -300,6 +298,7 @@
 	 */
 	public void look(long now, long knowledgeMillis) {
 		trust(now, knowledgeMillis);
+		this.cutOffAt = 2 * this.trustedUntil - (now - knowledgeMillis);
 		boolean tried = rises(now) && this.provedMillis == 0 && part(now) <= ReleaseRamp.LATEST_PROOF;
 		if (tried && this.proof.stands(part(now))) {
 			proved(elapsed(now));
@@ -332,6 +331,15 @@
 		this.provedMillis = (this.provedMillis > 0) ? Math.min(this.provedMillis, elapsedMillis) : elapsedMillis;
 	}
 
+	/**
+	 * Says whether more requests may go to the new release from one moment to the next,
+	 * so that news of it are urgent.
+	 * @return true from the proof until the end
+	 */
+	public boolean grows() {
+		return this.provedMillis > 0 && this.state == RolloutState.RUNNING;
+	}
+
 	/**
 	 * Returns what this node tells the others.
 	 * @param now the time
@@ -387,7 +395,8 @@
 		}
 		double part = part(now);
 		double completeAt = ReleaseRamp.completeAt(elapsedPart(this.provedMillis));
-		boolean whole = this.provedShare >= 1 && part >= completeAt;
+		boolean late = elapsedPart(this.time.elapsedSinceOrder(now)) >= ReleaseRamp.LATEST_COMPLETE;
+		boolean whole = this.provedShare >= 1 && (part >= completeAt || late);
 		return whole ? Optional.of(RolloutState.COMPLETED) : Optional.empty();
 	}
 
@@ -406,18 +415,14 @@
 	 * Returns the share of the new release among requests like one.
 	 */
 	private double share(long now, ReleaseKey key) {
+		if (now > this.cutOffAt) {
+			return this.provedShare;
+		}
 		double unproved = key.session() ? ReleaseRamp.unprovedSessions(part(now))
 				: ReleaseRamp.unprovedRequests(part(now), this.routes.smallest(key.route()));
 		return Math.max(unproved, grow(now));
 	}
 
-	/**
-	 * Says whether all requests belong to the new release.
-	 */
-	private boolean whole(long now) {
-		return this.state == RolloutState.COMPLETED || formerGone(now) || grow(now) >= 1;
-	}
-
 	/**
 	 * Says whether the old replicas have stopped, though this node has not heard of the
 	 * end.
@@ -451,19 +456,16 @@
 		if (takenBack() || target.isEmpty()) {
 			return former;
 		}
-		if (whole(now)) {
+		if (this.state == RolloutState.COMPLETED || formerGone(now)) {
 			return target;
 		}
 		boolean chosen = chosen(now, key);
-		if (chosen && this.provedMillis > 0 && this.provedShare > 0) {
-			return target;
-		}
-		boolean goes = (chosen && key.session()) || ((chosen || former.isEmpty()) && this.use.allows(nodes));
-		if (!goes) {
+		boolean grows = grow(now) > 0;
+		boolean goes = chosen && (grows || key.session());
+		if (!goes && !((chosen || former.isEmpty()) && this.use.allows(nodes))) {
 			return former;
 		}
-		return this.routes.smallest(key.route()) ? this.loadTrial.fill(now, target, leftOut)
-				: this.loadTrial.few(now, target, leftOut, share(now, key));
+		return this.loadTrial.fill(now, target, leftOut, this.routes.smallest(key.route()));
 	}
 
 	private boolean chosen(long now, ReleaseKey key) {
--- a/core/src/main/java/org/gullsaddle/suspect/CrashWatch.java
+++ b/core/src/main/java/org/gullsaddle/suspect/CrashWatch.java
@@ -34,8 +34,18 @@
 	/** How far the ends of attempts at one crash are apart at most, in milliseconds. */
 	private static final long SAME_MOMENT_MILLIS = 1000;
 
+	/**
+	 * How long after it was heard that a replica leaves its end may be a planned one, in
+	 * milliseconds: it goes on for seconds, but the news take a while.
+	 */
+	private static final long PLANNED_MILLIS = 1000;
+
 	private static final int MAX_FOUND = 100;
 
+	private static final int MAX_LEAVING = 1000;
+
+	private static final int MAX_CLOSED = 256;
+
 	private final Map<ReplicaId, List<Ended>> ended = new HashMap<>();
 
 	/** The processes that were found dead lately. */
@@ -46,6 +56,22 @@
 		}
 	};
 
+	/** Since when replicas are known to leave. */
+	private final Map<ReplicaId, Long> leaving = new LinkedHashMap<>() {
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<ReplicaId, Long> eldest) {
+			return size() > MAX_LEAVING;
+		}
+	};
+
+	/** The contents of requests whose answers ended with their connections lately. */
+	private final Map<Trait, Boolean> closed = new LinkedHashMap<>() {
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<Trait, Boolean> eldest) {
+			return size() > MAX_CLOSED;
+		}
+	};
+
 	/**
 	 * Notes that an attempt ended without a whole answer that could be told as such.
 	 * @param now the time in milliseconds
@@ -56,6 +82,9 @@
 	 * @return a crash that was found before, if this is a part of it
 	 */
 	public Optional<Crash> ended(long now, Replica replica, long startedAt, Manner manner, Collection<Trait> traits) {
+		if (now - this.leaving.getOrDefault(replica.id(), now) >= PLANNED_MILLIS) {
+			return Optional.empty();
+		}
 		Ended one = new Ended(replica, startedAt, now, manner, List.copyOf(traits));
 		Crash known = this.found.get(Crash.process(replica));
 		if (known != null) {
@@ -68,6 +97,36 @@
 		return Optional.empty();
 	}
 
+	/**
+	 * Notes that an answer without a length ended with its connection.
+	 * @param content the request's content
+	 * @return whether another one to this content did so before
+	 */
+	public boolean closedAgain(Trait content) {
+		return this.closed.put(content, true) != null;
+	}
+
+	/**
+	 * Says whether answers without a length ended at a replica of which it is not known
+	 * whether they are whole.
+	 * @param replica the replica
+	 * @return true if so
+	 */
+	public boolean awaitsProof(Replica replica) {
+		return this.ended.getOrDefault(replica.id(), List.of())
+			.stream()
+			.anyMatch((each) -> each.manner == Manner.CLOSED && each.replica.sameProcess(replica));
+	}
+
+	/**
+	 * Notes that a replica is about to stop, or is not listed any more.
+	 * @param now the time in milliseconds
+	 * @param replica the replica
+	 */
+	public void leaves(long now, ReplicaId replica) {
+		this.leaving.putIfAbsent(replica, now);
+	}
+
 	/**
 	 * Notes that a replica answered, so that it lives.
 	 * @param replica the replica
@@ -151,6 +210,12 @@
 	 * @return the crash, if anything ran there when the process before died
 	 */
 	public Optional<Crash> listed(long now, Replica replica) {
+		if (replica.draining()) {
+			leaves(now, replica.id());
+		}
+		else {
+			this.leaving.remove(replica.id());
+		}
 		List<Ended> list = this.ended.get(replica.id());
 		boolean another = list != null && !list.get(0).replica.sameProcess(replica);
 		return another ? down(now, replica.id()) : Optional.empty();
--- a/core/src/test/java/org/gullsaddle/suspect/CrashWatchTests.java
+++ b/core/src/test/java/org/gullsaddle/suspect/CrashWatchTests.java
@@ -49,6 +49,35 @@
 		assertThat(crash.startedAt(DEADLY)).isEqualTo(110);
 	}
 
+	/**
+	 * Guards against crashes of replicas that are about to stop, which are not counted.
+	 */
+	@Test
+	void endSoonAfterItWasHeardThatAReplicaLeavesIsACrash() {
+		this.watch.leaves(0, new ReplicaId("r1"));
+		ended(700, 100, Manner.BROKEN, DEADLY);
+		assertThat(down(760)).isPresent();
+	}
+
+	/** Guards against requests blamed for the planned ends of their replicas. */
+	@Test
+	void laterEndOfAReplicaThatLeavesIsNoCrash() {
+		this.watch.leaves(0, new ReplicaId("r1"));
+		ended(1700, 100, Manner.BROKEN, DEADLY);
+		assertThat(down(1760)).isEmpty();
+		this.watch.listed(2000, replica("r1", 2));
+		this.watch.ended(4000, replica("r1", 2), 3900, Manner.BROKEN, List.of(DEADLY));
+		assertThat(down(4060)).isPresent();
+	}
+
+	/** Guards against answers without a length that are never asked after. */
+	@Test
+	void contentWhoseAnswersEndWithTheirConnectionsAgainIsNoticed() {
+		assertThat(this.watch.closedAgain(OTHER)).isFalse();
+		assertThat(this.watch.closedAgain(DEADLY)).isFalse();
+		assertThat(this.watch.closedAgain(DEADLY)).isTrue();
+	}
+
 	@Test
 	void brokenConnectionAloneIsNoCrash() {
 		ended(0, 0, Manner.BROKEN, OTHER);
--- a/daemon/src/main/java/org/gullsaddle/gateway/Attempt.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Attempt.java
@@ -1,6 +1,7 @@
 package org.gullsaddle.gateway;
 
 import java.util.EnumSet;
+import java.util.List;
 import java.util.Set;
 
 import io.vertx.core.MultiMap;
@@ -21,6 +22,8 @@
  */
 final class Attempt {
 
+	private static final String CHUNKED = "chunked";
+
 	private final Choice choice;
 
 	private final Admission admission;
@@ -186,8 +189,17 @@
 		return this.endedWithConnection;
 	}
 
-	private static boolean framed(MultiMap headers) {
-		return headers.contains(HttpHeaders.CONTENT_LENGTH) || headers.contains(HttpHeaders.TRANSFER_ENCODING);
+	/**
+	 * Says whether the end of an answer shows by its length or its last chunk. One whose
+	 * last transfer coding is another ends with its connection (RFC 9112, 6.3).
+	 */
+	static boolean framed(MultiMap headers) {
+		List<String> codings = headers.getAll(HttpHeaders.TRANSFER_ENCODING);
+		if (codings.isEmpty()) {
+			return headers.contains(HttpHeaders.CONTENT_LENGTH);
+		}
+		String last = codings.get(codings.size() - 1);
+		return last.substring(last.lastIndexOf(',') + 1).strip().equalsIgnoreCase(CHUNKED);
 	}
 
 	/**
--- a/daemon/src/main/java/org/gullsaddle/gateway/CrashController.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/CrashController.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.LongConsumer;
 import java.util.random.RandomGenerator;
 
 import io.vertx.core.Vertx;
@@ -51,6 +52,12 @@
 	 */
 	private static final long ASK_MILLIS = 50;
 
+	/**
+	 * How much later it is asked again for an answer without a length to be whole, in
+	 * milliseconds: one that dies of it may accept a connection before.
+	 */
+	private static final long ASK_AGAIN_MILLIS = 500;
+
 	/**
 	 * How long an answer has gone on for its engine to have borne the request, in
 	 * milliseconds.
@@ -172,7 +179,8 @@
 		}
 		if (attempt.endedWithConnection()) {
 			ended(request, model, attempt, CrashWatch.Manner.CLOSED);
-			if (!this.book.everSound(request.partTraits(model))) {
+			boolean again = this.watch.closedAgain(Trait.content(request.content()));
+			if (again || !this.book.everSound(request.partTraits(model))) {
 				askWhetherItLives(attempt.choice().replica());
 			}
 		}
@@ -183,9 +191,6 @@
 
 	private void ended(ServedRequest request, String model, Attempt attempt, CrashWatch.Manner manner) {
 		Replica replica = attempt.choice().replica();
-		if (replica.draining()) {
-			return;
-		}
 		this.watch.ended(Clock.millis(), replica, attempt.startedAt(), manner, request.traits(model))
 			.ifPresent((crash) -> crashed(crash, "more that ran there"));
 		if (manner == CrashWatch.Manner.BROKEN) {
@@ -212,15 +217,34 @@
 		if (!this.asked.add(process)) {
 			return;
 		}
-		this.vertx.setTimer(ASK_MILLIS, (timer) -> {
+		askIn(ASK_MILLIS, replica, (askedAt) -> {
+			if (this.watch.awaitsProof(replica)) {
+				askIn(ASK_AGAIN_MILLIS, replica, (again) -> {
+					this.asked.remove(process);
+					whole(this.watch.accepts(replica, askedAt));
+				});
+			}
+			else {
+				this.asked.remove(process);
+			}
+		});
+	}
+
+	/**
+	 * Asks a replica after a while whether it accepts a connection.
+	 * @param accepted is given when it was asked
+	 */
+	private void askIn(long millis, Replica replica, LongConsumer accepted) {
+		this.vertx.setTimer(millis, (timer) -> {
 			long askedAt = Clock.millis();
 			this.pool.take(replica, true).onComplete((channel, failure) -> {
-				this.asked.remove(process);
 				if (failure == null) {
 					channel.close();
-					whole(this.watch.accepts(replica, askedAt));
+					accepted.accept(askedAt);
+					return;
 				}
-				else if (ChannelPool.refused(failure)) {
+				this.asked.remove(Crash.process(replica));
+				if (ChannelPool.refused(failure)) {
 					this.decisions.picker().unreachable(Clock.millis(), replica);
 					down(replica.id(), "refuses connections");
 				}
@@ -263,7 +287,10 @@
 	 */
 	void learned(FleetChange change) {
 		switch (change) {
-			case FleetChange.Unlisted unlisted -> down(unlisted.id(), "is not listed any more");
+			case FleetChange.Unlisted unlisted -> {
+				down(unlisted.id(), "is not listed any more");
+				this.watch.leaves(Clock.millis(), unlisted.id());
+			}
 			case FleetChange.Listed listed -> this.watch.listed(Clock.millis(), listed.replica())
 				.ifPresent((crash) -> crashed(crash, "another process has its id"));
 			case FleetChange.Noted noted -> {
--- a/daemon/src/main/java/org/gullsaddle/gateway/FleetFeed.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/FleetFeed.java
@@ -42,8 +42,11 @@
 
 	private static final long MIN_ROLLOUT_EVERY_MILLIS = 500;
 
-	/** The same while others' news of crashes are awaited, in milliseconds. */
-	private static final long CRASHES_EVERY_MILLIS = 500;
+	/**
+	 * The same while others' news of crashes are awaited, or the share of a new release
+	 * rises, in milliseconds.
+	 */
+	private static final long URGENT_EVERY_MILLIS = 500;
 
 	/** How long after a reading of everything replicas come back, in milliseconds. */
 	private static final long SETTLE_MILLIS = 5000;
@@ -163,8 +166,8 @@
 	 * Returns how far calls for changes are apart at a time, in milliseconds.
 	 */
 	long everyMillis(long now) {
-		if (this.crashes.getAsBoolean()) {
-			return CRASHES_EVERY_MILLIS;
+		if (this.crashes.getAsBoolean() || this.state.releaseGrows()) {
+			return URGENT_EVERY_MILLIS;
 		}
 		boolean settling = this.readAllAt != Long.MIN_VALUE && now - this.readAllAt < SETTLE_MILLIS;
 		if (settling) {
--- a/daemon/src/main/java/org/gullsaddle/gateway/FleetState.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/FleetState.java
@@ -220,6 +220,13 @@
 		return this.rollouts.values();
 	}
 
+	/**
+	 * Says whether the share of a new release rises.
+	 */
+	boolean releaseGrows() {
+		return this.rollouts.values().stream().anyMatch(Rollout::grows);
+	}
+
 	/**
 	 * Returns the time of the shortest roll-out that is under way, in milliseconds.
 	 */
--- a/daemon/src/main/java/org/gullsaddle/gateway/RolloutController.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/RolloutController.java
@@ -93,9 +93,8 @@
 	/**
 	 * Notes that a request was sent to a replica.
 	 */
-	void sent(ServedRequest request, Replica replica) {
-		this.fleet.rollout(replica.service())
-			.ifPresent((rollout) -> rollout.sent(Clock.millis(), replica, request.releaseKey()));
+	void sent(Replica replica) {
+		this.fleet.rollout(replica.service()).ifPresent((rollout) -> rollout.sent(replica));
 	}
 
 	/**
--- a/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Serving.java
@@ -147,7 +147,7 @@
 		this.clock.begin(Clock.millis());
 		this.gateway.decisions().picker().sent(Clock.millis(), choice, this.task);
 		this.replicas.sent(choice.replica());
-		this.gateway.rollouts().sent(this.request, choice.replica());
+		this.gateway.rollouts().sent(choice.replica());
 		Admission admission = this.replicas.admit(choice.replica());
 		Optional<String> lastEvent = this.relay.lastEvent().or(this.request.caller()::lastEvent);
 		Handover handover = Handover.of(this.request, choice.replica().id(), left, model(),
--- /dev/null
+++ b/daemon/src/test/java/org/gullsaddle/gateway/AttemptTests.java
@@ -0,0 +1,36 @@
+package org.gullsaddle.gateway;
+
+import io.vertx.core.MultiMap;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class AttemptTests {
+
+	/** Guards against an answer that breaks off and is taken for a whole one. */
+	@ParameterizedTest
+	@CsvSource(delimiter = ';', value = { "chunked; true", "Chunked; true", "gzip, chunked; true", "identity; false",
+			"gzip; false", "chunked, gzip; false" })
+	void answerShowsItsEndIfItsLastTransferCodingIsChunked(String codings, boolean framed) {
+		MultiMap headers = MultiMap.caseInsensitiveMultiMap().add("Transfer-Encoding", codings);
+		assertThat(Attempt.framed(headers)).isEqualTo(framed);
+		assertThat(Attempt.framed(headers.add("Content-Length", "12"))).isEqualTo(framed);
+	}
+
+	@Test
+	void codingsInSeveralFieldsAreReadInTheirOrder() {
+		MultiMap headers = MultiMap.caseInsensitiveMultiMap()
+			.add("Transfer-Encoding", "chunked")
+			.add("Transfer-Encoding", "gzip");
+		assertThat(Attempt.framed(headers)).isFalse();
+	}
+
+	@Test
+	void answerWithoutACodingShowsItsEndByItsLength() {
+		assertThat(Attempt.framed(MultiMap.caseInsensitiveMultiMap())).isFalse();
+		assertThat(Attempt.framed(MultiMap.caseInsensitiveMultiMap().add("Content-Length", "0"))).isTrue();
+	}
+
+}
