The model plays a content that comes again, beside racks, faulty replicas and a deadly part

Beside racks and faulty replicas no other trait is refused in any of 12 rows, and at most 3 requests come later than contact after the third crash. Beside a deadly part a sound part is refused in 2 of 12 rows (known red).

--- a/core/src/test/java/org/gullsaddle/suspect/CrashModel.java
+++ b/core/src/test/java/org/gullsaddle/suspect/CrashModel.java
@@ -21,6 +21,9 @@
 
 	static final Trait DEADLY = Trait.part("deadly");
 
+	/** The content that comes again. */
+	static final Trait POISON = Trait.content(new Fingerprint("poison"));
+
 	private static final long CLOCK = 1_700_000_000_000L;
 
 	private static final long BACK_MILLIS = 2500;
@@ -64,6 +67,10 @@
 
 	final List<Long> deadlySent = new ArrayList<>();
 
+	private final List<Long> poisonSent = new ArrayList<>();
+
+	private final List<Long> poisonCrashes = new ArrayList<>();
+
 	private long now;
 
 	private int numbers;
@@ -107,6 +114,20 @@
 		}
 	}
 
+	/**
+	 * Has one content come again and again, on which replicas end, with parts that others
+	 * have too. It is not tried again elsewhere.
+	 * @param copies how many of it come together
+	 */
+	void repeat(long from, long to, long everyMillis, int copies) {
+		List<Trait> traits = List.of(Trait.part("first"), Trait.part("subject-0"), POISON);
+		for (long time = from; time < to; time += everyMillis) {
+			for (int i = 0; i < copies; i++) {
+				at(time, () -> send(this.random.nextInt(this.books.size()), traits, MAX_ATTEMPTS));
+			}
+		}
+	}
+
 	/** Has a share of the replicas end in one moment. */
 	void rackFails(long time, double share) {
 		at(time, () -> {
@@ -164,12 +185,16 @@
 		this.replicas.get(replica).add(run);
 		int life = this.lives[replica];
 		long begins = this.now + 40 + this.random.nextInt(400);
-		boolean deadly = traits.contains(DEADLY);
+		boolean poison = traits.contains(POISON);
+		boolean deadly = poison || traits.contains(DEADLY);
 		if (deadly) {
-			this.deadlySent.add(this.now);
+			(poison ? this.poisonSent : this.deadlySent).add(this.now);
 		}
 		at(begins, () -> {
 			if (deadly && alive(replica, life, run)) {
+				if (poison) {
+					this.poisonCrashes.add(this.now);
+				}
 				die(replica);
 			}
 		});
@@ -249,6 +274,16 @@
 		return this.deadlySent.stream().filter((at) -> at > this.crashes.get(crash - 1) + millis).count();
 	}
 
+	/**
+	 * The same of the content that comes again, by the crashes on it.
+	 */
+	long poisonSentAfter(int crash, long millis) {
+		if (this.poisonCrashes.size() < crash) {
+			return 0;
+		}
+		return this.poisonSent.stream().filter((at) -> at > this.poisonCrashes.get(crash - 1) + millis).count();
+	}
+
 	boolean allRefuse(Trait trait) {
 		return this.books.stream().allMatch((book) -> book.refuses(List.of(trait)));
 	}
--- a/core/src/test/java/org/gullsaddle/suspect/CrashModelTests.java
+++ b/core/src/test/java/org/gullsaddle/suspect/CrashModelTests.java
@@ -3,6 +3,7 @@
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -65,6 +66,51 @@
 		assertThat(model.refused).filteredOn(Trait::isPart).isEmpty();
 	}
 
+	/** Guards against a content lost among the ends of racks and faulty replicas. */
+	@ParameterizedTest
+	@MethodSource("deployments")
+	void contentThatComesAgainIsRefusedBesideOtherEnds(int nodes, int replicas, int seed) {
+		CrashModel model = new CrashModel(seed, nodes, replicas);
+		model.traffic(0, 40 * SECOND, 40, 0);
+		model.rackFails(4 * SECOND, 0.4);
+		model.rackFails(11 * SECOND, 0.4);
+		model.replicaFails(0, 3 * SECOND, 40 * SECOND, 3 * SECOND);
+		model.repeat(6 * SECOND, 40 * SECOND, 600 + 400L * (seed % 4), 1 + seed % 3);
+		model.play(40 * SECOND);
+		assertThat(model.poisonSentAfter(3, CONTACT_MILLIS)).isLessThanOrEqualTo(3);
+		assertThat(model.allRefuse(CrashModel.POISON)).isTrue();
+		assertThat(model.refused).containsExactly(CrashModel.POISON);
+	}
+
+	/** Guards against a content lost beside a part that crashes replicas, too. */
+	@ParameterizedTest
+	@MethodSource("deployments")
+	void contentThatComesAgainIsRefusedBesideADeadlyPart(int nodes, int replicas, int seed) {
+		CrashModel model = contentBesideADeadlyPart(nodes, replicas, seed);
+		assertThat(model.poisonSentAfter(3, CONTACT_MILLIS)).isLessThanOrEqualTo(3);
+		assertThat(model.sentAfter(5, CONTACT_MILLIS)).isLessThanOrEqualTo(3);
+		assertThat(model.allRefuse(CrashModel.POISON)).isTrue();
+		assertThat(model.allRefuse(CrashModel.DEADLY)).isTrue();
+	}
+
+	/** Guards against a sound part refused as it was at crashes of both. */
+	@ParameterizedTest
+	@MethodSource("deployments")
+	@Tag("known-red")
+	void noSoundPartIsRefusedBesideADeadlyPartAndAContent(int nodes, int replicas, int seed) {
+		CrashModel model = contentBesideADeadlyPart(nodes, replicas, seed);
+		assertThat(model.refused).filteredOn(Trait::isPart).containsExactly(CrashModel.DEADLY);
+	}
+
+	private static CrashModel contentBesideADeadlyPart(int nodes, int replicas, int seed) {
+		CrashModel model = new CrashModel(seed, nodes, replicas);
+		model.traffic(0, 3 * SECOND, 40, 0);
+		model.traffic(3 * SECOND, 40 * SECOND, 40, 0.2);
+		model.repeat(3 * SECOND, 40 * SECOND, 600 + 400L * (seed % 4), 1 + seed % 3);
+		model.play(40 * SECOND);
+		return model;
+	}
+
 	/**
 	 * Guards against the part that all requests share, blamed while all replicas fail.
 	 */
