--- a/core/src/main/java/org/gullsaddle/serve/ReleaseRamp.java
+++ b/core/src/main/java/org/gullsaddle/serve/ReleaseRamp.java
@@ -2,11 +2,12 @@
 
 /**
  * How the share of a new release rises. All times are parts of the roll-out's time, so
- * that nodes which learned of the order together agree without asking each other.
+ * that nodes agree without asking each other.
  * <p>
- * At first the share is small. Then the routes with the smallest prompts rise, to try the
- * release under load. Only once it is proved does the share of all requests rise, and so
- * much later that each node has heard of it.
+ * At first the share is small. Sessions are let in from the middle on. Of the requests
+ * without one those of the routes with the smallest prompts rise first, to try the
+ * release under load. Once it is proved it gets all requests, so much later that each
+ * node has heard of it.
  */
 final class ReleaseRamp {
 
@@ -52,14 +53,18 @@
 	/** The share of requests without a session while the release is tried. */
 	private static final double TRIAL_SHARE = 0.25;
 
+	/** The share of sessions when the trial begins. */
+	private static final double FIRST_SESSION_SHARE = 0.25;
+
 	/**
-	 * The shares of sessions while the release is tried, and how far apart they are. With
-	 * the last of them until the latest proof a release keeps to its allowance, by itself
-	 * and in a burst of some seconds: a session that was let in cannot be sent back.
+	 * The share of sessions soon after. With it until the latest proof a release keeps to
+	 * its allowance, by itself and in a burst of some seconds: a session that was let in
+	 * cannot be sent back.
 	 */
-	private static final double[] SESSION_SHARES = { 0.25, 0.4 };
+	private static final double SESSION_SHARE = 0.4;
 
-	private static final double SESSION_STEP = 0.035;
+	/** When it is that large. */
+	private static final double MORE_SESSIONS_AT = 0.54;
 
 	/** The share of the routes that are tried under load when that begins. */
 	private static final double FIRST_LOAD_SHARE = 0.5;
@@ -67,11 +72,6 @@
 	/** In which time that share doubles. */
 	private static final double DOUBLES_IN = 0.02;
 
-	/** The shares after the proof, and how far apart they are. */
-	private static final double[] STEPS = { 1 };
-
-	private static final double STEP = 0.035;
-
 	/**
 	 * How long all requests go to the release before the roll-out ends, if there is time:
 	 * those with small prompts try it under load until then.
@@ -87,7 +87,10 @@
 	 * @param part the time
 	 */
 	static double unprovedSessions(double part) {
-		return (part < SESSIONS_AT) ? 0 : step(SESSION_SHARES, (part - SESSIONS_AT) / SESSION_STEP);
+		if (part < SESSIONS_AT) {
+			return 0;
+		}
+		return (part < MORE_SESSIONS_AT) ? FIRST_SESSION_SHARE : SESSION_SHARE;
 	}
 
 	/**
@@ -102,16 +105,12 @@
 		return smallest ? Math.min(1, FIRST_LOAD_SHARE * Math.pow(2, (part - TRIAL_AT) / DOUBLES_IN)) : TRIAL_SHARE;
 	}
 
-	private static double step(double[] shares, double steps) {
-		return shares[(int) Math.min(shares.length - 1, steps)];
-	}
-
 	/**
 	 * Returns when the roll-out of a release that was proved ends.
 	 * @param provedAt when it was proved
 	 */
 	static double completeAt(double provedAt) {
-		return Math.max(COMPLETE_AT, growsAt(provedAt) + (STEPS.length - 1) * STEP + WHOLE);
+		return Math.max(COMPLETE_AT, growsAt(provedAt) + WHOLE);
 	}
 
 	private static double growsAt(double provedAt) {
@@ -124,11 +123,7 @@
 	 * @param provedAt when
 	 */
 	static double proved(double part, double provedAt) {
-		double since = part - growsAt(provedAt);
-		if (since < 0) {
-			return 0;
-		}
-		return step(STEPS, since / STEP);
+		return (part < growsAt(provedAt)) ? 0 : 1;
 	}
 
 }
--- a/core/src/main/java/org/gullsaddle/serve/Rollout.java
+++ b/core/src/main/java/org/gullsaddle/serve/Rollout.java
@@ -44,14 +44,6 @@
 	 */
 	private static final long LATE_MILLIS = 3000;
 
-	/**
-	 * How old a node's knowledge of the others' evidence may be for the share to rise:
-	 * this part of the roll-out's time, and at least so many milliseconds.
-	 */
-	private static final double MAX_AGE = 0.1;
-
-	private static final long MIN_MAX_AGE_MILLIS = 2500;
-
 	/**
 	 * How many replicas of the old release must be unreachable, one after the other, to
 	 * take it that they have stopped, as they do at the end.
@@ -83,6 +75,8 @@
 
 	private final ReleaseProof proof;
 
+	private final ReleaseGrowth growth;
+
 	/** When each replica of the new release was last found slow, until its answer. */
 	private final Map<ReplicaId, Long> slowUntil = new HashMap<>();
 
@@ -94,20 +88,6 @@
 
 	private boolean condemned;
 
-	/**
-	 * Until when what this node knows of the others is new enough for a share to rise.
-	 */
-	private long trustedUntil;
-
-	/** When it is so old that the release may have been taken back long ago. */
-	private long cutOffAt = Long.MAX_VALUE;
-
-	/** When it was proved, by any node, in milliseconds since the order; 0 if not yet. */
-	private long provedMillis;
-
-	/** The share of all requests since the proof. */
-	private double provedShare;
-
 	/**
 	 * Makes a roll-out of which this node has just learned.
 	 * @param notBefore a time before which it was not ordered
@@ -121,7 +101,7 @@
 		this.time = new RolloutTime(Math.max(notBefore, now - order.durationMillis()), now);
 		this.order = order;
 		this.revision = revision;
-		trust(now, 0);
+		this.growth = new ReleaseGrowth(now, order.durationMillis());
 		this.loadTrial = new LoadTrial(order.target());
 		this.use = new ReleaseUse(limits);
 		this.proof = new ReleaseProof(this.evidence, this.routes, this.loadTrial, this.use);
@@ -286,7 +266,7 @@
 		this.time.told(now, note.elapsedMillis());
 		this.routes.learn(note);
 		if (note.provedMillis() > 0) {
-			proved(note.provedMillis());
+			this.growth.proved(note.provedMillis());
 		}
 		judge();
 	}
@@ -297,38 +277,26 @@
 	 * @param knowledgeMillis how old what this node knows of the others may be
 	 */
 	public void look(long now, long knowledgeMillis) {
-		trust(now, knowledgeMillis);
-		this.cutOffAt = 2 * this.trustedUntil - (now - knowledgeMillis);
-		boolean tried = rises(now) && this.provedMillis == 0 && part(now) <= ReleaseRamp.LATEST_PROOF;
-		if (tried && this.proof.stands(part(now))) {
-			proved(elapsed(now));
+		this.growth.known(now, knowledgeMillis);
+		boolean open = rises(now) && !this.growth.isProved() && part(now) <= ReleaseRamp.LATEST_PROOF;
+		if (open && this.proof.stands(part(now))) {
+			this.growth.proved(elapsed(now));
 		}
-		grow(now);
+		provedShare(now);
 	}
 
-	private void trust(long now, long knowledgeMillis) {
-		long most = Math.max(MIN_MAX_AGE_MILLIS, Math.round(MAX_AGE * this.order.durationMillis()));
-		this.trustedUntil = now - knowledgeMillis + most;
+	private boolean rises(long now) {
+		return this.state == RolloutState.RUNNING && this.growth.trusted(now) && !takenBack();
 	}
 
 	/**
-	 * Says whether the share may rise: a node that has heard nothing for long does not
-	 * know whether the release is still good.
+	 * Returns the share of all requests since the proof.
 	 */
-	private boolean rises(long now) {
-		return this.state == RolloutState.RUNNING && now <= this.trustedUntil && !takenBack();
-	}
-
-	private double grow(long now) {
-		if (this.provedMillis > 0 && rises(now)) {
-			this.provedShare = Math.max(this.provedShare,
-					ReleaseRamp.proved(part(now), elapsedPart(this.provedMillis)));
+	private double provedShare(long now) {
+		if (this.growth.isProved() && rises(now)) {
+			this.growth.rise(part(now));
 		}
-		return this.provedShare;
-	}
-
-	private void proved(long elapsedMillis) {
-		this.provedMillis = (this.provedMillis > 0) ? Math.min(this.provedMillis, elapsedMillis) : elapsedMillis;
+		return this.growth.share();
 	}
 
 	/**
@@ -337,7 +305,7 @@
 	 * @return true from the proof until the end
 	 */
 	public boolean grows() {
-		return this.provedMillis > 0 && this.state == RolloutState.RUNNING;
+		return this.growth.isProved() && this.state == RolloutState.RUNNING;
 	}
 
 	/**
@@ -349,7 +317,7 @@
 	public RolloutNote note(long now, String node) {
 		return new RolloutNote(node, this.evidence.own(), this.evidence.ownRoutes(), this.evidence.ownAnswers(),
 				elapsed(now), this.routes.target(), this.loadTrial.answersUnderLoad(), this.loadTrial.triedLoad(),
-				this.provedMillis, this.use.sent(), this.use.sentToTarget());
+				this.growth.provedMillis(), this.use.sent(), this.use.sentToTarget());
 	}
 
 	/**
@@ -374,8 +342,9 @@
 	 * @return its figures
 	 */
 	public RolloutProgress progress(long now) {
-		return new RolloutProgress(part(now), this.provedShare, this.use.sent(), this.use.sentToTarget(),
-				this.proof.triedLoad(), this.use.formerLoad(), this.proof.answersUnderLoad(), this.provedMillis);
+		return new RolloutProgress(part(now), this.growth.share(), this.use.sent(), this.use.sentToTarget(),
+				this.proof.triedLoad(), this.use.formerLoad(), this.proof.answersUnderLoad(),
+				this.growth.provedMillis());
 	}
 
 	/**
@@ -394,9 +363,9 @@
 			return Optional.of(RolloutState.ROLLED_BACK);
 		}
 		double part = part(now);
-		double completeAt = ReleaseRamp.completeAt(elapsedPart(this.provedMillis));
+		double completeAt = ReleaseRamp.completeAt(this.growth.provedAt());
 		boolean late = elapsedPart(this.time.elapsedSinceOrder(now)) >= ReleaseRamp.LATEST_COMPLETE;
-		boolean whole = this.provedShare >= 1 && (part >= completeAt || late);
+		boolean whole = this.growth.share() >= 1 && (part >= completeAt || late);
 		return whole ? Optional.of(RolloutState.COMPLETED) : Optional.empty();
 	}
 
@@ -405,22 +374,22 @@
 	 * all requests though its time is nearly over.
 	 */
 	private boolean hopeless(long now) {
-		if (this.provedMillis == 0 && this.use.spent(this.evidence.notes())) {
+		if (!this.growth.isProved() && this.use.spent(this.evidence.notes())) {
 			return true;
 		}
-		return this.provedShare < 1 && elapsedPart(this.time.elapsedSinceOrder(now)) >= ReleaseRamp.GIVE_UP_AT;
+		return this.growth.share() < 1 && elapsedPart(this.time.elapsedSinceOrder(now)) >= ReleaseRamp.GIVE_UP_AT;
 	}
 
 	/**
 	 * Returns the share of the new release among requests like one.
 	 */
 	private double share(long now, ReleaseKey key) {
-		if (now > this.cutOffAt) {
-			return this.provedShare;
+		if (this.growth.cutOff(now)) {
+			return this.growth.share();
 		}
 		double unproved = key.session() ? ReleaseRamp.unprovedSessions(part(now))
 				: ReleaseRamp.unprovedRequests(part(now), this.routes.smallest(key.route()));
-		return Math.max(unproved, grow(now));
+		return Math.max(unproved, provedShare(now));
 	}
 
 	/**
@@ -460,8 +429,7 @@
 			return target;
 		}
 		boolean chosen = chosen(now, key);
-		boolean grows = grow(now) > 0;
-		boolean goes = chosen && (grows || key.session());
+		boolean goes = chosen && (provedShare(now) > 0 || key.session());
 		if (!goes && !((chosen || former.isEmpty()) && this.use.allows(nodes))) {
 			return former;
 		}
