--- a/review/standin/StopInOutage.java
+++ b/review/standin/StopInOutage.java
@@ -26,7 +26,7 @@
 	@Override
 	boolean play() throws Exception {
 		List<Replica> replicas = List.of(new Replica("i-app-1", "dispatch-app"), new Replica("i-app-2", "dispatch-app"));
-		List<JsonObject> routes = List.of(route("order-lookup", "safe", "dispatch-app", 2));
+		List<JsonObject> routes = List.of(route("book-order", "unsafe", "dispatch-app", 2));
 		this.store.put("op/config", config(3, routes, "dispatch-app"));
 		for (Replica each : replicas) {
 			each.workMillis = 86;
@@ -57,6 +57,7 @@
 		}
 		gateway.process.waitFor();
 		note("the process has ended with " + gateway.process.exitValue());
+		replicas.forEach((each) -> note(each.id + " ran " + each.runs.size() + " orders in all"));
 		note(this.lost + " requests lost");
 		return this.lost.get() > 0;
 	}
@@ -79,7 +80,7 @@
 		long sentAt = now();
 		String answer;
 		try {
-			Http.Message message = channel.call("GET /order-lookup/1 HTTP/1.1", headers(attempt, 6000), new byte[0]);
+			Http.Message message = channel.call("POST /book-order/1 HTTP/1.1", headers(attempt, 6000), new byte[17_000]);
 			answer = (message != null) ? Integer.toString(message.status()) : "channel closed without an answer";
 		}
 		catch (Exception ex) {
