--- a/review/standin/StopInOutage.java
+++ b/review/standin/StopInOutage.java
@@ -13,7 +13,7 @@
 	private static final int CONSUMERS = 4;
 
 	/** When consumers use their channels again, after the SIGTERM. */
-	private static final long AGAIN_MILLIS = 2550;
+	private static final long AGAIN_MILLIS = 2600;
 
 	private final CountDownLatch stopped = new CountDownLatch(1);
 
@@ -67,7 +67,7 @@
 		try (Http.Channel channel = new Http.Channel(gateway.front, 8000)) {
 			call(channel);
 			this.stopped.await();
-			Thread.sleep(AGAIN_MILLIS + 30L * number);
+			Thread.sleep(AGAIN_MILLIS + 20L * number);
 			call(channel);
 		}
 		catch (Exception ex) {
