--- a/review/standin/BadEntry.java
+++ b/review/standin/BadEntry.java
@@ -86,6 +86,7 @@
 		}
 		note(late + " requests reached i-app-1 later than drainMs");
 		for (Gateway each : gateways) {
+			note(each.name + ": ready at the end: " + each.isReady());
 			each.log()
 				.lines()
 				.filter((line) -> line.startsWith("java.lang.NullPointerException") || line.contains("FleetPoller"))
--- a/review/standin/Case.java
+++ b/review/standin/Case.java
@@ -30,6 +30,9 @@
 
 	private final AtomicInteger attempts = new AtomicInteger();
 
+	/** The case that this process plays, for the stand-ins to note what they run. */
+	static Case current;
+
 	private PrintWriter record;
 
 	private Path folder;
@@ -54,6 +57,7 @@
 		int code = 2;
 		try {
 			it.record = new PrintWriter(Files.newBufferedWriter(Path.of(args[0])));
+			current = it;
 			it.folder = Files.createTempDirectory("gullsaddle-review");
 			Runtime.getRuntime().addShutdownHook(new Thread(it::endAll));
 			Thread.ofPlatform().daemon().start(() -> {
--- a/review/standin/Replica.java
+++ b/review/standin/Replica.java
@@ -81,6 +81,7 @@
 			return true;
 		}
 		this.runs.add(new Run(attempt, request.uri(), Case.now(), request.body().length));
+		Case.current.note(this.id + " runs " + attempt + " (" + request.uri() + ", " + request.body().length + " bytes)");
 		Thread.sleep(this.workMillis);
 		Map<String, String> headers = new LinkedHashMap<>();
 		headers.put("Gullsaddle-Attempt-Id", attempt);
