Wait for every request in hand before a stopping gateway ends

Cause: Gateway.isBusy counted executions, and answers that FlowControlledSink still queued. A request that waits for the configuration (ConfigRefresher), in the queue of a starting node, between the two timers of a node that lags, or for the rest of its body is neither; nor is a written answer that its caller has not read.

Evidence: the log of (`stopped`, cutOff 0, no request line) could not tell requests that wait from requests never read. Ruled out: an aborted execution (no request line), a standing event loop (the count).

Change: a request is registered when its head is read and leaves when its answer has ended or its connection has closed, whatever holds it. The stop waits for the set. Shortly before the stop timeout, what still waits is refused with 503: true, as no execution of it has begun. The last connections close once their answers are written. The listening socket stays open meanwhile, so that new callers get a refusal with a time to return (closing it first was tried and broke GatewayTests.callThatComesAsTheProcessEndsIsRefusedAndNotRun).

--- a/daemon/src/main/java/org/gullsaddle/gateway/BufferManager.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/BufferManager.java
@@ -108,15 +108,6 @@
 		this.telemetry.count("read.on.answer");
 	}
 
-	/**
-	 * Returns whether there are complete answers that callers have not yet read.
-	 */
-	boolean isSending() {
-		return this.transfers.values()
-			.stream()
-			.anyMatch((party) -> party instanceof FlowControlledSink flow && flow.isSending());
-	}
-
 	private long countPaused() {
 		return this.transfers.values().stream().filter(Transfer::isPaused).count();
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
@@ -55,6 +55,10 @@
 		LOG.atInfo().addKeyValue("cutOff", open).addKeyValue("linesLeftOut", this.omittedLines).log("stopped");
 	}
 
+	void callersNotClosed(String reason) {
+		LOG.atWarn().addKeyValue("reason", reason).log("callers' connections not closed");
+	}
+
 	void reloaded(String what) {
 		LOG.atInfo().addKeyValue("changed", what).log("settings reloaded");
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/DrainPolicy.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/DrainPolicy.java
@@ -31,6 +31,11 @@
 	 */
 	private static final long EXIT_MARGIN_MILLIS = 400;
 
+	/**
+	 * Shortest time in which the last answers leave the process, in milliseconds.
+	 */
+	private static final long MIN_FLUSH_MILLIS = 200;
+
 	/**
 	 * How long before the end requests without an answer are answered, in milliseconds:
 	 * several times the interval between two checks of open requests, so that each is
@@ -80,6 +85,14 @@
 		return now >= this.endsAt;
 	}
 
+	/**
+	 * Returns how long answers may take to leave the process once it serves nothing more,
+	 * in milliseconds.
+	 */
+	long flushMillis(long now) {
+		return Math.max(MIN_FLUSH_MILLIS, this.endsAt - now);
+	}
+
 	/**
 	 * Returns whether requests without an answer must be answered now, if only with a
 	 * timeout.
--- a/daemon/src/main/java/org/gullsaddle/gateway/FlowControlledSink.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/FlowControlledSink.java
@@ -186,13 +186,6 @@
 		}
 	}
 
-	/**
-	 * Returns whether the complete answer is here and the caller has not read all of it.
-	 */
-	boolean isSending() {
-		return this.ended && !this.queued.isEmpty();
-	}
-
 	@Override
 	public boolean isPaused() {
 		return this.paused && !this.source.hasEnded();
--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
 import io.vertx.core.Future;
@@ -10,6 +11,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
 
 import org.gullsaddle.base.NodeId;
 import org.gullsaddle.fleet.FleetChange;
@@ -98,6 +100,10 @@
 
 	private final Set<RequestExecution> openRequests = new LinkedHashSet<>();
 
+	private final InFlightRequests inFlight = new InFlightRequests();
+
+	private final CallerConnections connections = new CallerConnections();
+
 	private HttpServer server;
 
 	private final DrainPolicy drainPolicy = new DrainPolicy();
@@ -147,6 +153,7 @@
 
 	private void registerGauges() {
 		this.telemetry.gauge("open.requests", this.openRequests::size);
+		this.telemetry.gauge("unanswered.requests", this.inFlight::count);
 		this.telemetry.gauge("held.requests", this.dispatcher::heldCount);
 		this.telemetry.gauge("replicas.known", () -> this.fleet.directory().knownIds().size());
 		this.telemetry.gauge("replicas.cold", () -> this.fleet.directory().coldCount(MonotonicClock.millis()));
@@ -179,8 +186,9 @@
 			.setHttp2ClearTextEnabled(false)
 			.setAcceptBacklog(EarlyListener.BACKLOG);
 		this.server = this.vertx.createHttpServer(options)
-			.connectionHandler(this.dispatcher::onConnected)
-			.requestHandler((request) -> new RequestBodyReader(this, request).begin());
+			.connectionHandler((connection) -> this.connections.onOpened(connection,
+					!this.drainPolicy.acceptsAll(MonotonicClock.millis())))
+			.requestHandler(this::onRequest);
 		registerGauges();
 		this.poller.start();
 		this.rollouts.start();
@@ -193,6 +201,12 @@
 			.onSuccess((nothing) -> this.log.started(this.settings.node(), this.settings.place().dataCenter()));
 	}
 
+	private void onRequest(HttpServerRequest request) {
+		RequestBodyReader reader = new RequestBodyReader(this, request);
+		this.inFlight.add(request, reader);
+		reader.begin();
+	}
+
 	/**
 	 * Stops gracefully: reports not ready to the load balancer, still accepts all
 	 * requests for a moment, then only those that end before the process does.
@@ -202,26 +216,27 @@
 		Promise<Void> stopped = Promise.promise();
 		this.vertx.runOnContext((nothing) -> {
 			this.drainPolicy.begin(MonotonicClock.millis(), this.settings.stopTimeoutMillis());
-			this.log.stopping(this.openRequests.size());
+			this.log.stopping(this.inFlight.count());
 			this.vertx.setTimer(DrainPolicy.ACCEPT_ALL_MILLIS,
-					(timer) -> this.vertx.setPeriodic(TICK_INTERVAL_MILLIS, (tick) -> stopIfIdle(stopped)));
+					(timer) -> this.vertx.setPeriodic(TICK_INTERVAL_MILLIS, (tick) -> stopIfIdle(tick, stopped)));
 		});
 		return stopped.future();
 	}
 
-	private void stopIfIdle(Promise<Void> stopped) {
-		if (stopped.future().isComplete() || (isBusy() && !this.drainPolicy.isOver(MonotonicClock.millis()))) {
+	private void stopIfIdle(long tick, Promise<Void> stopped) {
+		long now = MonotonicClock.millis();
+		if (!this.inFlight.isEmpty() && !this.drainPolicy.isOver(now)) {
 			return;
 		}
+		this.vertx.cancelTimer(tick);
 		this.drainPolicy.stopAccepting();
-		this.log.stopped(this.openRequests.size());
+		this.log.stopped(this.inFlight.count());
 		List.copyOf(this.openRequests).forEach(RequestExecution::abort);
 		this.poller.stop();
-		stopped.tryComplete();
-	}
-
-	private boolean isBusy() {
-		return !this.openRequests.isEmpty() || this.buffers.isSending();
+		this.connections.close()
+			.timeout(this.drainPolicy.flushMillis(now), TimeUnit.MILLISECONDS)
+			.onFailure((failure) -> this.log.callersNotClosed(failure.getMessage()))
+			.onComplete((closed) -> stopped.complete());
 	}
 
 	/**
@@ -282,6 +297,7 @@
 	}
 
 	void onOpened(RequestExecution serving) {
+		this.inFlight.onExecutionStarted(serving.request().http());
 		this.openRequests.add(serving);
 		this.retryAfterAdvisor.onOpened(serving.request());
 		this.rollouts.recordRequest(serving.request());
@@ -336,6 +352,9 @@
 		if (!this.openRequests.isEmpty()) {
 			List.copyOf(this.openRequests).forEach((serving) -> serving.tick(now));
 		}
+		if (this.drainPolicy.shouldAnswerNow(now)) {
+			this.inFlight.waiting().forEach(RequestBodyReader::refuseStopping);
+		}
 		this.buffers.check(now);
 		this.crashes.check(now);
 	}
@@ -368,6 +387,10 @@
 		return this.retryAfterAdvisor;
 	}
 
+	CallerConnections connections() {
+		return this.connections;
+	}
+
 	RequestDispatcher dispatcher() {
 		return this.dispatcher;
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/RequestBodyReader.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/RequestBodyReader.java
@@ -24,6 +24,8 @@
 
 	private final long startedAt = MonotonicClock.millis();
 
+	private CallerRequest caller = CallerRequest.unreadable();
+
 	private Buffer body = Buffer.buffer();
 
 	private Optional<BufferAccount> bufferAccount = Optional.empty();
@@ -38,9 +40,8 @@
 	}
 
 	void begin() {
-		CallerRequest caller;
 		try {
-			caller = this.gateway.codec().read(this.request);
+			this.caller = this.gateway.codec().read(this.request);
 		}
 		catch (BadRequestException ex) {
 			reject(HttpStatuses.BAD_REQUEST, Optional.empty(), ex.getMessage());
@@ -50,19 +51,19 @@
 			.config()
 			.map((config) -> config.limits().bodyBytes())
 			.orElse(DEFAULT_BODY_BYTES);
-		this.request.handler((bytes) -> append(bytes, limit, caller));
+		this.request.handler((bytes) -> append(bytes, limit));
 		this.request.exceptionHandler((failure) -> this.done = true);
 		this.request.endHandler((nothing) -> {
 			if (!this.done) {
 				this.done = true;
 				this.bufferAccount
 					.ifPresent((each) -> each.recordBuffered(this.body.length(), false, MonotonicClock.millis()));
-				this.gateway.dispatcher().dispatch(this.request, caller, this.body, this.startedAt);
+				this.gateway.dispatcher().dispatch(this.request, this.caller, this.body, this.startedAt);
 			}
 		});
 	}
 
-	private void append(Buffer bytes, long limit, CallerRequest caller) {
+	private void append(Buffer bytes, long limit) {
 		if (this.done) {
 			return;
 		}
@@ -72,7 +73,7 @@
 		}
 		this.body.appendBuffer(bytes);
 		if (this.gateway.buffers().isEnabled()) {
-			updateHolder(bytes.length(), caller.attemptId().orElse(""));
+			updateHolder(bytes.length(), this.caller.attemptId().orElse(""));
 		}
 	}
 
@@ -127,6 +128,14 @@
 		resume();
 	}
 
+	/**
+	 * Refuses a request that has not run because the process ends, whatever it waits for.
+	 */
+	void refuseStopping() {
+		this.done = true;
+		this.gateway.dispatcher().refuseStopping(this.request, this.caller);
+	}
+
 	/**
 	 * Answers a request that is not read to its end and closes its connection, since
 	 * later requests on it could not be told apart from the unread body.
@@ -134,7 +143,7 @@
 	private void reject(int status, Optional<Long> retryAfter, String reason) {
 		this.done = true;
 		CallerAnswerWriter writer = new CallerAnswerWriter(this.request.response(), () -> true);
-		this.gateway.dispatcher().sendRefusal(writer, CallerRequest.unreadable(), status, retryAfter, reason);
+		this.gateway.dispatcher().sendRefusal(writer, this.caller, status, retryAfter, reason);
 	}
 
 }
--- a/daemon/src/main/java/org/gullsaddle/gateway/RequestDispatcher.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/RequestDispatcher.java
@@ -1,12 +1,9 @@
 package org.gullsaddle.gateway;
 
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
 
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServerRequest;
 
 import org.gullsaddle.fleet.FleetConfig;
@@ -25,27 +22,11 @@
 
 	private final StartupRequestQueue startupQueue = new StartupRequestQueue();
 
-	/**
-	 * Callers' connections that were opened after the load balancer should have noticed
-	 * the stop.
-	 */
-	private final Set<HttpConnection> lateConnections = new HashSet<>();
-
 	RequestDispatcher(Vertx vertx, Gateway gateway) {
 		this.vertx = vertx;
 		this.gateway = gateway;
 	}
 
-	/**
-	 * Handles a new connection of a caller.
-	 */
-	void onConnected(HttpConnection connection) {
-		if (!this.gateway.drainPolicy().acceptsAll(MonotonicClock.millis())) {
-			this.lateConnections.add(connection);
-			connection.closeHandler((nothing) -> this.lateConnections.remove(connection));
-		}
-	}
-
 	/**
 	 * Returns the number of requests that wait for the configuration.
 	 */
@@ -84,7 +65,7 @@
 	private void serve(HttpServerRequest request, CallerRequest caller, Buffer body, long startedAt, boolean checked) {
 		CallerAnswerWriter writer = new CallerAnswerWriter(request.response(), this.gateway::isStopping);
 		Optional<FleetConfig> config = this.gateway.fleet().config();
-		if (request.response().closed()) {
+		if (request.response().closed() || request.response().ended()) {
 			return;
 		}
 		if (config.isEmpty() && !this.gateway.isStopping()
@@ -109,10 +90,7 @@
 			return;
 		}
 		if (!this.gateway.drainPolicy().accepts(route.get(), MonotonicClock.millis())) {
-			boolean noNodeReady = this.lateConnections.contains(request.connection());
-			long restartMillis = noNodeReady ? this.gateway.drainPolicy().retryAfterMillis(MonotonicClock.millis()) : 0;
-			sendRefusal(writer, caller, HttpStatuses.SERVICE_UNAVAILABLE,
-					Optional.of(restartMillis + this.gateway.routingState().retryAfterMillis()), "stopping");
+			refuseStopping(request, caller);
 			return;
 		}
 		ServedRequest served = ServedRequest.of(request)
@@ -130,6 +108,17 @@
 		new RequestExecution(this.gateway, served).start();
 	}
 
+	/**
+	 * Refuses a request that has not run because the process ends.
+	 */
+	void refuseStopping(HttpServerRequest request, CallerRequest caller) {
+		CallerAnswerWriter writer = new CallerAnswerWriter(request.response(), () -> true);
+		boolean noNodeReady = this.gateway.connections().isLate(request.connection());
+		long restartMillis = noNodeReady ? this.gateway.drainPolicy().retryAfterMillis(MonotonicClock.millis()) : 0;
+		sendRefusal(writer, caller, HttpStatuses.SERVICE_UNAVAILABLE,
+				Optional.of(restartMillis + this.gateway.routingState().retryAfterMillis()), "stopping");
+	}
+
 	/**
 	 * Refuses a request that the known configuration does not allow: for good only if no
 	 * newer configuration may allow it.
