Wait for half-read requests before a stopping entry ends

What callers saw: an entry that was told to stop while it read a caller's body ended half a second later, and the connection closed without an answer.

Cause: EntryNode.drain waited for the router's open requests only. A request reaches the router once its body is complete.

Change: the first handler of the callers' routes counts each request until its answer or its connection has ended, and the stop waits for that count.

--- a/daemon/src/main/java/org/gullsaddle/entry/CallerApi.java
+++ b/daemon/src/main/java/org/gullsaddle/entry/CallerApi.java
@@ -55,6 +55,7 @@
 	}
 
 	void addRoutes(Router router) {
+		router.route("/v1/*").handler(this.node.unansweredCalls());
 		router.route("/v1/*").handler(BodyHandler.create(false).setBodyLimit(MAX_BODY_BYTES));
 		router.route("/v1/*").failureHandler(this::onFailure);
 		router.get("/v1/models").handler(this::listModels);
--- a/daemon/src/main/java/org/gullsaddle/entry/EntryNode.java
+++ b/daemon/src/main/java/org/gullsaddle/entry/EntryNode.java
@@ -135,6 +135,8 @@
 
 	private volatile boolean stopping;
 
+	private final UnansweredCalls unansweredCalls = new UnansweredCalls();
+
 	private volatile boolean cutOff;
 
 	/**
@@ -209,7 +211,7 @@
 			.delay(BALANCER_NOTICE_MILLIS, TimeUnit.MILLISECONDS)
 			.andThen(Completable.fromAction(this::stopAccepting))
 			.andThen(Flowable.interval(SHARD_TICK_MILLIS, TimeUnit.MILLISECONDS)
-				.takeUntil((tick) -> openRequestCount() == 0)
+				.takeUntil((tick) -> this.unansweredCalls.count() == 0 && openRequestCount() == 0)
 				.ignoreElements())
 			.andThen(Completable.fromAction(this.heldCopies::writeAll))
 			.andThen(Completable.defer(this.ledger::flushUntilWritten))
@@ -458,6 +460,10 @@
 		return this.settings;
 	}
 
+	UnansweredCalls unansweredCalls() {
+		return this.unansweredCalls;
+	}
+
 	int openRequestCount() {
 		return this.shards.stream().mapToInt(RouterShard::openRequestCount).sum();
 	}
--- a/standin/src/test/java/org/gullsaddle/standin/Cluster.java
+++ b/standin/src/test/java/org/gullsaddle/standin/Cluster.java
@@ -3,6 +3,7 @@
 import java.io.File;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -291,9 +292,16 @@
 	/**
 	 * Tells a process to stop, and returns its exit code once it has.
 	 */
-	int stop(String name) throws InterruptedException {
+	int stop(String name) {
 		this.processes.get(name).destroy();
-		return this.processes.get(name).waitFor();
+		return this.processes.get(name).onExit().join().exitValue();
+	}
+
+	/**
+	 * Opens a connection to a node's interface for callers.
+	 */
+	Socket connect(String name) throws IOException {
+		return new Socket("127.0.0.1", this.ports.get(name));
 	}
 
 	void pause(String name) throws Exception {
--- a/standin/src/test/java/org/gullsaddle/standin/ProcessFaultTests.java
+++ b/standin/src/test/java/org/gullsaddle/standin/ProcessFaultTests.java
@@ -1,6 +1,11 @@
 package org.gullsaddle.standin;
 
+import java.io.BufferedReader;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.net.Socket;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -20,6 +25,9 @@
  */
 class ProcessFaultTests {
 
+	/** When an entry with nothing in hand has ended, in milliseconds after the signal. */
+	private static final long STOPPED_IF_IDLE_MILLIS = 4000;
+
 	private static final String DATA = "data: ";
 
 	private static final String DONE = DATA + "[DONE]";
@@ -216,6 +224,25 @@
 		}
 	}
 
+	/**
+	 * Guards against a caller whose connection closes without an answer: an entry that
+	 * stops ends while it reads the caller's request.
+	 */
+	@Test
+	void requestThatIsReadHalfwayIsAnsweredBeforeAnEntryEnds() throws Exception {
+		try (Cluster cluster = Cluster.start("agent-1"); Socket caller = cluster.connect("entry-1")) {
+			OutputStream out = caller.getOutputStream();
+			out.write("POST /v1/chat/completions HTTP/1.1\r\nHost: entry\r\nContent-Length: 20\r\n\r\n{"
+				.getBytes(StandardCharsets.US_ASCII));
+			CompletableFuture<Integer> exit = CompletableFuture.supplyAsync(() -> cluster.stop("entry-1"));
+			Thread.sleep(STOPPED_IF_IDLE_MILLIS);
+			out.write("                  }".getBytes(StandardCharsets.US_ASCII));
+			BufferedReader in = new BufferedReader(new InputStreamReader(caller.getInputStream()));
+			assertThat(in.readLine()).startsWith("HTTP/1.1 503");
+			assertThat(exit.get()).isZero();
+		}
+	}
+
 	private static void restart(Cluster cluster, String node) throws Exception {
 		if (node.startsWith("agent")) {
 			cluster.agent(node);
