Keep every loop of a gateway alive when one step fails

Cause: FleetPoller.onUpdate set the next poll last, so that an exception in one change (here a NullPointerException of Rollout.isOnTarget) ended the poller for good. Only a stack trace on standard error told of it. The same shape stood in RolloutController, NodeNoteWriter (busy for good), ConfigRefresher (requests wait for good), the tick over open requests (one that throws hides all after it) and the request's own steps (held to the deadline).

Evidence: the trace appears once a node and no call for changes follows. Ruled out: a poller that goes on and fails at the same entry each time.

Change: StepGuard runs each step; a failure is logged, counted (steps.failed) and stops nothing else. A request that fails in this node is answered at once: 503 if it has not run, 502 if it may have.

--- a/daemon/src/main/java/org/gullsaddle/gateway/ConfigRefresher.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/ConfigRefresher.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import java.util.function.Consumer;
 
+import io.reactivex.rxjava3.core.Single;
+
 import org.gullsaddle.fleet.FleetChange;
 import org.gullsaddle.telemetry.Telemetry;
 
@@ -46,6 +48,8 @@
 
 	private final Telemetry telemetry;
 
+	private final StepGuard guard;
+
 	private final SuspendDetector suspendDetector = new SuspendDetector();
 
 	private final List<Runnable> waiting = new ArrayList<>();
@@ -61,13 +65,14 @@
 	 * @param changeListener receives what was read, after the state was updated
 	 */
 	ConfigRefresher(FleetSource source, FleetState state, long maxPropagationMillis,
-			Consumer<FleetChange> changeListener, DecisionLog log, Telemetry telemetry) {
+			Consumer<FleetChange> changeListener, DecisionLog log, Telemetry telemetry, StepGuard guard) {
 		this.source = source;
 		this.state = state;
 		this.maxPropagationMillis = maxPropagationMillis;
 		this.changeListener = changeListener;
 		this.log = log;
 		this.telemetry = telemetry;
+		this.guard = guard;
 	}
 
 	/**
@@ -110,7 +115,7 @@
 		this.waiting.add(then);
 		if (this.waiting.size() == 1) {
 			this.telemetry.count("config.checks");
-			this.source.readConfig()
+			Single.defer(this.source::readConfig)
 				.subscribe((changes) -> onConfig(changes, now), (failure) -> onFailure(failure, now));
 		}
 	}
@@ -119,14 +124,18 @@
 		this.failing = false;
 		this.state.onConfigRead(askedAt);
 		for (FleetChange change : changes) {
-			if (this.state.apply(MonotonicClock.millis(), change)) {
-				this.log.fleetChange(change, 0, MonotonicClock.millis() - askedAt);
-			}
-			this.changeListener.accept(change);
+			this.guard.run("configuration", () -> apply(change, askedAt));
+			this.guard.run("configuration listener", () -> this.changeListener.accept(change));
 		}
 		resumeWaiting();
 	}
 
+	private void apply(FleetChange change, long askedAt) {
+		if (this.state.apply(MonotonicClock.millis(), change)) {
+			this.log.fleetChange(change, 0, MonotonicClock.millis() - askedAt);
+		}
+	}
+
 	private void onFailure(Throwable failure, long askedAt) {
 		this.failing = true;
 		this.failedAt = MonotonicClock.millis();
@@ -138,7 +147,7 @@
 	private void resumeWaiting() {
 		List<Runnable> all = List.copyOf(this.waiting);
 		this.waiting.clear();
-		all.forEach(Runnable::run);
+		all.forEach((request) -> this.guard.run("waiting request", request));
 	}
 
 }
--- a/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
@@ -59,6 +59,10 @@
 		LOG.atWarn().addKeyValue("reason", reason).log("callers' connections not closed");
 	}
 
+	void stepFailed(String step, Throwable failure) {
+		LOG.atError().addKeyValue("step", step).setCause(failure).log("step failed");
+	}
+
 	void reloaded(String what) {
 		LOG.atInfo().addKeyValue("changed", what).log("settings reloaded");
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/FleetPoller.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/FleetPoller.java
@@ -89,6 +89,8 @@
 
 	private final BooleanSupplier crashNotesAwaited;
 
+	private final StepGuard guard;
+
 	private long revision = -1;
 
 	private long readAllAt = Long.MIN_VALUE;
@@ -106,7 +108,7 @@
 	 * @param crashNotesAwaited tells whether crash notes of peers are awaited
 	 */
 	FleetPoller(Vertx vertx, FleetSource source, FleetState state, DecisionLog log, Consumer<FleetChange> listener,
-			long maxPropagationMillis, BooleanSupplier crashNotesAwaited) {
+			long maxPropagationMillis, BooleanSupplier crashNotesAwaited, StepGuard guard) {
 		this.vertx = vertx;
 		this.source = source;
 		this.state = state;
@@ -115,6 +117,7 @@
 		this.intervalMillis = Math.max(SETTLING_INTERVAL_MILLIS,
 				Math.round(PROPAGATION_INTERVAL_RATIO * maxPropagationMillis));
 		this.crashNotesAwaited = crashNotesAwaited;
+		this.guard = guard;
 	}
 
 	void start() {
@@ -131,13 +134,27 @@
 		}
 		boolean fullRead = this.revision < 0;
 		this.requestedAt = MonotonicClock.millis();
-		Single<FleetSource.Update> call = fullRead ? this.source.readAll()
-				: this.source.awaitChanges(this.revision, POLL_WAIT_MILLIS);
-		call.subscribe((update) -> onUpdate(update, fullRead), this::onFailure);
+		Single.defer(() -> fullRead ? this.source.readAll() : this.source.awaitChanges(this.revision, POLL_WAIT_MILLIS))
+			.subscribe((update) -> onUpdate(update, fullRead), this::onFailure);
 	}
 
+	/**
+	 * Applies an update and schedules the next call, whatever the update does.
+	 */
 	void onUpdate(FleetSource.Update update, boolean fullRead) {
 		long now = MonotonicClock.millis();
+		this.guard.run("store update", () -> apply(now, update, fullRead));
+		this.revision = update.revision();
+		long interval = this.guard.call("poll interval", () -> intervalMillis(now), this.intervalMillis);
+		long delay = fullRead ? 0 : delayMillis(this.requestedAt, now, interval);
+		if (delay == 0) {
+			poll();
+			return;
+		}
+		this.vertx.setTimer(delay, (timer) -> poll());
+	}
+
+	private void apply(long now, FleetSource.Update update, boolean fullRead) {
 		if (this.failures >= FAILURES_UNTIL_UNAVAILABLE) {
 			this.log.dependencyRegained("store", now);
 		}
@@ -149,19 +166,16 @@
 			this.state.retain(now, update.changes());
 		}
 		for (FleetChange change : update.changes()) {
-			if (this.state.apply(now, change)) {
-				this.log.fleetChange(change, update.revision(), now - this.requestedAt);
-			}
-			this.listener.accept(change);
+			this.guard.run("fleet change", () -> apply(now, update.revision(), change));
+			this.guard.run("fleet change listener", () -> this.listener.accept(change));
 		}
 		logIfSlow(update, now);
-		this.revision = update.revision();
-		long delay = fullRead ? 0 : delayMillis(this.requestedAt, now, intervalMillis(now));
-		if (delay == 0) {
-			poll();
-			return;
+	}
+
+	private void apply(long now, long changeRevision, FleetChange change) {
+		if (this.state.apply(now, change)) {
+			this.log.fleetChange(change, changeRevision, now - this.requestedAt);
 		}
-		this.vertx.setTimer(delay, (timer) -> poll());
 	}
 
 	private void logIfSlow(FleetSource.Update update, long now) {
@@ -197,27 +211,31 @@
 		return Math.max(0, askedAt + interval - now);
 	}
 
+	/**
+	 * Records a failed call and schedules the next one.
+	 */
 	private void onFailure(Throwable failure) {
-		long now = MonotonicClock.millis();
 		this.failures++;
-		this.log.storeCallFailed((this.revision < 0) ? "read all" : "changes", now - this.requestedAt,
-				failure.getMessage());
+		this.guard.run("store failure", () -> recordFailure(failure));
 		if (failure instanceof HistoryCompactedException) {
 			this.revision = -1;
+			poll();
+			return;
 		}
+		long delay = Math.min(MAX_RETRY_DELAY_MILLIS, RETRY_DELAY_MILLIS * this.failures);
+		this.vertx.setTimer(delay, (timer) -> poll());
+	}
+
+	private void recordFailure(Throwable failure) {
+		long now = MonotonicClock.millis();
+		this.log.storeCallFailed((this.revision < 0) ? "read all" : "changes", now - this.requestedAt,
+				failure.getMessage());
 		if (this.failures == FAILURES_UNTIL_UNAVAILABLE) {
 			// After the outage everything is reread: an entry that expired during the
-			// outage
-			// and came back does not show in the changes.
+			// outage and came back does not show in the changes.
 			this.state.directory().storeUnreachable(now, true);
 			this.log.dependencyLost("store", failure.getMessage(), this.state.ageMillis(now));
 		}
-		if (failure instanceof HistoryCompactedException) {
-			poll();
-			return;
-		}
-		long delay = Math.min(MAX_RETRY_DELAY_MILLIS, RETRY_DELAY_MILLIS * this.failures);
-		this.vertx.setTimer(delay, (timer) -> poll());
 	}
 
 }
--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -68,6 +68,8 @@
 
 	private final Telemetry telemetry = new Telemetry();
 
+	private final StepGuard guard = new StepGuard(this.log, this.telemetry);
+
 	private final FleetState fleet;
 
 	private final SharedRoutingState routingState;
@@ -134,12 +136,12 @@
 		this.replicaEligibility = new ReplicaEligibility(this.fleet.directory(), this.settings.place(),
 				this.coldReplicaLimiter, backpressureTable, this.crashes.crashTracker());
 		this.rollouts = new RolloutController(vertx, builder.stateWriter, builder.store, this.settings.node(),
-				this.fleet, this.log);
+				this.fleet, this.log, this.guard);
 		this.dispatcher = new RequestDispatcher(vertx, this);
 		this.poller = new FleetPoller(vertx, builder.source, this.fleet, this.log, this::onFleetChange,
-				this.settings.maxPropagationMillis(), this.crashes::awaitsCrashNotes);
+				this.settings.maxPropagationMillis(), this.crashes::awaitsCrashNotes, this.guard);
 		this.configRefresher = new ConfigRefresher(builder.source, this.fleet, this.settings.maxPropagationMillis(),
-				this::onFleetChange, this.log, this.telemetry);
+				this::onFleetChange, this.log, this.telemetry, this.guard);
 	}
 
 	/**
@@ -204,7 +206,9 @@
 	private void onRequest(HttpServerRequest request) {
 		RequestBodyReader reader = new RequestBodyReader(this, request);
 		this.inFlight.add(request, reader);
-		reader.begin();
+		if (!this.guard.run("request", reader::begin)) {
+			reader.refuseFailed();
+		}
 	}
 
 	/**
@@ -239,6 +243,14 @@
 			.onComplete((closed) -> stopped.complete());
 	}
 
+	/**
+	 * Handles a failure that no caller of the failed code could handle.
+	 * @param failure the failure
+	 */
+	public void onUncaught(Throwable failure) {
+		this.vertx.runOnContext((nothing) -> this.guard.onFailure("callback", failure));
+	}
+
 	/**
 	 * Logs that the settings were reloaded.
 	 * @param what what has changed
@@ -336,35 +348,46 @@
 			// Replicas that were read together with it are applied first.
 			this.vertx.runOnContext((nothing) -> this.dispatcher.releaseHeld());
 		}
-		this.nodeRegistry.onFleetChange(change);
-		this.rollouts.onFleetChange(change);
-		this.crashes.onFleetChange(change);
-		this.backpressure.onFleetChange(change);
+		this.guard.run("nodes", () -> this.nodeRegistry.onFleetChange(change));
+		this.guard.run("roll-outs", () -> this.rollouts.onFleetChange(change));
+		this.guard.run("crashes", () -> this.crashes.onFleetChange(change));
+		this.guard.run("back-pressure", () -> this.backpressure.onFleetChange(change));
 	}
 
 	private void tick() {
 		long now = MonotonicClock.millis();
-		this.configRefresher.checkForSuspension(now);
-		long stalled = this.stallDetector.check(now);
-		if (stalled > 0) {
-			this.log.nodeStalled(stalled, this.openRequests.size());
-		}
+		this.guard.run("suspension check", () -> this.configRefresher.checkForSuspension(now));
+		this.guard.run("stall check", () -> checkForStall(now));
 		if (!this.openRequests.isEmpty()) {
-			List.copyOf(this.openRequests).forEach((serving) -> serving.tick(now));
+			List.copyOf(this.openRequests).forEach((serving) -> tick(serving, now));
 		}
 		if (this.drainPolicy.shouldAnswerNow(now)) {
 			this.inFlight.waiting().forEach(RequestBodyReader::refuseStopping);
 		}
-		this.buffers.check(now);
-		this.crashes.check(now);
+		this.guard.run("buffer check", () -> this.buffers.check(now));
+		this.guard.run("crash check", () -> this.crashes.check(now));
+	}
+
+	private void checkForStall(long now) {
+		long stalled = this.stallDetector.check(now);
+		if (stalled > 0) {
+			this.log.nodeStalled(stalled, this.openRequests.size());
+		}
+	}
+
+	private void tick(RequestExecution serving, long now) {
+		if (!this.guard.run("request check", () -> serving.tick(now))) {
+			serving.onInternalError();
+		}
 	}
 
 	private void cleanUp() {
-		this.pool.closeExpired(this.fleet.directory().knownIds());
-		this.routingState.replicaSelector().retain(this.fleet.directory().knownIds());
-		this.routingState.silentReplicaPolicy().retain(this.fleet.directory().knownIds());
-		this.coldReplicaLimiter.retain(this.fleet.directory().knownIds());
-		this.backpressure.retain(this.fleet.directory().knownIds());
+		Set<ReplicaId> known = this.fleet.directory().knownIds();
+		this.guard.run("connection clean-up", () -> this.pool.closeExpired(known));
+		this.guard.run("load clean-up", () -> this.routingState.replicaSelector().retain(known));
+		this.guard.run("silence clean-up", () -> this.routingState.silentReplicaPolicy().retain(known));
+		this.guard.run("cold replica clean-up", () -> this.coldReplicaLimiter.retain(known));
+		this.guard.run("back-pressure clean-up", () -> this.backpressure.retain(known));
 	}
 
 	boolean isStopping() {
@@ -423,6 +446,10 @@
 		return this.backpressure;
 	}
 
+	StepGuard guard() {
+		return this.guard;
+	}
+
 	DecisionLog log() {
 		return this.log;
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/NodeNoteWriter.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/NodeNoteWriter.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Optional;
 
+import io.reactivex.rxjava3.core.Single;
+
 import org.gullsaddle.store.Store;
 
 /**
@@ -42,7 +44,7 @@
 	 */
 	void write(String value, Runnable dueAgain) {
 		this.busy = true;
-		this.store.write(this.key, this.revision, List.of(new Store.Put(this.key, value)))
+		Single.defer(() -> this.store.write(this.key, this.revision, List.of(new Store.Put(this.key, value))))
 			.subscribe((written) -> onWritten(written, dueAgain), (failure) -> refresh(dueAgain));
 	}
 
@@ -57,7 +59,7 @@
 	}
 
 	private void refresh(Runnable dueAgain) {
-		this.store.get(this.key).subscribe((value) -> {
+		Single.defer(() -> this.store.get(this.key)).subscribe((value) -> {
 			this.revision = value.map(Store.StoredValue::revision).orElse(0L);
 			this.busy = false;
 			dueAgain.run();
--- a/daemon/src/main/java/org/gullsaddle/gateway/ReplicaChooser.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/ReplicaChooser.java
@@ -140,13 +140,18 @@
 			then.accept(replicaSelector().chooseReplica(MonotonicClock.millis(), usable, excluded, task));
 			return;
 		}
-		this.gateway.loadProbe().probe(probed, (reported) -> {
-			Set<ReplicaId> excludedNow = excluded(tried, task.model());
-			List<Replica> stillUsable = usable(excludedNow, task.model());
-			List<Replica> candidates = withoutUnanswered(stillUsable, probed, reported);
-			then.accept(replicaSelector().chooseReplica(MonotonicClock.millis(), candidates, excludedNow, task)
-				.or(() -> replicaSelector().chooseReplica(MonotonicClock.millis(), stillUsable, excludedNow, task)));
-		});
+		this.gateway.loadProbe()
+			.probe(probed, (reported) -> then.accept(this.gateway.guard()
+				.call("choice", () -> chooseAfterProbe(task, tried, probed, reported), Optional.empty())));
+	}
+
+	private Optional<ReplicaChoice> chooseAfterProbe(ReplicaTask task, Set<ReplicaId> tried, List<Replica> probed,
+			List<Replica> reported) {
+		Set<ReplicaId> excluded = excluded(tried, task.model());
+		List<Replica> usable = usable(excluded, task.model());
+		List<Replica> candidates = withoutUnanswered(usable, probed, reported);
+		return replicaSelector().chooseReplica(MonotonicClock.millis(), candidates, excluded, task)
+			.or(() -> replicaSelector().chooseReplica(MonotonicClock.millis(), usable, excluded, task));
 	}
 
 	/**
--- a/daemon/src/main/java/org/gullsaddle/gateway/RequestBodyReader.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/RequestBodyReader.java
@@ -136,6 +136,16 @@
 		this.gateway.dispatcher().refuseStopping(this.request, this.caller);
 	}
 
+	/**
+	 * Refuses a request that has not run because reading it failed in this node.
+	 */
+	void refuseFailed() {
+		if (!this.request.response().ended() && !this.request.response().closed()) {
+			reject(HttpStatuses.SERVICE_UNAVAILABLE, Optional.of(this.gateway.routingState().retryAfterMillis()),
+					RequestDispatcher.INTERNAL_ERROR);
+		}
+	}
+
 	/**
 	 * Answers a request that is not read to its end and closes its connection, since
 	 * later requests on it could not be told apart from the unread body.
--- a/daemon/src/main/java/org/gullsaddle/gateway/RequestDispatcher.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/RequestDispatcher.java
@@ -16,6 +16,9 @@
  */
 final class RequestDispatcher {
 
+	/** Reason of refusals and failures that are this node's own fault. */
+	static final String INTERNAL_ERROR = "internal error";
+
 	private final Vertx vertx;
 
 	private final Gateway gateway;
@@ -48,7 +51,7 @@
 	 * left.
 	 */
 	void dispatch(HttpServerRequest request, CallerRequest caller, Buffer body, long startedAt) {
-		Runnable serve = () -> serve(request, caller, body, startedAt, false);
+		Runnable serve = () -> serveOrRefuse(request, caller, body, startedAt, false);
 		if (this.gateway.stallDetector().isBehind(MonotonicClock.millis())) {
 			// A due timer may still run in this turn; a timer set by it does not.
 			this.vertx.setTimer(1, (first) -> this.vertx.setTimer(1, (second) -> serve.run()));
@@ -58,6 +61,20 @@
 		}
 	}
 
+	/**
+	 * Serves a request. One that cannot be served because of a fault of this node is
+	 * refused at once and has not run: its execution handles its own failures.
+	 */
+	private void serveOrRefuse(HttpServerRequest request, CallerRequest caller, Buffer body, long startedAt,
+			boolean checked) {
+		boolean handled = this.gateway.guard().run("dispatch", () -> serve(request, caller, body, startedAt, checked));
+		if (!handled && !request.response().ended() && !request.response().closed()) {
+			sendRefusal(new CallerAnswerWriter(request.response(), this.gateway::isStopping), caller,
+					HttpStatuses.SERVICE_UNAVAILABLE, Optional.of(this.gateway.routingState().retryAfterMillis()),
+					INTERNAL_ERROR);
+		}
+	}
+
 	/**
 	 * Serves or refuses a request.
 	 * @param checked whether the configuration was reread for it
@@ -69,7 +86,7 @@
 			return;
 		}
 		if (config.isEmpty() && !this.gateway.isStopping()
-				&& this.startupQueue.offer(() -> serve(request, caller, body, startedAt, checked))) {
+				&& this.startupQueue.offer(() -> serveOrRefuse(request, caller, body, startedAt, checked))) {
 			return;
 		}
 		if (config.isEmpty()) {
@@ -82,7 +99,7 @@
 		Optional<Team> team = keyed ? caller.apiKey().flatMap(config.get()::findTeam) : Optional.empty();
 		boolean allowed = route.isPresent() && !(keyed && team.isEmpty());
 		if (!checked && this.gateway.configRefresher().isDue(allowed)) {
-			this.gateway.configRefresher().refresh(() -> serve(request, caller, body, startedAt, true));
+			this.gateway.configRefresher().refresh(() -> serveOrRefuse(request, caller, body, startedAt, true));
 			return;
 		}
 		if (!allowed) {
@@ -105,7 +122,10 @@
 					Optional.of(this.gateway.routingState().retryAfterMillis()), "larger than a replica's memory");
 			return;
 		}
-		new RequestExecution(this.gateway, served).start();
+		RequestExecution execution = new RequestExecution(this.gateway, served);
+		if (!this.gateway.guard().run("request start", execution::start)) {
+			execution.onInternalError();
+		}
 	}
 
 	/**
--- a/daemon/src/main/java/org/gullsaddle/gateway/RequestExecution.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/RequestExecution.java
@@ -81,7 +81,7 @@
 		response.closeHandler((nothing) -> onCallerLeft());
 		response.exceptionHandler((failure) -> onCallerLeft());
 		this.gateway.onOpened(this);
-		this.gateway.crashes().admit(this.request, model(), this::admit);
+		this.gateway.crashes().admit(this.request, model(), () -> runStep(this::admit));
 	}
 
 	private void admit() {
@@ -98,6 +98,32 @@
 	}
 
 	private void startNextAttempt() {
+		runStep(this::tryNextAttempt);
+	}
+
+	/**
+	 * Runs a step without which the request would wait for its deadline.
+	 */
+	private void runStep(Runnable step) {
+		if (!this.gateway.guard().run("request step", step)) {
+			onInternalError();
+		}
+	}
+
+	/**
+	 * Ends the request because a step failed in this node.
+	 */
+	void onInternalError() {
+		if (this.done) {
+			return;
+		}
+		if (this.attempt != null && !this.attempt.hasEnded()) {
+			withdrawAttempt(RequestDispatcher.INTERNAL_ERROR);
+		}
+		refuse(RequestDispatcher.INTERNAL_ERROR);
+	}
+
+	private void tryNextAttempt() {
 		long now = MonotonicClock.millis();
 		long remainingMillis = this.request.remainingMillis(now);
 		if (remainingMillis <= 0) {
@@ -111,7 +137,7 @@
 			send(choice, remainingMillis);
 			return;
 		}
-		this.replicas.choose(this.task, this.tried, this::onChoice);
+		this.replicas.choose(this.task, this.tried, (choice) -> runStep(() -> onChoice(choice)));
 	}
 
 	/**
--- a/daemon/src/main/java/org/gullsaddle/gateway/RolloutController.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/RolloutController.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.random.RandomGenerator;
 
+import io.reactivex.rxjava3.core.Single;
 import io.vertx.core.Vertx;
 
 import org.gullsaddle.base.Json;
@@ -68,6 +69,8 @@
 
 	private final DecisionLog log;
 
+	private final StepGuard guard;
+
 	private final RandomGenerator random = RandomGenerator.getDefault();
 
 	private final Set<ServiceName> writing = new HashSet<>();
@@ -80,7 +83,7 @@
 	private final Map<String, LoggedShare> loggedShares = new HashMap<>();
 
 	RolloutController(Vertx vertx, RolloutStateWriter stateWriter, Store store, String node, FleetState fleet,
-			DecisionLog log) {
+			DecisionLog log, StepGuard guard) {
 		this.vertx = vertx;
 		this.stateWriter = stateWriter;
 		this.store = store;
@@ -88,11 +91,12 @@
 		this.writeSchedule = new RolloutWriteSchedule(node);
 		this.fleet = fleet;
 		this.log = log;
+		this.guard = guard;
 	}
 
 	void start() {
 		this.vertx.setTimer(CHECK_INTERVAL_MILLIS + this.random.nextLong(CHECK_INTERVAL_MILLIS), (timer) -> {
-			this.fleet.rollouts().forEach(this::check);
+			this.fleet.rollouts().forEach((rollout) -> this.guard.run("roll-out check", () -> check(rollout)));
 			start();
 		});
 	}
@@ -175,14 +179,15 @@
 		if (!this.writing.add(service)) {
 			return;
 		}
-		this.stateWriter.write(rollout.order(), state, rollout.stateRevision()).subscribe((written) -> {
-			this.writing.remove(service);
-			this.writeSchedule.onWriteAnswered(MonotonicClock.millis(), rollout, state);
-			logStateWrite(rollout, state, written ? "written" : "another node was first");
-		}, (failure) -> {
-			this.writing.remove(service);
-			logStateWrite(rollout, state, "not answered: " + failure.getMessage());
-		});
+		Single.defer(() -> this.stateWriter.write(rollout.order(), state, rollout.stateRevision()))
+			.subscribe((written) -> {
+				this.writing.remove(service);
+				this.writeSchedule.onWriteAnswered(MonotonicClock.millis(), rollout, state);
+				logStateWrite(rollout, state, written ? "written" : "another node was first");
+			}, (failure) -> {
+				this.writing.remove(service);
+				logStateWrite(rollout, state, "not answered: " + failure.getMessage());
+			});
 	}
 
 	private void logStateWrite(Rollout rollout, RolloutState state, String outcome) {
--- a/daemon/src/test/java/org/gullsaddle/gateway/FleetPollerTests.java
+++ b/daemon/src/test/java/org/gullsaddle/gateway/FleetPollerTests.java
@@ -1,8 +1,15 @@
 package org.gullsaddle.gateway;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 import io.reactivex.rxjava3.core.Single;
+import io.vertx.core.Vertx;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -11,6 +18,7 @@
 import org.gullsaddle.fleet.RolloutState;
 import org.gullsaddle.fleet.ServiceName;
 import org.gullsaddle.serve.RolloutLimits;
+import org.gullsaddle.telemetry.Telemetry;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -111,8 +119,96 @@
 		}
 
 		private FleetPoller poller(long newsMillis) {
-			return new FleetPoller(null, STORE_THAT_NEVER_ANSWERS, this.state, new DecisionLog(), (change) -> {
-			}, newsMillis, () -> false);
+			DecisionLog log = new DecisionLog();
+			return new FleetPoller(null, STORE_THAT_NEVER_ANSWERS, this.state, log, (change) -> {
+			}, newsMillis, () -> false, new StepGuard(log, new Telemetry()));
+		}
+
+	}
+
+	@Nested
+	class WhenAChangeCannotBeApplied {
+
+		private static final FleetChange BROKEN = new FleetChange.Configured(null);
+
+		private final Vertx vertx = Vertx.vertx();
+
+		private final FleetState state = new FleetState(RolloutLimits.DEFAULT);
+
+		private final CountDownLatch polls = new CountDownLatch(3);
+
+		@AfterEach
+		void close() {
+			this.vertx.close().await();
+		}
+
+		/**
+		 * Guards against a node that never reads the store again after one change that it
+		 * cannot apply.
+		 */
+		@Test
+		void othersAreAppliedAndTheNextCallIsMade() throws Exception {
+			List<FleetChange> changes = List.of(BROKEN, new FleetChange.EvacuationBegan("a"));
+			List<FleetChange> heard = new ArrayList<>();
+			start(changes, heard::add);
+			assertThat(this.polls.await(20, TimeUnit.SECONDS)).isTrue();
+			assertThat(this.state.directory().evacuatedDataCenters()).containsExactly("a");
+			assertThat(heard).containsSubsequence(changes);
+		}
+
+		/**
+		 * Guards against the same by a part of the node that cannot handle a change.
+		 */
+		@Test
+		void nextCallIsMadeThoughAListenerFails() throws Exception {
+			start(List.of(new FleetChange.EvacuationBegan("a")), (change) -> {
+				throw new IllegalStateException("a fault of a listener");
+			});
+			assertThat(this.polls.await(20, TimeUnit.SECONDS)).isTrue();
+		}
+
+		/** Guards against the same by a call that fails before it is made. */
+		@Test
+		void nextCallIsMadeThoughOneCannotBeMade() throws Exception {
+			FleetSource source = source(() -> {
+				throw new IllegalStateException("a fault of the source");
+			});
+			start(source, (change) -> {
+			});
+			assertThat(this.polls.await(20, TimeUnit.SECONDS)).isTrue();
+		}
+
+		private void start(List<FleetChange> changes, Consumer<FleetChange> listener) {
+			start(source(() -> Single.just(new FleetSource.Update(changes, 1))), listener);
+		}
+
+		private void start(FleetSource source, Consumer<FleetChange> listener) {
+			DecisionLog log = new DecisionLog();
+			FleetPoller poller = new FleetPoller(this.vertx, source, this.state, log, listener, 1000, () -> false,
+					new StepGuard(log, new Telemetry()));
+			this.vertx.runOnContext((nothing) -> poller.start());
+		}
+
+		private FleetSource source(Supplier<Single<FleetSource.Update>> update) {
+			return new FleetSource() {
+
+				@Override
+				public Single<Update> readAll() {
+					WhenAChangeCannotBeApplied.this.polls.countDown();
+					return update.get();
+				}
+
+				@Override
+				public Single<Update> awaitChanges(long after, long waitMillis) {
+					return readAll();
+				}
+
+				@Override
+				public Single<List<FleetChange>> readConfig() {
+					return Single.never();
+				}
+
+			};
 		}
 
 	}
