Share a huge rate limit instead of giving it to no node

What callers saw: nothing yet. A replica, or a peer's note on it, that names a limit of 5e18 requests a second or more gets no request from any node: 503, "all replicas are at their rate limits".

Cause: LimitShare.sharingNodes added 2 to a saturated long, which turns negative, so that each node's position is past the sharing ones.

Change: the sum is made in floating point.

Test: LimitShareTests.hugeLimitIsShared, failed with 1e300 (0 for 2.5e299) and passes.

--- a/core/src/main/java/org/gullsaddle/serve/LimitShare.java
+++ b/core/src/main/java/org/gullsaddle/serve/LimitShare.java
@@ -75,7 +75,7 @@
 	 * @param nodes the number of nodes
 	 */
 	static long sharingNodes(double perSecond, int nodes) {
-		return Math.min(nodes, (long) Math.floor(SHARING_SECONDS * perSecond) + EXTRA_SHARING_NODES);
+		return (long) Math.min(nodes, Math.floor(SHARING_SECONDS * perSecond) + EXTRA_SHARING_NODES);
 	}
 
 	private static Comparator<Peer> nearestFirst(Replica replica, NodeLocation place) {
--- a/core/src/test/java/org/gullsaddle/serve/LimitShareTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/LimitShareTests.java
@@ -52,6 +52,18 @@
 		assertThat(bursts).isLessThanOrEqualTo(2 * perSecond + 2);
 	}
 
+	/**
+	 * Guards against a replica that gets no requests as the limit that it names is huge.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "1e18", "1e300" })
+	void hugeLimitIsShared(double perSecond) {
+		List<Peer> peers = peers(4);
+		for (int i = 0; i < 4; i++) {
+			assertThat(share(perSecond, i, peers).perSecond()).isEqualTo(perSecond / 4);
+		}
+	}
+
 	@Test
 	void nodesNearestToTheReplicaHaveTheShares() {
 		List<Peer> peers = peers(12);
