Do not blame back-off when only a bad release is left

What callers saw: once only replicas of a release that was found bad are left, requests are refused with "all replicas ask for rest", though none does. The refusal itself is by design: a bad release gets no request.

Cause: the set of replicas that the release leaves is empty, and "all of them back off" holds for none at all.

Change: an empty set is "no replica left", as the reason's own description says.

Using the completed release all the same was tried and reverted: a bad release must get no request later than rollbackMs after its 50th bad answer.

Test: ReplicaEligibilityTests.badReleaseThatIsLeftAloneIsTheReason, failed before (RESTING for TRIED).

--- a/core/src/main/java/org/gullsaddle/serve/ReplicaEligibility.java
+++ b/core/src/main/java/org/gullsaddle/serve/ReplicaEligibility.java
@@ -129,7 +129,7 @@
 		}
 		Set<ReplicaId> excluded = excludedReplicas(now, required, Set.of());
 		List<Replica> allowed = filterByRelease(now, required, open, excluded);
-		if (!areAllExcluded(allowed, excluded)) {
+		if (allowed.isEmpty() || !areAllExcluded(allowed, excluded)) {
 			return NoReplica.TRIED;
 		}
 		boolean allBackingOff = allowed.stream()
--- a/core/src/test/java/org/gullsaddle/serve/ReplicaEligibilityTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/ReplicaEligibilityTests.java
@@ -283,6 +283,22 @@
 			assertThat(eligible(required)).isEqualTo("a-v2");
 		}
 
+		/**
+		 * Guards against a refusal that blames back-off, with a time to return of
+		 * seconds, while only a release that was found bad is left.
+		 */
+		@Test
+		void badReleaseThatIsLeftAloneIsTheReason() {
+			Rollout rollout = new Rollout(-9000, new RolloutOrder(ENGINES, "v1", 10_000), 1);
+			for (int i = 0; i < 5; i++) {
+				rollout.onAnswerStarted(replica("a", "v1"), new AnswerKind("chat", ""), true, 0, 100);
+			}
+			Requirements required = new Requirements(ENGINES, RegionLimit.ANYWHERE, COLD_START, Optional.of(1),
+					Optional.of(rollout), KEY, List.of());
+			assertThat(ReplicaEligibilityTests.this.eligibility.noReplicaReason(0, required))
+				.isEqualTo(NoReplica.TRIED);
+		}
+
 	}
 
 }
