Take no replica of an entry that lacks a part

An entry without version or zone became a replica whose release or data center is null.

Cause: the types allowed null, and the JSON reader turns other types into text. The same for roll-outs, their states and evacuations, whose keys may lack a name; removing such a key failed the whole call for changes.

Peers' notes are checked for what no node can have written.

Ruled out as wrong records, since they are well formed: an unknown data center (counts as another region), an unknown service (no route leads there), any start time.

--- a/core/src/main/java/org/gullsaddle/base/Check.java
+++ b/core/src/main/java/org/gullsaddle/base/Check.java
@@ -23,6 +23,18 @@
 		return value;
 	}
 
+	/**
+	 * Checks that a text argument is neither null nor empty.
+	 * @param value the argument
+	 * @param name its name in the message
+	 * @return the argument
+	 * @throws IllegalArgumentException if it is null or empty
+	 */
+	public static String notEmpty(String value, String name) {
+		that(!notNull(value, name).isEmpty(), name + " must not be empty");
+		return value;
+	}
+
 	/**
 	 * Checks that a condition on an argument holds.
 	 * @param condition the condition
@@ -36,8 +48,7 @@
 	}
 
 	static void checkId(String value, String name, int maxLength) {
-		notNull(value, name);
-		that(!value.isEmpty(), name + " must not be empty");
+		notEmpty(value, name);
 		that(value.length() <= maxLength, name + " must have at most " + maxLength + " characters");
 		for (int i = 0; i < value.length(); i++) {
 			char c = value.charAt(i);
--- a/core/src/main/java/org/gullsaddle/base/Json.java
+++ b/core/src/main/java/org/gullsaddle/base/Json.java
@@ -55,7 +55,11 @@
 	 * @throws IOException if the text is not JSON, or not of this type
 	 */
 	public static <T> T read(String text, Class<T> type) throws IOException {
-		return MAPPER.readValue(text, type);
+		T value = MAPPER.readValue(text, type);
+		if (value == null) {
+			throw new IOException("null is no " + type.getSimpleName());
+		}
+		return value;
 	}
 
 	/**
--- a/core/src/main/java/org/gullsaddle/fleet/FleetChange.java
+++ b/core/src/main/java/org/gullsaddle/fleet/FleetChange.java
@@ -1,5 +1,7 @@
 package org.gullsaddle.fleet;
 
+import org.gullsaddle.base.Check;
+
 /**
  * A change of the deployment that the platform reports.
  */
@@ -49,6 +51,16 @@
 	 */
 	record RolloutProgressed(ServiceName service, String target, RolloutState state,
 			long revision) implements FleetChange {
+
+		/**
+		 * Checks that no part is missing.
+		 */
+		public RolloutProgressed {
+			Check.notNull(service, "service");
+			Check.notEmpty(target, "target");
+			Check.notNull(state, "state");
+		}
+
 	}
 
 	/**
@@ -57,6 +69,14 @@
 	 * @param dataCenter the data center
 	 */
 	record EvacuationBegan(String dataCenter) implements FleetChange {
+
+		/**
+		 * Checks that the data center is named.
+		 */
+		public EvacuationBegan {
+			Check.notEmpty(dataCenter, "data center");
+		}
+
 	}
 
 	/**
@@ -65,6 +85,14 @@
 	 * @param dataCenter the data center
 	 */
 	record EvacuationEnded(String dataCenter) implements FleetChange {
+
+		/**
+		 * Checks that the data center is named.
+		 */
+		public EvacuationEnded {
+			Check.notEmpty(dataCenter, "data center");
+		}
+
 	}
 
 	/**
--- a/core/src/main/java/org/gullsaddle/fleet/Replica.java
+++ b/core/src/main/java/org/gullsaddle/fleet/Replica.java
@@ -1,6 +1,7 @@
 package org.gullsaddle.fleet;
 
 import org.gullsaddle.base.Address;
+import org.gullsaddle.base.Check;
 
 /**
  * A replica's entry in the service registry, written by the replica.
@@ -18,6 +19,18 @@
 public record Replica(ReplicaId id, ServiceName service, Address address, String dataCenter, String release, int slots,
 		boolean draining, long startedAt) {
 
+	/**
+	 * Checks that no part is missing.
+	 */
+	public Replica {
+		Check.notNull(id, "id");
+		Check.notNull(service, "service");
+		Check.notNull(address, "address");
+		Check.notEmpty(dataCenter, "data center");
+		Check.notEmpty(release, "release");
+		Check.that(slots > 0, "slots must be positive");
+	}
+
 	/**
 	 * Returns whether another entry describes the same process.
 	 * @param other the other entry
--- a/core/src/main/java/org/gullsaddle/fleet/ReplicaId.java
+++ b/core/src/main/java/org/gullsaddle/fleet/ReplicaId.java
@@ -10,7 +10,7 @@
 public record ReplicaId(String value) implements Comparable<ReplicaId> {
 
 	public ReplicaId {
-		Check.notNull(value, "replica");
+		Check.notEmpty(value, "replica");
 	}
 
 	@Override
--- a/core/src/main/java/org/gullsaddle/fleet/ServiceName.java
+++ b/core/src/main/java/org/gullsaddle/fleet/ServiceName.java
@@ -10,7 +10,7 @@
 public record ServiceName(String value) implements Comparable<ServiceName> {
 
 	public ServiceName {
-		Check.notNull(value, "service");
+		Check.notEmpty(value, "service");
 	}
 
 	@Override
--- a/core/src/main/java/org/gullsaddle/serve/LimitNote.java
+++ b/core/src/main/java/org/gullsaddle/serve/LimitNote.java
@@ -1,5 +1,7 @@
 package org.gullsaddle.serve;
 
+import org.gullsaddle.base.Check;
+
 /**
  * A replica's rate limit, as written for the peers by a node that got it in an answer.
  *
@@ -10,6 +12,13 @@
  */
 public record LimitNote(long startedAt, boolean limited, double perSecond) {
 
+	/**
+	 * Checks that the limit is one.
+	 */
+	public LimitNote {
+		Check.that(Double.isFinite(perSecond) && perSecond >= 0, "perSecond must be 0 or more");
+	}
+
 	RateLimit toRateLimit() {
 		return this.limited ? new RateLimit.Limited(this.perSecond) : new RateLimit.Unlimited();
 	}
--- a/core/src/main/java/org/gullsaddle/serve/RolloutNote.java
+++ b/core/src/main/java/org/gullsaddle/serve/RolloutNote.java
@@ -2,6 +2,8 @@
 
 import java.util.Map;
 
+import org.gullsaddle.base.Check;
+
 /**
  * A node's report on a roll-out for its peers. Evidence is the sum of log likelihood
  * ratios over the answers of the new release that the node saw: positive against it,
@@ -26,12 +28,29 @@
 		Map<String, Integer> routeAnswers, int answersUnderLoad, double triedLoad, long provedMillis, int sent,
 		int sentToTarget) {
 
+	/** Exceeds the evidence of any one answer. */
+	private static final double MAX_EVIDENCE_PER_ANSWER = 10;
+
 	/**
-	 * Replaces components that are missing in the note of an older version by empty maps.
+	 * Replaces components that are missing in the note of an older version by empty maps,
+	 * and checks the others.
 	 */
 	public RolloutNote {
 		routes = (routes != null) ? Map.copyOf(routes) : Map.of();
 		routeAnswers = (routeAnswers != null) ? Map.copyOf(routeAnswers) : Map.of();
+		Check.notEmpty(node, "node");
+		Check.that(Double.isFinite(triedLoad), "tried load must be finite");
+		Check.that(Math.min(answers, answersUnderLoad) >= 0, "answers must not be negative");
+		checkEvidence(evidence, answers);
+		routes.values().forEach((each) -> checkEvidence(each, answers));
+		Check.that(routeAnswers.values().stream().allMatch((count) -> count >= 0),
+				"answers of a route must not be negative");
+		Check.that(Math.min(elapsedMillis, provedMillis) >= 0, "times must not be negative");
+		Check.that(Math.min(sent, sentToTarget) >= 0, "sent requests must not be negative");
+	}
+
+	private static void checkEvidence(double evidence, int answers) {
+		Check.that(Math.abs(evidence) <= MAX_EVIDENCE_PER_ANSWER * answers, "evidence exceeds what the answers can be");
 	}
 
 	/**
--- a/core/src/main/java/org/gullsaddle/suspect/CrashNote.java
+++ b/core/src/main/java/org/gullsaddle/suspect/CrashNote.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Map;
 
+import org.gullsaddle.base.Check;
+
 /**
  * The crash evidence and blocked traits that a node reports to its peers through the
  * store. All ages are relative to the time of writing, in milliseconds.
@@ -15,10 +17,18 @@
  */
 public record CrashNote(long writtenAt, List<NotedCrash> crashes, Map<Trait, Long> sound, List<NotedBlock> refused) {
 
+	/** Largest age that a note may name, in milliseconds: a day. */
+	private static final long MAX_AGE_MILLIS = 86_400_000;
+
 	public CrashNote {
 		crashes = (crashes != null) ? List.copyOf(crashes) : List.of();
 		sound = (sound != null) ? Map.copyOf(sound) : Map.of();
 		refused = (refused != null) ? List.copyOf(refused) : List.of();
+		sound.values().forEach(CrashNote::checkAge);
+	}
+
+	private static void checkAge(long millis) {
+		Check.that(millis >= 0 && millis <= MAX_AGE_MILLIS, "an age must be between 0 and a day, not " + millis);
 	}
 
 	boolean empty() {
@@ -36,6 +46,9 @@
 
 		public NotedCrash {
 			ran = (ran != null) ? Map.copyOf(ran) : Map.of();
+			Check.notNull(process, "process");
+			checkAge(ageMillis);
+			ran.values().forEach(CrashNote::checkAge);
 		}
 
 	}
@@ -50,6 +63,14 @@
 	 * @param trialInMillis how long until the next trial is due
 	 */
 	public record NotedBlock(Trait trait, long crashAgeMillis, long seenAgeMillis, int trials, long trialInMillis) {
+
+		public NotedBlock {
+			Check.notNull(trait, "trait");
+			checkAge(crashAgeMillis);
+			checkAge(seenAgeMillis);
+			Check.that(trials >= 0, "trials must not be negative");
+		}
+
 	}
 
 }
--- a/daemon/src/main/java/org/gullsaddle/gateway/BackpressureController.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/BackpressureController.java
@@ -108,16 +108,16 @@
 	}
 
 	private void onPeerNote(FleetChange.NoteWritten noted) {
-		ReplicaId id = new ReplicaId(noted.key().substring(NOTE_PREFIX.length()));
-		Optional<Replica> listed = this.fleet.directory().find(id);
 		try {
+			ReplicaId id = new ReplicaId(noted.key().substring(NOTE_PREFIX.length()));
+			Optional<Replica> listed = this.fleet.directory().find(id);
 			LimitNote note = Json.read(noted.value(), LimitNote.class);
 			Runnable update = () -> this.limitNoteExchange.onNote(MonotonicClock.millis(), id, note, listed)
 				.ifPresent((millis) -> this.vertx.setTimer(millis,
 						(timer) -> this.fleet.directory().find(id).ifPresent(this::onListed)));
 			listed.ifPresentOrElse((replica) -> applyAndLog(replica, "note", update), update);
 		}
-		catch (IOException ex) {
+		catch (IOException | IllegalArgumentException ex) {
 			this.log.unreadableRecord(noted.key(), ex.getMessage());
 		}
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/NodeRegistry.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/NodeRegistry.java
@@ -97,13 +97,19 @@
 	private static Optional<Peer> parse(FleetChange.NoteWritten noted) {
 		try {
 			NodeId node = new NodeId(noted.key().substring(NOTE_PREFIX.length()));
-			return Optional.of(new Peer(node, Json.tree(noted.value()).path("dataCenter").asText("")));
+			return Optional.of(new Peer(node, dataCenter(noted.value())));
 		}
 		catch (IllegalArgumentException ex) {
 			return Optional.empty();
 		}
+	}
+
+	private static String dataCenter(String note) {
+		try {
+			return Json.tree(note).path("dataCenter").asText("");
+		}
 		catch (IOException ex) {
-			return Optional.of(new Peer(new NodeId(noted.key().substring(NOTE_PREFIX.length())), ""));
+			return "";
 		}
 	}
 
