--- a/core/src/main/java/org/gullsaddle/suspect/CrashNote.java
+++ b/core/src/main/java/org/gullsaddle/suspect/CrashNote.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
 
 import org.gullsaddle.base.Check;
 
@@ -17,18 +18,32 @@
  */
 public record CrashNote(long writtenAt, List<NotedCrash> crashes, Map<Trait, Long> sound, List<NotedBlock> refused) {
 
-	/** Largest age that a note may name, in milliseconds: a day. */
+	/**
+	 * Largest age that counts, in milliseconds: a day, long after all that a note tells
+	 * of has expired.
+	 */
 	private static final long MAX_AGE_MILLIS = 86_400_000;
 
 	public CrashNote {
 		crashes = (crashes != null) ? List.copyOf(crashes) : List.of();
-		sound = (sound != null) ? Map.copyOf(sound) : Map.of();
+		sound = clampAges(sound);
 		refused = (refused != null) ? List.copyOf(refused) : List.of();
-		sound.values().forEach(CrashNote::checkAge);
 	}
 
-	private static void checkAge(long millis) {
-		Check.that(millis >= 0 && millis <= MAX_AGE_MILLIS, "an age must be between 0 and a day, not " + millis);
+	/**
+	 * Limits an age to what a node can have meant, so that sums of times cannot overflow.
+	 */
+	private static long clampAge(long millis) {
+		return Math.clamp(millis, 0, MAX_AGE_MILLIS);
+	}
+
+	private static Map<Trait, Long> clampAges(Map<Trait, Long> ages) {
+		if (ages == null) {
+			return Map.of();
+		}
+		return ages.entrySet()
+			.stream()
+			.collect(Collectors.toUnmodifiableMap(Map.Entry::getKey, (entry) -> clampAge(entry.getValue())));
 	}
 
 	boolean empty() {
@@ -45,10 +60,9 @@
 	public record NotedCrash(String process, long ageMillis, Map<Trait, Long> ran) {
 
 		public NotedCrash {
-			ran = (ran != null) ? Map.copyOf(ran) : Map.of();
 			Check.notNull(process, "process");
-			checkAge(ageMillis);
-			ran.values().forEach(CrashNote::checkAge);
+			ageMillis = clampAge(ageMillis);
+			ran = clampAges(ran);
 		}
 
 	}
@@ -66,9 +80,10 @@
 
 		public NotedBlock {
 			Check.notNull(trait, "trait");
-			checkAge(crashAgeMillis);
-			checkAge(seenAgeMillis);
-			Check.that(trials >= 0, "trials must not be negative");
+			crashAgeMillis = clampAge(crashAgeMillis);
+			seenAgeMillis = clampAge(seenAgeMillis);
+			trials = Math.max(0, trials);
+			trialInMillis = clampAge(trialInMillis);
 		}
 
 	}
