Take back a release whose answers begin late

Cause: an answer counted as slow only beyond four times the old release's mean for its kind and 300 ms. Prompts and queues spread that mean so far that no slow answer reached the limit (about 1,900 ms; they took 440 to 1,770) before 10 to 20 answers proved the release.

Evidence: the attempt lines. Against the time that the gateway expected for prompt and load, the old release's answers have a median of 0.9 to 1.0, a good new one's the same, the slow one's 2.2 to 3.0.

Change: PaceComparison rates each answer by the old release's own delay model and by the old release's late answers at the same time; pooled by notes under a key of their own; a proof requires answers in time. Load of the new release is no excuse, as it may be its slowness.

--- a/core/src/main/java/org/gullsaddle/serve/DelayEstimator.java
+++ b/core/src/main/java/org/gullsaddle/serve/DelayEstimator.java
@@ -2,6 +2,7 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.OptionalDouble;
 
 import org.gullsaddle.fleet.Replica;
 import org.gullsaddle.fleet.ServiceName;
@@ -51,6 +52,22 @@
 		return task.isPlainCall() ? DelayModel.forCalls() : DelayModel.forGenerations(task.slowdown());
 	}
 
+	/**
+	 * Estimates the delay of a first event with any release but one, by the model that
+	 * was used last.
+	 * @param excluded the release that is left out
+	 */
+	OptionalDouble expectedMillisWithout(String excluded, ServiceName service, String model, EngineLoad load) {
+		OptionalDouble expected = OptionalDouble.empty();
+		for (Map.Entry<Key, DelayModel> each : this.models.entrySet()) {
+			Key key = each.getKey();
+			if (key.service.equals(service) && key.model.equals(model) && !key.release.equals(excluded)) {
+				expected = OptionalDouble.of(each.getValue().estimate(load).expectedMillis());
+			}
+		}
+		return expected;
+	}
+
 	private record Key(ServiceName service, String model, String release) {
 	}
 
--- a/core/src/main/java/org/gullsaddle/serve/PooledEvidence.java
+++ b/core/src/main/java/org/gullsaddle/serve/PooledEvidence.java
@@ -2,8 +2,11 @@
 
 import java.util.Arrays;
 import java.util.Collection;
+import java.util.DoubleSummaryStatistics;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.stream.DoubleStream;
 
 import org.gullsaddle.rollout.ChangeDetector;
 
@@ -23,6 +26,9 @@
 	 */
 	private static final String UNDER_LOAD_KEY = "under load";
 
+	/** The key, among the routes, of answers that begin late on any route. */
+	static final String PACE_KEY = "pace";
+
 	/**
 	 * The number of answers that the threshold suits; with more, false alarms grow
 	 * likelier.
@@ -68,6 +74,32 @@
 		add(UNDER_LOAD_KEY, evidence);
 	}
 
+	/**
+	 * Adds the evidence of when an answer began. It is judged separately, because the
+	 * answers of a slow release hardly ever fail.
+	 */
+	void recordPace(double evidence) {
+		this.ownEvidenceByRoute.merge(PACE_KEY, evidence, Double::sum);
+		add(PACE_KEY, evidence);
+	}
+
+	/**
+	 * Returns the signed evidence of when answers began, of all nodes, or empty if no
+	 * answer was judged by that.
+	 */
+	OptionalDouble pace() {
+		DoubleStream own = this.ownEvidenceByRoute.entrySet()
+			.stream()
+			.filter((entry) -> entry.getKey().equals(PACE_KEY))
+			.mapToDouble(Map.Entry::getValue);
+		DoubleStream ofPeers = this.notesByNode.values()
+			.stream()
+			.filter((note) -> note.routes().containsKey(PACE_KEY))
+			.mapToDouble((note) -> note.routes().get(PACE_KEY));
+		DoubleSummaryStatistics all = DoubleStream.concat(own, ofPeers).summaryStatistics();
+		return (all.getCount() > 0) ? OptionalDouble.of(all.getSum()) : OptionalDouble.empty();
+	}
+
 	/**
 	 * Handles a peer's note.
 	 * @param fromTheStart whether this node has followed the roll-out since its order;
--- a/core/src/main/java/org/gullsaddle/serve/ReleaseProof.java
+++ b/core/src/main/java/org/gullsaddle/serve/ReleaseProof.java
@@ -1,5 +1,7 @@
 package org.gullsaddle.serve;
 
+import java.util.Optional;
+
 /**
  * Decides whether a new release is proved: whether it answered well on each route in use
  * and under load. Confined to one thread.
@@ -20,6 +22,12 @@
 	 */
 	private static final double MAX_EVIDENCE = 1.5;
 
+	/**
+	 * The evidence of when answers began that a proof requires: quick answers of a slow
+	 * release come first, so that a few of them prove nothing.
+	 */
+	private static final double MAX_PACE = -1.5;
+
 	private final PooledEvidence evidence;
 
 	private final RouteCoverage routes;
@@ -41,14 +49,29 @@
 	 * @param elapsedRatio the elapsed time as a ratio of the roll-out's duration
 	 */
 	boolean isProved(double elapsedRatio) {
-		if (this.evidence.answerCount() < MIN_ANSWERS || this.evidence.maxEvidence() >= MAX_EVIDENCE
-				|| !this.routes.isCovered(MIN_ANSWERS_PER_ROUTE)) {
-			return false;
+		return findGap(elapsedRatio).isEmpty();
+	}
+
+	/**
+	 * Returns what the proof lacks, or empty if the release is proved.
+	 * @param elapsedRatio the elapsed time as a ratio of the roll-out's duration
+	 */
+	Optional<Gap> findGap(double elapsedRatio) {
+		if (this.evidence.answerCount() < MIN_ANSWERS) {
+			return Optional.of(Gap.ANSWERS);
+		}
+		if (this.evidence.maxEvidence() >= MAX_EVIDENCE) {
+			return Optional.of(Gap.EVIDENCE);
+		}
+		if (!this.routes.isCovered(MIN_ANSWERS_PER_ROUTE)) {
+			return Optional.of(Gap.ROUTES);
 		}
-		if (answersUnderLoad() >= MIN_ANSWERS_UNDER_LOAD) {
-			return true;
+		if (this.evidence.pace().orElse(MAX_PACE) > MAX_PACE) {
+			return Optional.of(Gap.PACE);
 		}
-		return elapsedRatio >= RampUpSchedule.LOAD_TRIAL_END_RATIO && triedLoad() >= this.usage.oldLoad();
+		boolean underLoad = answersUnderLoad() >= MIN_ANSWERS_UNDER_LOAD
+				|| (elapsedRatio >= RampUpSchedule.LOAD_TRIAL_END_RATIO && triedLoad() >= this.usage.oldLoad());
+		return underLoad ? Optional.empty() : Optional.of(Gap.LOAD);
 	}
 
 	/**
@@ -68,4 +91,26 @@
 		return Math.max(this.loadTrial.triedLoad(), ofPeers);
 	}
 
+	/**
+	 * What a proof lacks.
+	 */
+	enum Gap {
+
+		/** Enough answers. */
+		ANSWERS,
+
+		/** Good answers that outweigh the failures. */
+		EVIDENCE,
+
+		/** Enough answers on each route in use. */
+		ROUTES,
+
+		/** Enough answers that began in time. */
+		PACE,
+
+		/** A trial under as much load as the old release has. */
+		LOAD
+
+	}
+
 }
--- a/core/src/main/java/org/gullsaddle/serve/ReplicaSelector.java
+++ b/core/src/main/java/org/gullsaddle/serve/ReplicaSelector.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -226,6 +227,21 @@
 		stateOf(choice.replica()).onPromptRead(choice.unreadTokens() * task.slowdown());
 	}
 
+	/**
+	 * Estimates when an answer would have begun with any release but one, at the load
+	 * that its replica was known to have. Slowdowns that replicas report are included,
+	 * those that were learned from their answers are not.
+	 * @param excluded the release that is left out
+	 * @param choice the choice of the replica
+	 * @param model the model that answers
+	 * @return the expected delay in milliseconds, or empty if no other release is known
+	 */
+	public OptionalDouble expectedMillisWithout(String excluded, ReplicaChoice choice, String model) {
+		OptionalDouble expected = this.delayEstimator.expectedMillisWithout(excluded, choice.replica().service(), model,
+				choice.load());
+		return expected.isEmpty() ? expected : OptionalDouble.of(choice.slowdown().reported() * expected.getAsDouble());
+	}
+
 	/**
 	 * Records how long a request waited for its first event. Load and slowdown that the
 	 * answer reports must be recorded before, since older reports count less.
--- a/core/src/main/java/org/gullsaddle/serve/Rollout.java
+++ b/core/src/main/java/org/gullsaddle/serve/Rollout.java
@@ -3,8 +3,10 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 
 import org.gullsaddle.base.KeyHash;
@@ -69,6 +71,8 @@
 
 	private final Map<AnswerKind, ReleaseComparison> comparisons = new HashMap<>();
 
+	private final PaceComparison pace = new PaceComparison();
+
 	private final PooledEvidence evidence = new PooledEvidence(EVIDENCE_THRESHOLD);
 
 	private final RouteCoverage routes = new RouteCoverage();
@@ -193,8 +197,28 @@
 	 * @param failed whether it is a failure
 	 * @param sentAt when the request was sent, in milliseconds
 	 * @param firstMillis how long its first part took, in milliseconds
+	 * @param expectedMillis how long the old release would have been expected to take, in
+	 * milliseconds, or empty if that is not known
 	 */
-	public void onAnswerStarted(Replica replica, AnswerKind kind, boolean failed, long sentAt, long firstMillis) {
+	public void onAnswerStarted(Replica replica, AnswerKind kind, boolean failed, long sentAt, long firstMillis,
+			OptionalDouble expectedMillis) {
+		if (!failed && expectedMillis.isPresent()) {
+			recordPace(replica, sentAt + firstMillis, firstMillis, expectedMillis.getAsDouble());
+		}
+		compareWithMean(replica, kind, failed, sentAt, firstMillis);
+	}
+
+	private void recordPace(Replica replica, long at, long firstMillis, double expectedMillis) {
+		if (isOnTarget(replica)) {
+			this.pace.evidenceOf(replica.id(), at, firstMillis, expectedMillis).ifPresent(this.evidence::recordPace);
+			checkEvidence();
+		}
+		else {
+			this.pace.recordOldAnswer(at, firstMillis, expectedMillis);
+		}
+	}
+
+	private void compareWithMean(Replica replica, AnswerKind kind, boolean failed, long sentAt, long firstMillis) {
 		boolean known = this.comparisons.containsKey(kind) || this.comparisons.size() < MAX_KINDS;
 		ReleaseComparison trial = this.comparisons.computeIfAbsent(known ? kind : OTHER_KIND,
 				(missing) -> new ReleaseComparison());
@@ -343,6 +367,33 @@
 		return this.evidence.totalEvidence();
 	}
 
+	/**
+	 * Returns the strongest evidence against the new release: from all requests, from
+	 * those of one route, from its replicas under load, or from late answers.
+	 * @return the sum of logarithms, 0 or more
+	 */
+	public double strongestEvidence() {
+		return this.evidence.maxEvidence();
+	}
+
+	/**
+	 * Returns what the proof of the release lacks.
+	 * @param now the time
+	 * @return the name of the lacking part, empty if the release is proved
+	 */
+	public String proofGap(long now) {
+		return this.rampUp.isProved() ? ""
+				: this.proof.findGap(elapsedRatio(now)).map((gap) -> gap.name().toLowerCase(Locale.ROOT)).orElse("");
+	}
+
+	/**
+	 * Returns the evidence of when answers of the new release began, of all nodes.
+	 * @return the sum of logarithms, negative if it is in favour of the release
+	 */
+	public double pace() {
+		return this.evidence.pace().orElse(0);
+	}
+
 	/**
 	 * Returns how many answers of the new release this node and its peers have seen.
 	 * @return the number
--- a/core/src/main/java/org/gullsaddle/serve/RolloutNote.java
+++ b/core/src/main/java/org/gullsaddle/serve/RolloutNote.java
@@ -11,7 +11,8 @@
  *
  * @param node the node
  * @param evidence the sum over all answers
- * @param routes the sum for each route
+ * @param routes the sum for each route, and those of answers under load and of late
+ * answers
  * @param answers the number of answers
  * @param elapsedMillis how long ago the order was, so that a node that has just started
  * continues there
@@ -28,8 +29,8 @@
 		Map<String, Integer> routeAnswers, int answersUnderLoad, double triedLoad, long provedMillis, int sent,
 		int sentToTarget) {
 
-	/** Exceeds the evidence of any one answer. */
-	private static final double MAX_EVIDENCE_PER_ANSWER = 10;
+	/** Exceeds the sum that any node can collect, either way. */
+	private static final double MAX_EVIDENCE = 1e9;
 
 	/**
 	 * Replaces components that are missing in the note of an older version by empty maps,
@@ -41,16 +42,25 @@
 		Check.notEmpty(node, "node");
 		Check.that(Double.isFinite(triedLoad), "tried load must be finite");
 		Check.that(Math.min(answers, answersUnderLoad) >= 0, "answers must not be negative");
-		checkEvidence(evidence, answers);
-		routes.values().forEach((each) -> checkEvidence(each, answers));
+		checkEvidence(evidence);
+		routes.values().forEach(RolloutNote::checkEvidence);
 		Check.that(routeAnswers.values().stream().allMatch((count) -> count >= 0),
 				"answers of a route must not be negative");
 		Check.that(Math.min(elapsedMillis, provedMillis) >= 0, "times must not be negative");
 		Check.that(Math.min(sent, sentToTarget) >= 0, "sent requests must not be negative");
 	}
 
-	private static void checkEvidence(double evidence, int answers) {
-		Check.that(Math.abs(evidence) <= MAX_EVIDENCE_PER_ANSWER * answers, "evidence exceeds what the answers can be");
+	private static void checkEvidence(double evidence) {
+		Check.that(Math.abs(evidence) <= MAX_EVIDENCE, "evidence must be at most " + MAX_EVIDENCE);
+	}
+
+	/**
+	 * Returns the evidence of failures and of late answers together; its rise is urgent
+	 * news.
+	 * @return the sum, signed
+	 */
+	public double urgentEvidence() {
+		return this.evidence + this.routes.getOrDefault(PooledEvidence.PACE_KEY, 0.0);
 	}
 
 	/**
--- a/core/src/test/java/org/gullsaddle/serve/ReplicaEligibilityTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/ReplicaEligibilityTests.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -291,7 +292,8 @@
 		void badReleaseThatIsLeftAloneIsTheReason() {
 			Rollout rollout = new Rollout(-9000, new RolloutOrder(ENGINES, "v1", 10_000), 1);
 			for (int i = 0; i < 5; i++) {
-				rollout.onAnswerStarted(replica("a", "v1"), new AnswerKind("chat", ""), true, 0, 100);
+				rollout.onAnswerStarted(replica("a", "v1"), new AnswerKind("chat", ""), true, 0, 100,
+						OptionalDouble.empty());
 			}
 			Requirements required = new Requirements(ENGINES, RegionLimit.ANYWHERE, COLD_START, Optional.of(1),
 					Optional.of(rollout), KEY, List.of());
--- a/core/src/test/java/org/gullsaddle/serve/RolloutModel.java
+++ b/core/src/test/java/org/gullsaddle/serve/RolloutModel.java
@@ -5,6 +5,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
@@ -49,6 +51,17 @@
 
 	private static final long FIRST_TOKEN_MILLIS = 20;
 
+	/** The time to the first token where times are uneven. */
+	private static final double UNEVEN_FIRST_TOKEN_MILLIS = 200;
+
+	/** The standard deviation of the logarithm of those times. */
+	private static final double UNEVENNESS = 0.6;
+
+	private static final double SLOW_RATIO = 0.5;
+
+	/** How many times longer a slow answer takes. */
+	private static final int SLOWDOWN = 8;
+
 	/** The time between a node's notes, as a ratio of the roll-out's duration. */
 	private static final double NOTE_INTERVAL_RATIO = 0.06;
 
@@ -111,6 +124,9 @@
 
 	private int isolatedNode = -1;
 
+	/** Draws the times of answers; empty if all take the same. */
+	private Optional<Random> unevenness = Optional.empty();
+
 	/**
 	 * The least evidence of each node since its last note, and when it sent that note.
 	 */
@@ -185,6 +201,15 @@
 		return new Session("session-" + this.random.nextInt());
 	}
 
+	/**
+	 * Makes the first tokens take uneven times, as behind prompts of different size, with
+	 * both releases alike.
+	 */
+	RolloutModel withUnevenTimes() {
+		this.unevenness = Optional.of(new Random(this.random.nextInt()));
+		return this;
+	}
+
 	/**
 	 * Makes each node learn of the order at its next poll.
 	 */
@@ -274,15 +299,27 @@
 		this.sentToTarget += toTarget ? 1 : 0;
 		node.recordSent(replica);
 		boolean fails = toTarget && isFaulty(now, route, replica) && this.random.nextDouble() < FAULTY_FAILURE_RATIO;
+		int times = (toTarget && this.fault == Fault.SLOW && this.random.nextDouble() < SLOW_RATIO) ? SLOWDOWN : 1;
+		long firstMillis = times * firstTokenMillis();
 		this.runningOn.merge(replica.id(), 1, Integer::sum);
-		this.events.add(new Event(now + FIRST_TOKEN_MILLIS, () -> {
-			node.onLoadReported(now + FIRST_TOKEN_MILLIS, replica, new LoadReport(runningOn(replica), 0, SLOTS), now);
-			node.onAnswerStarted(replica, new AnswerKind(route.name(), ""), fails, now, FIRST_TOKEN_MILLIS);
+		this.events.add(new Event(now + firstMillis, () -> {
+			node.onLoadReported(now + firstMillis, replica, new LoadReport(runningOn(replica), 0, SLOTS), now);
+			node.onAnswerStarted(replica, new AnswerKind(route.name(), ""), fails, now, firstMillis, expectedMillis());
 		}));
-		this.events.add(new Event(now + (fails ? FIRST_TOKEN_MILLIS : route.millis),
+		this.events.add(new Event(now + (fails ? firstMillis : times * route.millis),
 				() -> this.runningOn.merge(replica.id(), -1, Integer::sum)));
 	}
 
+	private long firstTokenMillis() {
+		return this.unevenness
+			.map((times) -> Math.round(UNEVEN_FIRST_TOKEN_MILLIS * Math.exp(UNEVENNESS * times.nextGaussian())))
+			.orElse(FIRST_TOKEN_MILLIS);
+	}
+
+	private OptionalDouble expectedMillis() {
+		return OptionalDouble.of(this.unevenness.isPresent() ? UNEVEN_FIRST_TOKEN_MILLIS : FIRST_TOKEN_MILLIS);
+	}
+
 	private void trackSession(long now, Session session, boolean toTarget) {
 		boolean good = this.fault == Fault.NONE && this.state != RolloutState.ROLLED_BACK;
 		this.movedBackCount += (session.onTarget && !toTarget && good) ? 1 : 0;
@@ -296,7 +333,7 @@
 
 	private boolean isFaulty(long now, Route route, Replica replica) {
 		return switch (this.fault) {
-			case NONE -> false;
+			case NONE, SLOW -> false;
 			case START -> true;
 			case UNDER_LOAD -> runningOn(replica) >= SLOTS / 2;
 			case ONE_ROUTE -> route == Route.LONG;
@@ -313,7 +350,7 @@
 		boolean due = now % this.noteMillis == STEP_MILLIS * (index % (this.noteMillis / STEP_MILLIS));
 		if (index != this.isolatedNode && (due || isNoteUrgent(now, index))) {
 			RolloutNote note = node.note(now, "node-" + index);
-			this.minReportedEvidence.put(index, note.evidence());
+			this.minReportedEvidence.put(index, note.urgentEvidence());
 			this.reportedAt.put(index, now);
 			long at = now + propagationMillis();
 			this.events.add(new Event(at, () -> deliverNote(at, index, note)));
@@ -321,7 +358,7 @@
 	}
 
 	private boolean isNoteUrgent(long now, int index) {
-		double evidence = this.nodes.get(index).note(now, "node-" + index).evidence();
+		double evidence = this.nodes.get(index).note(now, "node-" + index).urgentEvidence();
 		double least = this.minReportedEvidence.merge(index, evidence, Math::min);
 		return evidence - least >= URGENT_EVIDENCE
 				&& now - this.reportedAt.getOrDefault(index, 0L) >= URGENT_NOTE_MILLIS;
@@ -389,7 +426,7 @@
 
 	enum Fault {
 
-		NONE, START, UNDER_LOAD, ONE_ROUTE, LATE
+		NONE, START, UNDER_LOAD, ONE_ROUTE, LATE, SLOW
 
 	}
 
--- a/core/src/test/java/org/gullsaddle/serve/RolloutModelTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/RolloutModelTests.java
@@ -62,6 +62,47 @@
 		}
 	}
 
+	/**
+	 * Guards against a slow release that is completed: half of its answers take eight
+	 * times as long, which fills its replicas, so that its slowness passed for load.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "24000, 1", "24000, 4", "24000, 20", "15000, 4", "15000, 20" })
+	void slowReleaseIsTakenBackWithinItsAllowance(long duration, int nodes) {
+		for (int seed = 0; seed < 10; seed++) {
+			RolloutModel model = new RolloutModel(RolloutModel.Fault.SLOW, duration, nodes, seed);
+			model.withSessions(24, true).withUnevenTimes().run();
+			assertThat((double) model.sentToTarget()).as("seed " + seed)
+				.isLessThanOrEqualTo(ALLOWED_SHARE * model.sent() + ALLOWED_SLACK);
+			assertThat(model.state()).as("seed " + seed).isEqualTo(RolloutState.ROLLED_BACK);
+		}
+	}
+
+	/**
+	 * Guards against a slow release that is completed in a short roll-out, in which few
+	 * of its slow answers come before the proof is due.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "10000, 4" })
+	@Tag("known-red")
+	void slowReleaseIsTakenBackInAShortRollout(long duration, int nodes) {
+		slowReleaseIsTakenBackWithinItsAllowance(duration, nodes);
+	}
+
+	/**
+	 * Guards against a good release that is taken back because some of its answers wait
+	 * behind long prompts, as those of the old release do.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "24000, 1", "24000, 4", "24000, 20", "16000, 4", "10000, 4", "10000, 20" })
+	void goodReleaseWithUnevenTimesIsCompletedInTime(long duration, int nodes) {
+		for (int seed = 0; seed < 10; seed++) {
+			RolloutModel model = new RolloutModel(RolloutModel.Fault.NONE, duration, nodes, seed);
+			model.withSessions(24, true).withUnevenTimes().run();
+			assertThat(model.state()).as("seed " + seed).isEqualTo(RolloutState.COMPLETED);
+		}
+	}
+
 	/** Guards against a good release that is not completed in time. */
 	@ParameterizedTest
 	@CsvSource({ "24000, 1", "24000, 4", "24000, 20", "16000, 4", "10000, 4", "10000, 20" })
--- a/core/src/test/java/org/gullsaddle/serve/RolloutTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/RolloutTests.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.Random;
 import java.util.Set;
@@ -45,7 +46,7 @@
 
 	private void answer(String release, String kind, boolean failed, long firstMillis) {
 		this.rollout.onAnswerStarted(BOTH.get(release.equals("v2") ? 1 : 0), new AnswerKind(kind, ""), failed,
-				this.sentAt, firstMillis);
+				this.sentAt, firstMillis, OptionalDouble.empty());
 		this.sentAt += firstMillis;
 	}
 
@@ -384,7 +385,7 @@
 			}
 			for (int i = 0; i < 12; i++) {
 				RolloutTests.this.rollout.onAnswerStarted(BOTH.get(1), new AnswerKind("chat", ""), false,
-						10_000 + i * 100, 2500 - i * 100);
+						10_000 + i * 100, 2500 - i * 100, OptionalDouble.empty());
 			}
 			assertThat(RolloutTests.this.rollout.findDueState(DURATION / 2))
 				.isNotEqualTo(Optional.of(RolloutState.ROLLED_BACK));
@@ -457,7 +458,7 @@
 						boolean failed = random.nextDouble() < (onBad ? badRate : TOLERATED_FAILURE_RATIO);
 						bad += (onBad && failed) ? 1 : 0;
 						AnswerKind kind = new AnswerKind("route-" + route, "model-" + random.nextInt(MODELS));
-						rollouts.get(i).onAnswerStarted(BOTH.get(1), kind, failed, now, 100);
+						rollouts.get(i).onAnswerStarted(BOTH.get(1), kind, failed, now, 100, OptionalDouble.empty());
 					}
 					if (now % NOTE_MILLIS == STEP_MILLIS * (i % (NOTE_MILLIS / STEP_MILLIS))) {
 						deliverNote(now, rollouts, i);
--- a/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
@@ -11,6 +11,7 @@
 import org.gullsaddle.base.LoadReport;
 import org.gullsaddle.fleet.FleetChange;
 import org.gullsaddle.fleet.ReplicaId;
+import org.gullsaddle.fleet.RolloutState;
 import org.gullsaddle.hold.BufferAccount;
 import org.gullsaddle.serve.ReplicaChoice;
 import org.gullsaddle.serve.Rollout;
@@ -158,14 +159,15 @@
 		}
 	}
 
-	void rolloutStateWritten(String service, String target, String state, double evidence, int answers,
-			String outcome) {
+	void rolloutStateWritten(long now, Rollout rollout, RolloutState state, String outcome) {
 		LOG.atInfo()
-			.addKeyValue("service", service)
-			.addKeyValue("target", target)
-			.addKeyValue("state", state)
-			.addKeyValue("evidence", evidence)
-			.addKeyValue("answers", answers)
+			.addKeyValue("service", rollout.order().service().value())
+			.addKeyValue("target", rollout.order().target())
+			.addKeyValue("state", state.name())
+			.addKeyValue("evidence", rollout.strongestEvidence())
+			.addKeyValue("paceEvidence", rollout.pace())
+			.addKeyValue("answers", rollout.answerCount())
+			.addKeyValue("proofLacks", rollout.proofGap(now))
 			.addKeyValue("outcome", outcome)
 			.log("roll-out state written");
 	}
@@ -176,7 +178,7 @@
 			.addKeyValue("target", rollout.order().target())
 			.addKeyValue("part", progress.elapsedRatio())
 			.addKeyValue("share", progress.share())
-			.addKeyValue("evidence", rollout.evidence())
+			.addKeyValue("evidence", rollout.strongestEvidence())
 			.addKeyValue("answers", rollout.answerCount())
 			.addKeyValue("sent", progress.sent())
 			.addKeyValue("sentToTarget", progress.sentToTarget())
--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -136,7 +136,7 @@
 		this.replicaEligibility = new ReplicaEligibility(this.fleet.directory(), this.settings.place(),
 				this.coldReplicaLimiter, backpressureTable, this.crashes.crashTracker());
 		this.rollouts = new RolloutController(vertx, builder.stateWriter, builder.store, this.settings.node(),
-				this.fleet, this.log, this.guard);
+				this.fleet, this.routingState.replicaSelector(), this.log, this.guard);
 		this.dispatcher = new RequestDispatcher(vertx, this);
 		this.poller = new FleetPoller(vertx, builder.source, this.fleet, this.log, this::onFleetChange,
 				this.settings.maxPropagationMillis(), this.crashes::awaitsCrashNotes, this.guard);
--- a/daemon/src/main/java/org/gullsaddle/gateway/RolloutController.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/RolloutController.java
@@ -18,6 +18,7 @@
 import org.gullsaddle.fleet.ServiceName;
 import org.gullsaddle.serve.AnswerKind;
 import org.gullsaddle.serve.AttemptEnd;
+import org.gullsaddle.serve.ReplicaSelector;
 import org.gullsaddle.serve.Rollout;
 import org.gullsaddle.serve.RolloutNote;
 import org.gullsaddle.serve.RolloutProgress;
@@ -67,6 +68,8 @@
 
 	private final FleetState fleet;
 
+	private final ReplicaSelector replicaSelector;
+
 	private final DecisionLog log;
 
 	private final StepGuard guard;
@@ -83,13 +86,14 @@
 	private final Map<String, LoggedShare> loggedShares = new HashMap<>();
 
 	RolloutController(Vertx vertx, RolloutStateWriter stateWriter, Store store, String node, FleetState fleet,
-			DecisionLog log, StepGuard guard) {
+			ReplicaSelector replicaSelector, DecisionLog log, StepGuard guard) {
 		this.vertx = vertx;
 		this.stateWriter = stateWriter;
 		this.store = store;
 		this.node = node;
 		this.writeSchedule = new RolloutWriteSchedule(node);
 		this.fleet = fleet;
+		this.replicaSelector = replicaSelector;
 		this.log = log;
 		this.guard = guard;
 	}
@@ -121,7 +125,8 @@
 				.ifPresent(
 						(load) -> rollout.onLoadReported(MonotonicClock.millis(), replica, load, attempt.startedAt()));
 			rollout.onAnswerStarted(replica, kind, new AttemptEnd.Answered(answer.status()).hasFailed(),
-					attempt.startedAt(), attempt.headAt() - attempt.startedAt());
+					attempt.startedAt(), attempt.headAt() - attempt.startedAt(), this.replicaSelector
+						.expectedMillisWithout(rollout.order().target(), attempt.choice(), kind.model()));
 		});
 	}
 
@@ -191,8 +196,7 @@
 	}
 
 	private void logStateWrite(Rollout rollout, RolloutState state, String outcome) {
-		this.log.rolloutStateWritten(rollout.order().service().value(), rollout.order().target(), state.name(),
-				rollout.evidence(), rollout.answerCount(), outcome);
+		this.log.rolloutStateWritten(MonotonicClock.millis(), rollout, state, outcome);
 	}
 
 	private void logShareIfChanged(Rollout rollout, RolloutProgress progress) {
@@ -206,8 +210,8 @@
 		ReportedNote last = this.reportedNotes.computeIfAbsent(key(rollout),
 				(key) -> new ReportedNote(this.store, key));
 		RolloutNote note = rollout.note(now, this.node);
-		last.lowestEvidence = Math.min(last.lowestEvidence, note.evidence());
-		boolean urgent = note.evidence() - last.lowestEvidence >= URGENT_EVIDENCE
+		last.lowestEvidence = Math.min(last.lowestEvidence, note.urgentEvidence());
+		boolean urgent = note.urgentEvidence() - last.lowestEvidence >= URGENT_EVIDENCE
 				&& now - last.writtenAt >= MIN_URGENT_INTERVAL_MILLIS;
 		boolean newlyProved = note.provedMillis() != last.provedMillis;
 		long intervalMillis = Math.min(MAX_NOTE_INTERVAL_MILLIS,
@@ -217,7 +221,7 @@
 			return;
 		}
 		last.writtenAt = now;
-		last.lowestEvidence = note.evidence();
+		last.lowestEvidence = note.urgentEvidence();
 		last.answers = note.answers();
 		last.provedMillis = note.provedMillis();
 		last.writer.write(Json.write(note), () -> last.answers = -1);
--- a/daemon/src/test/java/org/gullsaddle/gateway/RolloutControllerTests.java
+++ b/daemon/src/test/java/org/gullsaddle/gateway/RolloutControllerTests.java
@@ -38,7 +38,7 @@
 		RolloutController controller = new RolloutController(this.vertx, (order, state, revision) -> {
 			writes.countDown();
 			throw new IllegalStateException("a fault of the writer");
-		}, null, "self", fleet, log, new StepGuard(log, new Telemetry()));
+		}, null, "self", fleet, null, log, new StepGuard(log, new Telemetry()));
 		this.vertx.runOnContext((nothing) -> controller.start());
 		assertThat(writes.await(20, TimeUnit.SECONDS)).isTrue();
 	}
