--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Builds the stand-ins that the scripts of cases 4 to 8 start, under target/review-2/. The
+# gateway itself is built by the deploy file's build.
+set -eu
+cd "$(dirname "$0")/.."
+. build/jdk.sh
+rm -rf target/review-2
+mkdir -p target/review-2
+javac -Xlint:all -d target/review-2 review/standin-2/*.java
