--- a/review/standin-2/Bed.java
+++ b/review/standin-2/Bed.java
@@ -753,6 +753,10 @@
 
 		/** Consumers wait for twice the timeoutMs of their routes, as on the sheets. */
 		Bystanders(int port, int consumers, int timeoutMillis, long untilMillis) {
+			this(port, consumers, timeoutMillis, PAUSE_MILLIS, untilMillis);
+		}
+
+		Bystanders(int port, int consumers, int timeoutMillis, long pauseMillis, long untilMillis) {
 			this.timeoutMillis = timeoutMillis;
 			for (int i = 0; i < consumers; i++) {
 				int number = i;
@@ -764,7 +768,7 @@
 							this.seen.add(consumer.call(order ? "POST" : "GET", order ? "/order/1" : "/stock/1", id,
 									2 * timeoutMillis, "",
 									order ? "butter".getBytes() : new byte[0]));
-							sleep(PAUSE_MILLIS);
+							sleep(pauseMillis);
 						}
 					}
 				}));
--- a/review/standin-2/Routes.java
+++ b/review/standin-2/Routes.java
@@ -14,7 +14,12 @@
 
 	private static final int CONSUMERS = 20;
 
-	private static final long LENGTH_MILLIS = 35_000;
+	private static final long LENGTH_MILLIS = 50_000;
+
+	/** Together 38 requests a second, as on the sheet. */
+	private static final long READ_PAUSE_MILLIS = 800;
+
+	private static final long BYSTANDER_PAUSE_MILLIS = 770;
 
 	public static void main(String[] args) {
 		Bed.main(args[0], Routes::run);
@@ -40,7 +45,8 @@
 		store.put("op/config", Bed.config(2, TENANTS, routes));
 		bed.note(ADDED + " routes were added");
 		Bed.sleep(4000);
-		Bed.Bystanders bystanders = new Bed.Bystanders(gateway.front, 10, 3000, Bed.now() + LENGTH_MILLIS);
+		Bed.Bystanders bystanders = new Bed.Bystanders(gateway.front, 10, 3000, BYSTANDER_PAUSE_MILLIS,
+				Bed.now() + LENGTH_MILLIS);
 		long until = Bed.now() + LENGTH_MILLIS;
 		AtomicInteger next = new AtomicInteger();
 		Collection<Bed.Seen> reads = new ConcurrentLinkedQueue<>();
@@ -54,10 +60,10 @@
 						consumer.key = Bed.key(n % TENANTS);
 						Bed.Seen seen = consumer.call("GET", path, "read-" + n, 6000, "", new byte[0]);
 						reads.add(seen);
-						if (n % 500 == 0) {
+						if (n % 200 == 0) {
 							bed.note(seen.toString());
 						}
-						Bed.sleep(200);
+						Bed.sleep(READ_PAUSE_MILLIS);
 					}
 				}
 			}));
@@ -66,7 +72,7 @@
 			each.join();
 		}
 		bystanders.join();
-		boolean broken = bystanders.isBroken(bed);
+		boolean broken = bystanders.isBroken(bed, reads);
 		bed.record(bystanders.seen, replicas);
 		bed.record(reads, List.of());
 		bed.note("requests of ten tenants on " + (Bed.trouble() ? ADDED + " added routes: " : "one route: ") + next.get()
