--- a/review/standin-2/Bed.java
+++ b/review/standin-2/Bed.java
@@ -942,7 +942,8 @@
 				+ "\"engine\":{\"slots\":64,\"kvCapacityTokens\":359087,\"kvTokenBytes\":18432,\"linkMbps\":180000.0,\"moves\":true,"
 				+ "\"backups\":true,\"stride\":4,\"most\":12,\"pinMs\":4000.0,\"holdMs\":2000.0,\"handleS\":5.0,"
 				+ "\"models\":[{\"name\":\"m0\",\"cost\":0.0082},{\"name\":\"m1\",\"cost\":0.061},{\"name\":\"m2\",\"cost\":0.12}]}},"
-				+ "{\"name\":\"larder\",\"healthPath\":\"/health\",\"maxConnections\":100,\"protocol\":\"h1\",\"tls\":false}],"
+				+ "{\"name\":\"larder\",\"healthPath\":\"/health\",\"maxConnections\":100,\"protocol\":\"h1\",\"tls\":false},"
+				+ "{\"name\":\"desk\",\"healthPath\":\"/health\",\"maxConnections\":100,\"protocol\":\"h1\",\"tls\":false}],"
 				+ "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},"
 				+ "\"tenants\":[" + String.join(",", all) + "]}";
 	}
