Metrics: a bounded number of small series that follow the configuration

What callers saw: 350 routes are added and ten teams use them.

Cause: Telemetry kept a Dropwizard timer for each route, team and outcome, with two high-dynamic-range histograms of 24 KB, and dropped none. Names come and go with configurations, the heap of 40 MB does not grow. The same form, state kept by a name that nothing removes, stood in seven more places (model gains and mean work, team bursts, answers, retry times and promises of services, notes and shares of replaced roll-outs).

Why it works: a series is an array of fixed buckets; a metric has 1,000 series at most and one for all others; label values have a longest length; StateCleaner tells all that is kept by replica or by configured name, once a second, what is still there. What is dropped is added to the series "other", so sums never fall, and a scrape resets nothing. The page is written 50 series at a time, other requests in between. Label values now keep their dots, which were turned into underscores and so merged names.

--- a/core/src/main/java/org/gullsaddle/fleet/FleetConfig.java
+++ b/core/src/main/java/org/gullsaddle/fleet/FleetConfig.java
@@ -26,6 +26,8 @@
 
 	private final CallerLimits limits;
 
+	private final ConfiguredNames names;
+
 	/**
 	 * Creates a configuration.
 	 * @param version its version; higher ones are newer
@@ -39,6 +41,7 @@
 		this.version = version;
 		this.limits = limits;
 		this.isKeyRequired = !teams.isEmpty();
+		this.names = ConfiguredNames.of(routes, services, teams);
 		routes.forEach((route) -> this.routesByHost
 			.computeIfAbsent(route.host().toLowerCase(Locale.ROOT), (host) -> new ArrayList<>())
 			.add(route));
@@ -113,6 +116,14 @@
 		return List.copyOf(this.services.values());
 	}
 
+	/**
+	 * Returns the names that are configured.
+	 * @return the names of routes, teams, services and models
+	 */
+	public ConfiguredNames names() {
+		return this.names;
+	}
+
 	/**
 	 * Returns what callers may send.
 	 * @return the limits
--- a/core/src/main/java/org/gullsaddle/serve/BackpressureTable.java
+++ b/core/src/main/java/org/gullsaddle/serve/BackpressureTable.java
@@ -265,6 +265,14 @@
 		this.backOffs.keySet().retainAll(known);
 	}
 
+	/**
+	 * Removes what was promised for services that are no longer configured.
+	 * @param known the services to keep
+	 */
+	public void retainServices(Set<ServiceName> known) {
+		this.promisedUntil.keySet().retainAll(known);
+	}
+
 	private Optional<LimitedReplica> findLimited(long now, Replica replica) {
 		LimitedReplica known = this.limitedReplicas.get(replica.id());
 		if (known == null || !known.replica().isSameProcess(replica)) {
--- a/core/src/main/java/org/gullsaddle/serve/ConfidenceGains.java
+++ b/core/src/main/java/org/gullsaddle/serve/ConfidenceGains.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Learns how much more confident a larger model is of its answer than a smaller one is,
@@ -44,6 +45,13 @@
 		return (mean != null) ? mean.value : PRIOR_GAIN;
 	}
 
+	/**
+	 * Drops the comparisons of models that are no longer configured.
+	 */
+	void retain(Set<String> models) {
+		this.means.keySet().removeIf((pair) -> !models.contains(pair.smaller) || !models.contains(pair.larger));
+	}
+
 	private record Pair(String smaller, String larger) {
 	}
 
--- a/core/src/main/java/org/gullsaddle/serve/DeadlineCheck.java
+++ b/core/src/main/java/org/gullsaddle/serve/DeadlineCheck.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.gullsaddle.fleet.ServiceName;
 
@@ -74,6 +75,14 @@
 				&& choice.delay().probabilityWithin(remainingMillis) < MIN_START_PROBABILITY;
 	}
 
+	/**
+	 * Drops the services that are no longer configured.
+	 * @param known the services to keep
+	 */
+	public void retain(Set<ServiceName> known) {
+		this.services.keySet().retainAll(known);
+	}
+
 	private static final class ServiceAnswers {
 
 		private int answerCount;
--- a/core/src/main/java/org/gullsaddle/serve/ModelSelector.java
+++ b/core/src/main/java/org/gullsaddle/serve/ModelSelector.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.Set;
 
 import org.gullsaddle.fleet.Route;
 
@@ -108,6 +109,14 @@
 		return new ModelSelector(true);
 	}
 
+	/**
+	 * Drops what was learned of models that are no longer configured.
+	 * @param models the models to keep
+	 */
+	public void retain(Set<String> models) {
+		this.gains.retain(models);
+	}
+
 	/**
 	 * Returns the model to ask first.
 	 * @param route the route, with one model or more
--- a/core/src/main/java/org/gullsaddle/serve/ReplicaSelector.java
+++ b/core/src/main/java/org/gullsaddle/serve/ReplicaSelector.java
@@ -432,6 +432,14 @@
 				this.states.values().stream().map((state) -> state.replica().service()).collect(Collectors.toSet()));
 	}
 
+	/**
+	 * Drops what was learned of models that are no longer configured.
+	 * @param models the models to keep
+	 */
+	public void retainModels(Set<String> models) {
+		this.meanWork.keySet().retainAll(models);
+	}
+
 	private static int unreadTokens(ReplicaState state, ReplicaTask task) {
 		return Math.max(0, task.prompt().inputTokens() - state.cachedTokens(task));
 	}
--- a/core/src/main/java/org/gullsaddle/serve/RetryAfterScheduler.java
+++ b/core/src/main/java/org/gullsaddle/serve/RetryAfterScheduler.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 
 import org.gullsaddle.fleet.ServiceName;
@@ -62,6 +63,14 @@
 		return scheduleOf(refused.service()).schedule(now, refused, earliestMillis, remaining);
 	}
 
+	/**
+	 * Drops the services that are no longer configured.
+	 * @param known the services to keep
+	 */
+	public void retain(Set<ServiceName> known) {
+		this.services.keySet().retainAll(known);
+	}
+
 	private ServiceRetrySchedule scheduleOf(ServiceName service) {
 		return this.services.computeIfAbsent(service, (missing) -> new ServiceRetrySchedule(this.random));
 	}
--- a/core/src/main/java/org/gullsaddle/serve/TeamBurstDetector.java
+++ b/core/src/main/java/org/gullsaddle/serve/TeamBurstDetector.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 
 import org.gullsaddle.base.TeamId;
 
@@ -66,6 +67,14 @@
 		return counts.recent / this.total.recent > MAX_SHARE_RATIO * usual;
 	}
 
+	/**
+	 * Drops the teams that are no longer configured.
+	 * @param known the teams to keep
+	 */
+	public void retain(Set<TeamId> known) {
+		this.teams.keySet().retainAll(known);
+	}
+
 	/**
 	 * Exponentially decaying counts of requests.
 	 */
--- a/daemon/src/main/java/org/gullsaddle/daemon/Daemon.java
+++ b/daemon/src/main/java/org/gullsaddle/daemon/Daemon.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.stream.Collectors;
 
 import io.reactivex.rxjava3.core.Completable;
 import io.vertx.core.Future;
@@ -14,6 +15,7 @@
 
 import org.gullsaddle.backend.AgentNode;
 import org.gullsaddle.base.Address;
+import org.gullsaddle.base.TemplateName;
 import org.gullsaddle.controller.LedgerController;
 import org.gullsaddle.controller.TemplateController;
 import org.gullsaddle.entry.EntryNode;
@@ -41,6 +43,12 @@
  */
 public final class Daemon implements AutoCloseable {
 
+	/**
+	 * Interval at which metrics of templates that do not exist are dropped, in
+	 * milliseconds.
+	 */
+	private static final long CLEANUP_INTERVAL_MILLIS = 1000;
+
 	private static final Logger LOG = LoggerFactory.getLogger(Daemon.class);
 
 	private static final long START_SECONDS = 20;
@@ -126,10 +134,19 @@
 		this.entry = new EntryNode(this.vertx, this.settings, this.clock, this.telemetry, templates, store, dialer);
 		listen(self, this.entry.inboundPeerListener());
 		this.entry.start();
+		this.vertx.setPeriodic(CLEANUP_INTERVAL_MILLIS, (timer) -> dropMetricsOfUnknownTemplates(templates));
 		this.entryServer = new EntryServer(this.entry);
 		await(this.entryServer.listen());
 	}
 
+	/**
+	 * Callers name templates, so requests that were refused may have named any.
+	 */
+	private void dropMetricsOfUnknownTemplates(TemplateController templates) {
+		this.telemetry.retain("template",
+				templates.allTemplates().keySet().stream().map(TemplateName::value).collect(Collectors.toSet()));
+	}
+
 	private void startAgent(Store store, TemplateController templates) throws IOException {
 		PeerIdentity self = new PeerIdentity(this.settings.node(), Role.AGENT, this.settings.peers().key(), this.clock,
 				() -> -1);
--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -112,6 +112,8 @@
 
 	private final RequestDispatcher dispatcher;
 
+	private final StateCleaner stateCleaner;
+
 	private Gateway(Builder builder, Vertx vertx) {
 		this.vertx = vertx;
 		this.settings = builder.settings;
@@ -142,6 +144,7 @@
 				this.settings.maxPropagationMillis(), this.crashes::awaitsCrashNotes, this.guard);
 		this.configRefresher = new ConfigRefresher(builder.source, this.fleet, this.settings.maxPropagationMillis(),
 				this::onFleetChange, this.log, this.telemetry, this.guard);
+		this.stateCleaner = stateCleaner();
 	}
 
 	/**
@@ -153,6 +156,20 @@
 		return new Builder(settings);
 	}
 
+	private StateCleaner stateCleaner() {
+		return new StateCleaner(this.fleet, this.guard).replicas("connection clean-up", this.pool::closeExpired)
+			.replicas("load clean-up", this.routingState.replicaSelector()::retain)
+			.replicas("silence clean-up", this.routingState.silentReplicaPolicy()::retain)
+			.replicas("cold replica clean-up", this.coldReplicaLimiter::retain)
+			.replicas("back-pressure clean-up", this.backpressure::retain)
+			.names("routing clean-up", this.routingState::retain)
+			.names("promise clean-up",
+					(names) -> this.backpressure.backpressureTable().retainServices(names.services()))
+			.names("retry time clean-up", (names) -> this.retryAfterAdvisor.retain(names.services()))
+			.names("roll-out clean-up", (names) -> this.rollouts.cleanUp())
+			.names("metrics clean-up", (names) -> StateCleaner.retainMetrics(this.telemetry, names));
+	}
+
 	private void registerGauges() {
 		this.telemetry.gauge("open.requests", this.openRequests::size);
 		this.telemetry.gauge("unanswered.requests", this.inFlight::count);
@@ -197,7 +214,7 @@
 		this.vertx.setTimer(StartupRequestQueue.HOLD_MILLIS, (timer) -> this.dispatcher.releaseHeld());
 		this.stallDetector.check(MonotonicClock.millis());
 		this.vertx.setPeriodic(TICK_INTERVAL_MILLIS, (timer) -> tick());
-		this.vertx.setPeriodic(CLEANUP_INTERVAL_MILLIS, (timer) -> cleanUp());
+		this.vertx.setPeriodic(CLEANUP_INTERVAL_MILLIS, (timer) -> this.stateCleaner.run());
 		return this.server.listen(this.settings.callerAddress().port(), this.settings.callerAddress().host())
 			.compose((listening) -> StatusServer.listen(this.vertx, this))
 			.onSuccess((nothing) -> this.log.started(this.settings.node(), this.settings.place().dataCenter()));
@@ -381,15 +398,6 @@
 		}
 	}
 
-	private void cleanUp() {
-		Set<ReplicaId> known = this.fleet.directory().knownIds();
-		this.guard.run("connection clean-up", () -> this.pool.closeExpired(known));
-		this.guard.run("load clean-up", () -> this.routingState.replicaSelector().retain(known));
-		this.guard.run("silence clean-up", () -> this.routingState.silentReplicaPolicy().retain(known));
-		this.guard.run("cold replica clean-up", () -> this.coldReplicaLimiter.retain(known));
-		this.guard.run("back-pressure clean-up", () -> this.backpressure.retain(known));
-	}
-
 	boolean isStopping() {
 		return this.drainPolicy.hasBegun();
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/RetryAfterAdvisor.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/RetryAfterAdvisor.java
@@ -1,7 +1,9 @@
 package org.gullsaddle.gateway;
 
+import java.util.Set;
 import java.util.random.RandomGenerator;
 
+import org.gullsaddle.fleet.ServiceName;
 import org.gullsaddle.serve.RefusedRequest;
 import org.gullsaddle.serve.RetryAfter;
 import org.gullsaddle.serve.RetryAfterScheduler;
@@ -40,6 +42,13 @@
 		}
 	}
 
+	/**
+	 * Drops the services that are no longer configured.
+	 */
+	void retain(Set<ServiceName> known) {
+		this.times.retain(known);
+	}
+
 	/**
 	 * Returns the retry delay for a refused caller, in milliseconds.
 	 * @param minMillis the shortest delay allowed, in milliseconds
--- a/daemon/src/main/java/org/gullsaddle/gateway/RolloutController.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/RolloutController.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 
 import io.reactivex.rxjava3.core.Single;
 import io.vertx.core.Vertx;
@@ -105,6 +106,16 @@
 		});
 	}
 
+	/**
+	 * Drops what was logged and reported of roll-outs that newer ones have replaced.
+	 */
+	void cleanUp() {
+		Set<String> current = this.fleet.rollouts().stream().map(this::key).collect(Collectors.toSet());
+		this.loggedShares.keySet().retainAll(current);
+		this.reportedNotes.entrySet()
+			.removeIf((each) -> !current.contains(each.getKey()) && !each.getValue().writer.isBusy());
+	}
+
 	/**
 	 * Records that a request was sent to a replica.
 	 */
--- a/daemon/src/main/java/org/gullsaddle/gateway/ServedRequest.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/ServedRequest.java
@@ -32,6 +32,9 @@
  */
 final class ServedRequest {
 
+	/** Stands for the team of requests that need no key. */
+	static final String NO_TEAM = "none";
+
 	private final HttpServerRequest http;
 
 	private final CallerRequest caller;
@@ -93,7 +96,7 @@
 	}
 
 	String teamName() {
-		return this.team.map((each) -> each.id().value()).orElse("none");
+		return this.team.map((each) -> each.id().value()).orElse(NO_TEAM);
 	}
 
 	Buffer body() {
--- a/daemon/src/main/java/org/gullsaddle/gateway/SharedRoutingState.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/SharedRoutingState.java
@@ -5,6 +5,7 @@
 
 import org.gullsaddle.base.KeyHash;
 import org.gullsaddle.base.TeamId;
+import org.gullsaddle.fleet.ConfiguredNames;
 import org.gullsaddle.fleet.FleetConfig;
 import org.gullsaddle.fleet.Replica;
 import org.gullsaddle.fleet.Route;
@@ -194,6 +195,16 @@
 				timing.longestGapMillis());
 	}
 
+	/**
+	 * Drops what is kept by names that are no longer configured.
+	 */
+	void retain(ConfiguredNames names) {
+		this.replicaSelector.retainModels(names.models());
+		this.models.retain(names.models());
+		this.teamBurstDetector.retain(names.teams());
+		this.deadlineCheck.retain(names.services());
+	}
+
 	/**
 	 * Picks one of a route's services by weight, always the same one for the same request
 	 * id.
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/telemetry/MetricsResponse.java
@@ -0,0 +1,56 @@
+package org.gullsaddle.telemetry;
+
+import java.util.Iterator;
+
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServerResponse;
+
+/**
+ * Sends a page of metrics part by part: the event loop serves others between two parts,
+ * and no more than one part waits for a client that reads slowly.
+ */
+public final class MetricsResponse {
+
+	private final HttpServerResponse response;
+
+	private final Iterator<String> parts;
+
+	private final Context context = Vertx.currentContext();
+
+	private MetricsResponse(HttpServerResponse response, Iterator<String> parts) {
+		this.response = response;
+		this.parts = parts;
+	}
+
+	/**
+	 * Sends a node's metrics. Called on an event loop.
+	 * @param response the response, of which nothing was sent yet
+	 * @param telemetry the metrics
+	 */
+	public static void send(HttpServerResponse response, Telemetry telemetry) {
+		response.putHeader("Content-Type", "text/plain; version=0.0.4").setChunked(true);
+		new MetricsResponse(response, telemetry.scrape()).sendNext();
+	}
+
+	private void sendNext() {
+		if (this.response.closed()) {
+			return;
+		}
+		if (!this.parts.hasNext()) {
+			this.response.end();
+			return;
+		}
+		String part = this.parts.next();
+		if (!part.isEmpty()) {
+			this.response.write(part);
+		}
+		if (this.response.writeQueueFull()) {
+			this.response.drainHandler((nothing) -> sendNext());
+		}
+		else {
+			this.context.runOnContext((nothing) -> sendNext());
+		}
+	}
+
+}
--- a/daemon/src/main/java/org/gullsaddle/telemetry/StatusRoutes.java
+++ b/daemon/src/main/java/org/gullsaddle/telemetry/StatusRoutes.java
@@ -1,10 +1,8 @@
 package org.gullsaddle.telemetry;
 
-import java.io.IOException;
 import java.util.function.BooleanSupplier;
 
 import io.vertx.ext.web.Router;
-import io.vertx.ext.web.RoutingContext;
 
 /**
  * Serves a node's health, readiness and metrics.
@@ -28,16 +26,7 @@
 			boolean isReady = ready.getAsBoolean();
 			context.response().setStatusCode(isReady ? 200 : NOT_READY).end(isReady ? "ready\n" : "not ready\n");
 		});
-		router.get("/metrics").handler((context) -> metrics(context, telemetry));
-	}
-
-	private static void metrics(RoutingContext context, Telemetry telemetry) {
-		try {
-			context.response().putHeader("Content-Type", "text/plain; version=0.0.4").end(telemetry.scrape());
-		}
-		catch (IOException ex) {
-			context.fail(ex);
-		}
+		router.get("/metrics").handler((context) -> MetricsResponse.send(context.response(), telemetry));
 	}
 
 }
--- a/daemon/src/main/java/org/gullsaddle/telemetry/Telemetry.java
+++ b/daemon/src/main/java/org/gullsaddle/telemetry/Telemetry.java
@@ -2,20 +2,19 @@
 
 import java.io.IOException;
 import java.io.StringWriter;
-import java.util.LinkedHashMap;
+import java.io.UncheckedIOException;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
+import com.codahale.metrics.Counter;
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
-import com.codahale.metrics.Timer;
 import io.prometheus.client.CollectorRegistry;
 import io.prometheus.client.dropwizard.DropwizardExports;
-import io.prometheus.client.dropwizard.samplebuilder.CustomMappingSampleBuilder;
-import io.prometheus.client.dropwizard.samplebuilder.MapperConfig;
 import io.prometheus.client.exporter.common.TextFormat;
-import org.mpierce.metrics.reservoir.hdrhistogram.HdrHistogramResetOnSnapshotReservoir;
 
 import org.gullsaddle.base.TeamId;
 import org.gullsaddle.base.TemplateName;
@@ -25,25 +24,48 @@
  */
 public final class Telemetry {
 
+	/** Most metrics without labels that are counted. */
+	private static final int MAX_COUNTERS = 200;
+
+	private static final String PREFIX = "gullsaddle.";
+
 	private final MetricRegistry metrics = new MetricRegistry();
 
 	private final CollectorRegistry collectors = new CollectorRegistry();
 
+	private final Map<String, Counter> counters = new ConcurrentHashMap<>();
+
+	private final MetricFamily whole = MetricFamily.histogram("gullsaddle_whole_seconds", "template", "team");
+
+	private final MetricFamily first = MetricFamily.histogram("gullsaddle_first_token_seconds", "template", "team");
+
+	private final MetricFamily between = MetricFamily.histogram("gullsaddle_between_tokens_seconds", "template",
+			"team");
+
+	private final MetricFamily outcomes = MetricFamily.counter("gullsaddle_requests", "template", "team", "outcome");
+
+	private final MetricFamily requests = MetricFamily.histogram("gullsaddle_request_seconds", "route", "team",
+			"outcome");
+
+	private final MetricFamily attempts = MetricFamily.counter("gullsaddle_attempts", "service", "end");
+
+	private final MetricFamily firstEvents = MetricFamily.histogram("gullsaddle_first_event_seconds", "route", "model");
+
+	private final MetricFamily delayErrors = MetricFamily.histogram("gullsaddle_delay_error_seconds", "service",
+			"model");
+
+	private final MetricFamily served = MetricFamily.counter("gullsaddle_served", "template", "version");
+
+	private final List<MetricFamily> families = List.of(this.whole, this.first, this.between, this.outcomes,
+			this.requests, this.attempts, this.firstEvents, this.delayErrors, this.served);
+
 	/**
 	 * Makes an empty set of metrics.
 	 */
 	public Telemetry() {
-		List<MapperConfig> labels = List.of(
-				family("gullsaddle.whole.*.*", "gullsaddle_whole_seconds", "template", "team"),
-				family("gullsaddle.first.*.*", "gullsaddle_first_token_seconds", "template", "team"),
-				family("gullsaddle.between.*.*", "gullsaddle_between_tokens_seconds", "template", "team"),
-				family("gullsaddle.outcome.*.*.*", "gullsaddle_requests", "template", "team", "outcome"),
-				family("gullsaddle.request.*.*.*", "gullsaddle_request_seconds", "route", "team", "outcome"),
-				family("gullsaddle.attempt.*.*", "gullsaddle_attempts", "service", "end"),
-				family("gullsaddle.event.*.*", "gullsaddle_first_event_seconds", "route", "model"),
-				family("gullsaddle.delay.*.*", "gullsaddle_delay_error_seconds", "service", "model"),
-				family("gullsaddle.served.*.*", "gullsaddle_served", "template", "version"));
-		new DropwizardExports(this.metrics, new CustomMappingSampleBuilder(labels)).register(this.collectors);
+		new DropwizardExports(this.metrics).register(this.collectors);
+		gauge("metric.series", () -> this.families.stream().mapToInt((family) -> family.keys().size()).sum());
+		gauge("metric.series.overflow", () -> this.families.stream().mapToLong(MetricFamily::overflowCount).sum());
 	}
 
 	/**
@@ -53,7 +75,7 @@
 	 * @param millis milliseconds
 	 */
 	public void whole(TemplateName template, TeamId team, long millis) {
-		timer("gullsaddle.whole." + part(template) + "." + part(team)).update(millis, TimeUnit.MILLISECONDS);
+		this.whole.record(millis, template, team);
 	}
 
 	/**
@@ -63,7 +85,7 @@
 	 * @param millis milliseconds
 	 */
 	public void first(TemplateName template, TeamId team, long millis) {
-		timer("gullsaddle.first." + part(template) + "." + part(team)).update(millis, TimeUnit.MILLISECONDS);
+		this.first.record(millis, template, team);
 	}
 
 	/**
@@ -73,7 +95,7 @@
 	 * @param millis milliseconds
 	 */
 	public void between(TemplateName template, TeamId team, long millis) {
-		timer("gullsaddle.between." + part(template) + "." + part(team)).update(millis, TimeUnit.MILLISECONDS);
+		this.between.record(millis, template, team);
 	}
 
 	/**
@@ -84,8 +106,7 @@
 	 * @param millis how long it took, in milliseconds
 	 */
 	public void request(String route, String team, String outcome, long millis) {
-		timer("gullsaddle.request." + part(route) + "." + part(team) + "." + part(outcome)).update(millis,
-				TimeUnit.MILLISECONDS);
+		this.requests.record(millis, route, team, outcome);
 	}
 
 	/**
@@ -95,7 +116,7 @@
 	 * {@code withdrawn} or {@code dropped}
 	 */
 	public void attempt(String service, String end) {
-		this.metrics.counter("gullsaddle.attempt." + part(service) + "." + part(end)).inc();
+		this.attempts.increment(service, end);
 	}
 
 	/**
@@ -105,7 +126,7 @@
 	 * @param millis milliseconds
 	 */
 	public void firstEvent(String route, String model, long millis) {
-		timer("gullsaddle.event." + part(route) + "." + part(model)).update(millis, TimeUnit.MILLISECONDS);
+		this.firstEvents.record(millis, route, model);
 	}
 
 	/**
@@ -115,7 +136,7 @@
 	 * @param millis milliseconds, sooner or later
 	 */
 	public void delayError(String service, String model, long millis) {
-		timer("gullsaddle.delay." + part(service) + "." + part(model)).update(Math.abs(millis), TimeUnit.MILLISECONDS);
+		this.delayErrors.record(Math.abs(millis), service, model);
 	}
 
 	/**
@@ -125,7 +146,7 @@
 	 * @param outcome {@code served} or a refusal's reason
 	 */
 	public void outcome(TemplateName template, TeamId team, String outcome) {
-		this.metrics.counter("gullsaddle.outcome." + part(template) + "." + part(team) + "." + part(outcome)).inc();
+		this.outcomes.increment(template, team, outcome);
 	}
 
 	/**
@@ -134,15 +155,20 @@
 	 * @param version the version
 	 */
 	public void served(TemplateName template, String version) {
-		this.metrics.counter("gullsaddle.served." + part(template) + "." + part(version)).inc();
+		this.served.increment(template, version);
 	}
 
 	/**
 	 * Counts something that has no labels.
-	 * @param name its name
+	 * @param name its name, one of a few
 	 */
 	public void count(String name) {
-		this.metrics.counter("gullsaddle." + name).inc();
+		Counter known = this.counters.get(name);
+		if (known == null) {
+			String counted = (this.counters.size() < MAX_COUNTERS) ? name : "counters.overflow";
+			known = this.counters.computeIfAbsent(counted, (missing) -> this.metrics.counter(PREFIX + missing));
+		}
+		known.inc();
 	}
 
 	/**
@@ -151,37 +177,32 @@
 	 * @param value the value
 	 */
 	public void gauge(String name, Gauge<Number> value) {
-		this.metrics.gauge("gullsaddle." + name, () -> value);
+		this.metrics.gauge(PREFIX + name, () -> value);
 	}
 
 	/**
-	 * Returns all metrics in the Prometheus text format.
-	 * @return the text
-	 * @throws IOException if it cannot be written
+	 * Drops the series of a label's values that are no longer in use. Their counts are
+	 * added to the series that stands for all others.
+	 * @param label the label
+	 * @param inUse the values to keep
 	 */
-	public String scrape() throws IOException {
-		StringWriter text = new StringWriter();
-		TextFormat.write004(text, this.collectors.metricFamilySamples());
-		return text.toString();
-	}
-
-	private Timer timer(String name) {
-		return this.metrics.timer(name, () -> new Timer(new HdrHistogramResetOnSnapshotReservoir()));
+	public void retain(String label, Set<String> inUse) {
+		this.families.forEach((family) -> family.retain(label, inUse));
 	}
 
 	/**
-	 * Maps the parts of a metric's name to labels, in their order.
+	 * Returns all metrics in the Prometheus text format. Nothing is reset by it.
+	 * @return the page, in parts of bounded size that are built one by one
 	 */
-	private static MapperConfig family(String pattern, String name, String... labels) {
-		Map<String, String> values = new LinkedHashMap<>();
-		for (int i = 0; i < labels.length; i++) {
-			values.put(labels[i], "${" + i + "}");
+	public Iterator<String> scrape() {
+		StringWriter text = new StringWriter();
+		try {
+			TextFormat.write004(text, this.collectors.metricFamilySamples());
 		}
-		return new MapperConfig(pattern, name, values);
-	}
-
-	private static String part(Object name) {
-		return name.toString().replace('.', '_');
+		catch (IOException ex) {
+			throw new UncheckedIOException("a string was not written", ex);
+		}
+		return new MetricsPage(text.toString(), this.families);
 	}
 
 }
--- /dev/null
+++ b/daemon/src/test/java/org/gullsaddle/telemetry/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the metrics.
+ */
+package org.gullsaddle.telemetry;
