Streams: an event has a largest size and is searched once

What callers saw: one replica answers four streams with bytes without end.

Cause: ServerSentEventSplitter kept the bytes of an event until its end, and with each read searched all of them from the start and copied them twice. The work of the event loop grew with the square of what had come, and nothing ended it before the caller's time limit.

Why it works: the search goes on where it stopped, bytes are copied only when an event is complete, and an event of more than 256 KiB ends the attempt as broken and closes the connection. Broken may have run, so nothing is repeated that must not be.

Ruled out: a largest size alone (256 KiB in pieces of a byte would still be searched 262,144 times).

--- a/daemon/src/main/java/org/gullsaddle/gateway/AnswerRelay.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/AnswerRelay.java
@@ -16,6 +16,9 @@
 	/** Largest answer, in bytes, that is buffered until it is complete. */
 	private static final int MAX_BUFFERED_BYTES = 262_144;
 
+	/** Largest event of a stream, in bytes. */
+	private static final int MAX_EVENT_BYTES = 262_144;
+
 	private final ServerSentEventSplitter events = new ServerSentEventSplitter();
 
 	private final AnswerSink sink;
@@ -81,6 +84,14 @@
 		return complete.length() > 0;
 	}
 
+	/**
+	 * Returns whether the partial event is larger than any event of a replica, so that it
+	 * may have no end.
+	 */
+	boolean isEventTooLarge() {
+		return this.events.incompleteBytes() > MAX_EVENT_BYTES;
+	}
+
 	/**
 	 * Buffers bytes, or relays them once they exceed {@link #MAX_BUFFERED_BYTES}.
 	 */
--- a/daemon/src/main/java/org/gullsaddle/gateway/RequestExecution.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/RequestExecution.java
@@ -257,6 +257,9 @@
 		else if (this.relay.relayEvents(from, bytes)) {
 			this.timing.onEvent(MonotonicClock.millis(), from.readSince());
 		}
+		if (this.relay.isEventTooLarge()) {
+			from.withdraw(new AttemptEnd.Broken("event too large"));
+		}
 	}
 
 	@Override
--- a/daemon/src/main/java/org/gullsaddle/gateway/ServerSentEventSplitter.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/ServerSentEventSplitter.java
@@ -17,6 +17,9 @@
 
 	private Buffer incomplete = Buffer.buffer();
 
+	/** Up to where the partial event is known to contain no end. */
+	private int searched;
+
 	private Optional<String> lastEventId = Optional.empty();
 
 	/**
@@ -26,12 +29,17 @@
 	Buffer add(Buffer bytes) {
 		this.incomplete.appendBuffer(bytes);
 		int end = 0;
-		int next = findEventEnd(0);
+		int next = findEventEnd(this.searched);
 		while (next > 0) {
 			parseLastEventId(this.incomplete.getString(end, next, "UTF-8"));
 			end = next;
 			next = findEventEnd(end);
 		}
+		// The last two bytes may be the beginning of an end of three bytes.
+		this.searched = Math.max(0, this.incomplete.length() - end - 2);
+		if (end == 0) {
+			return Buffer.buffer();
+		}
 		Buffer complete = this.incomplete.getBuffer(0, end);
 		this.incomplete = this.incomplete.getBuffer(end, this.incomplete.length());
 		return complete;
@@ -42,6 +50,7 @@
 	 */
 	void discardIncomplete() {
 		this.incomplete = Buffer.buffer();
+		this.searched = 0;
 	}
 
 	/**
