Refusals: the head decides, whatever the body does

What callers saw: an order whose replica said at once that it did not run it (421, or 503 with the mark) was held to its time limit and answered 504 while a sound replica stood by, if the body of that answer had no end. If the body broke off, the order was answered 502, as one that may have run.

Cause: Attempt noticed the end of a refusal where the body of an answer ends.

Why it works: nothing after the head changes what it says. The attempt ends there as not run, and the pool reads the rest of the body so that the connection can be used again; beyond 16 KiB or 0.3 s it closes it.

Ruled out: closing the connection at each refusal (a replica that refuses under load would get a new connection for each of them).

--- a/daemon/src/main/java/org/gullsaddle/gateway/Attempt.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Attempt.java
@@ -156,18 +156,22 @@
 			fail("answer is not the replica's");
 			return;
 		}
+		if (wasNotRun()) {
+			// The head has said all: the body may be slow, broken or without end.
+			this.pool.drain(this.channel, response, this.answer.reusableMillis());
+			end(new AttemptEnd.NotRun(false, "refused with " + this.answer.status()));
+			return;
+		}
 		response.exceptionHandler((failure) -> onConnectionLost("answer broke off"));
 		response.handler((bytes) -> {
 			this.lastByteAt = MonotonicClock.millis();
 			this.bodyAt = (this.bodyAt < 0) ? this.lastByteAt : this.bodyAt;
-			if (!this.ended && !this.wasNotRun()) {
+			if (!this.ended) {
 				this.listener.onData(this, bytes);
 			}
 		});
 		response.endHandler((nothing) -> onBodyEnd());
-		if (!wasNotRun()) {
-			this.listener.onHead(this, this.answer, response.headers());
-		}
+		this.listener.onHead(this, this.answer, response.headers());
 	}
 
 	private boolean wasNotRun() {
@@ -241,14 +245,8 @@
 			return;
 		}
 		this.endedWithConnection = !isFramed(this.response.headers());
-		if (this.answer.closesConnection()) {
-			this.channel.close();
-		}
-		else {
-			this.pool.release(this.channel, this.answer.keepAliveMillis());
-		}
-		end(wasNotRun() ? new AttemptEnd.NotRun(false, "refused with " + this.answer.status())
-				: new AttemptEnd.Answered(this.answer.status()));
+		this.pool.release(this.channel, this.answer.reusableMillis());
+		end(new AttemptEnd.Answered(this.answer.status()));
 	}
 
 	private void onConnectionLost(String reason) {
--- a/daemon/src/main/java/org/gullsaddle/gateway/ChannelPool.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/ChannelPool.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
 
 import io.netty.channel.ConnectTimeoutException;
 import io.vertx.core.Future;
@@ -14,6 +15,7 @@
 import io.vertx.core.http.HttpClientAgent;
 import io.vertx.core.http.HttpClientConnection;
 import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpConnectOptions;
 import io.vertx.core.net.SocketAddress;
 
@@ -39,11 +41,20 @@
 
 	private static final int MAX_IDLE_PER_REPLICA = 16;
 
+	/** Time for the rest of an answer that nobody needs, in milliseconds. */
+	private static final long MAX_DRAIN_MILLIS = 300;
+
+	/** Largest rest of an answer that nobody needs, in bytes. */
+	private static final long MAX_DRAIN_BYTES = 16_384;
+
+	private final Vertx vertx;
+
 	private final HttpClientAgent client;
 
 	private final Map<ReplicaId, Deque<Channel>> idle = new HashMap<>();
 
 	ChannelPool(Vertx vertx) {
+		this.vertx = vertx;
 		this.client = vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
 			.setTcpNoDelay(true)
 			.setTcpKeepAlive(true)
@@ -99,6 +110,32 @@
 		idleChannels.addLast(channel);
 	}
 
+	/**
+	 * Returns a connection to the pool once the rest of an answer, which nobody needs,
+	 * has arrived. If the rest is long or takes long, the connection is closed.
+	 * @param channel the connection
+	 * @param response the answer, of whose body nothing was read yet
+	 * @param keepAliveMillis how long the replica keeps the connection open, in
+	 * milliseconds, 0 if it closes it
+	 */
+	void drain(Channel channel, HttpClientResponse response, long keepAliveMillis) {
+		long timer = this.vertx.setTimer(MAX_DRAIN_MILLIS, (id) -> channel.close());
+		AtomicLong bytes = new AtomicLong();
+		response.handler((part) -> {
+			if (bytes.addAndGet(part.length()) > MAX_DRAIN_BYTES) {
+				channel.close();
+			}
+		});
+		response.exceptionHandler((failure) -> {
+			this.vertx.cancelTimer(timer);
+			channel.close();
+		});
+		response.endHandler((nothing) -> {
+			this.vertx.cancelTimer(timer);
+			release(channel, keepAliveMillis);
+		});
+	}
+
 	/**
 	 * Closes idle connections that have expired or whose replica is no longer listed.
 	 * @param known the replicas that are still listed
--- a/daemon/src/main/java/org/gullsaddle/gateway/LoadProbe.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/LoadProbe.java
@@ -148,7 +148,7 @@
 		if (report.isEmpty()) {
 			return Future.failedFuture("no report, but status " + answer.status());
 		}
-		this.pool.release(channel, answer.closesConnection() ? 0 : answer.keepAliveMillis());
+		this.pool.release(channel, answer.reusableMillis());
 		return Future.succeededFuture(report.get());
 	}
 
--- a/daemon/src/main/java/org/gullsaddle/gateway/ReplicaAnswer.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/ReplicaAnswer.java
@@ -37,4 +37,12 @@
 		return HttpStatuses.isSuccess(this.status);
 	}
 
+	/**
+	 * Returns how long the connection can be used again after this answer.
+	 * @return the time in milliseconds, 0 if it cannot
+	 */
+	public long reusableMillis() {
+		return this.closesConnection ? 0 : this.keepAliveMillis;
+	}
+
 }
