Transport: each connection is read once in a turn of the event loop

What callers saw: while one connection always had more to read, all others waited.

Cause: the network library's defaults read one connection up to 16 times in a turn, up to 64 KiB each. A megabyte of chunks of one byte is 170,000 calls.

Why it works: a turn reads 16 KiB of each connection, so what one sends costs another a bounded wait, whatever it sends. It holds for callers, replicas and the store alike.

--- a/daemon/src/main/java/org/gullsaddle/gateway/EarlyTransport.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/EarlyTransport.java
@@ -1,18 +1,29 @@
 package org.gullsaddle.gateway;
 
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFactory;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.IoHandlerFactory;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.ServerChannel;
 import io.netty.channel.socket.DatagramChannel;
 import io.netty.channel.socket.InternetProtocolFamily;
+import io.vertx.core.net.ClientOptionsBase;
+import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.transport.Transport;
 
 /**
- * NIO transport whose first server takes over the socket of an {@link EarlyListener}.
+ * NIO transport whose first server takes over the socket of an {@link EarlyListener}, and
+ * whose connections take turns in reading.
  */
 public final class EarlyTransport implements Transport, io.vertx.core.spi.transport.Transport {
 
+	/** What is read of one connection in one turn of the event loop, in bytes. */
+	static final int READ_BYTES = 16_384;
+
 	private final io.vertx.core.spi.transport.Transport jdk = Transport.NIO.implementation();
 
 	private final EarlyListener early;
@@ -70,4 +81,24 @@
 		return this.jdk.channelFactory(domainSocket);
 	}
 
+	@Override
+	public void configure(ClientOptionsBase options, int connectTimeout, boolean domainSocket, Bootstrap bootstrap) {
+		this.jdk.configure(options, connectTimeout, domainSocket, bootstrap);
+		bootstrap.option(ChannelOption.RECVBUF_ALLOCATOR, oneReadATurn());
+	}
+
+	@Override
+	public void configure(NetServerOptions options, boolean domainSocket, ServerBootstrap bootstrap) {
+		this.jdk.configure(options, domainSocket, bootstrap);
+		bootstrap.childOption(ChannelOption.RECVBUF_ALLOCATOR, oneReadATurn());
+	}
+
+	/**
+	 * A connection that always has more to read would otherwise keep the event loop for
+	 * up to a megabyte a turn, and all others would wait.
+	 */
+	private static RecvByteBufAllocator oneReadATurn() {
+		return new FixedRecvByteBufAllocator(READ_BYTES).maxMessagesPerRead(1);
+	}
+
 }
