Metrics: other connections are served between two parts of the page

Cause: a task that the event loop schedules for itself runs in the same round of tasks, before any connection is read, so that the parts of a page were written one after another after all. Found by a test of the transport whose tasks starved its connections.

The change: a pause of a millisecond, by a timer, between two parts.

Not shown by a test of its own: what the event loop does between two timers is the network library's. ConfigTurnoverTests reads whole pages.

--- a/daemon/src/main/java/org/gullsaddle/telemetry/MetricsResponse.java
+++ b/daemon/src/main/java/org/gullsaddle/telemetry/MetricsResponse.java
@@ -2,7 +2,6 @@
 
 import java.util.Iterator;
 
-import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServerResponse;
 
@@ -12,11 +11,17 @@
  */
 public final class MetricsResponse {
 
+	/**
+	 * Pause between two parts, in milliseconds. Without one, the event loop would run all
+	 * parts before it reads from any connection.
+	 */
+	private static final long PAUSE_MILLIS = 1;
+
 	private final HttpServerResponse response;
 
 	private final Iterator<String> parts;
 
-	private final Context context = Vertx.currentContext();
+	private final Vertx vertx = Vertx.currentContext().owner();
 
 	private MetricsResponse(HttpServerResponse response, Iterator<String> parts) {
 		this.response = response;
@@ -49,7 +54,7 @@
 			this.response.drainHandler((nothing) -> sendNext());
 		}
 		else {
-			this.context.runOnContext((nothing) -> sendNext());
+			this.vertx.setTimer(PAUSE_MILLIS, (timer) -> sendNext());
 		}
 	}
 
