Answers: what precedes a head, a failure and a load report have a largest size

What callers saw: orders and reads whose replica sent heads 100, 102 or 103 one after another, or a failure (500) whose body had no end, waited for their time limit; the failure was cut off there, although a sound replica stood by for a read, and a head 102 reached the caller as a final answer.

Cause: as with events, only time bounded what a replica sends. The HTTP client takes 102 for a final head. A load report was held whole, however long, until its time was up.

Why it works: each thing that is held or waited for has a largest size, and beyond it the connection is closed. The attempt ends as one that may have run, so that an order is not repeated and a read goes on elsewhere.

Ruled out: the same limit for failures under 500 (they are answers to the caller, and are passed on like successes).

--- a/daemon/src/main/java/org/gullsaddle/gateway/AnswerRelay.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/AnswerRelay.java
@@ -13,7 +13,10 @@
  */
 final class AnswerRelay {
 
-	/** Largest answer, in bytes, that is buffered until it is complete. */
+	/**
+	 * Largest answer, in bytes, that is buffered until it is complete, and largest answer
+	 * of a replica that failed.
+	 */
 	private static final int MAX_BUFFERED_BYTES = 262_144;
 
 	/** Largest event of a stream, in bytes. */
@@ -85,19 +88,20 @@
 	}
 
 	/**
-	 * Returns whether the partial event is larger than any event of a replica, so that it
-	 * may have no end.
+	 * Returns whether the partial event, or what is buffered of a failure, is larger than
+	 * any of a replica, so that it may have no end.
 	 */
-	boolean isEventTooLarge() {
-		return this.events.incompleteBytes() > MAX_EVENT_BYTES;
+	boolean isTooLarge() {
+		return this.events.incompleteBytes() > MAX_EVENT_BYTES || this.buffered.length() > MAX_BUFFERED_BYTES;
 	}
 
 	/**
-	 * Buffers bytes, or relays them once they exceed {@link #MAX_BUFFERED_BYTES}.
+	 * Buffers bytes. Those of a large answer are relayed, unless its replica failed:
+	 * another replica's answer is worth more than the rest of a failure.
 	 */
 	void buffer(Attempt from, Buffer bytes) {
 		this.buffered.appendBuffer(bytes);
-		if (this.buffered.length() > MAX_BUFFERED_BYTES) {
+		if (this.buffered.length() > MAX_BUFFERED_BYTES && !from.hasFailed()) {
 			this.writer.begin(from.answer().status(), this.headers);
 			this.writer.write(this.buffered);
 			this.buffered = Buffer.buffer();
--- a/daemon/src/main/java/org/gullsaddle/gateway/Attempt.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Attempt.java
@@ -24,6 +24,14 @@
 
 	private static final String CHUNKED = "chunked";
 
+	private static final String NO_FINAL_ANSWER = "no final answer";
+
+	/** Lowest status of a final answer. */
+	private static final int MIN_FINAL_STATUS = 200;
+
+	/** Most heads that may precede a final answer. */
+	private static final int MAX_INTERIM_HEADS = 100;
+
 	private final ReplicaChoice choice;
 
 	private final SendPermission sendPermission;
@@ -66,6 +74,8 @@
 
 	private boolean bodyLastedReported;
 
+	private int interimHeads;
+
 	/** Whether the answer had no length and ended when its connection closed. */
 	private boolean endedWithConnection;
 
@@ -121,6 +131,8 @@
 		this.sent = true;
 		request.headers().setAll(headers);
 		request.exceptionHandler((failure) -> onConnectionLost("connection broke"));
+		request.continueHandler((nothing) -> onInterimHead());
+		request.earlyHintsHandler((hints) -> onInterimHead());
 		request.response().onComplete((response, failure) -> {
 			if (failure != null) {
 				onConnectionLost("no answer: " + failure.getMessage());
@@ -137,6 +149,13 @@
 		}
 	}
 
+	private void onInterimHead() {
+		this.interimHeads++;
+		if (this.interimHeads > MAX_INTERIM_HEADS) {
+			fail(NO_FINAL_ANSWER);
+		}
+	}
+
 	private void onResponse(HttpClientResponse response) {
 		this.lastByteAt = MonotonicClock.millis();
 		this.headAt = this.lastByteAt;
@@ -145,6 +164,10 @@
 		}
 		this.response = response;
 		this.answer = this.codec.read(response);
+		if (this.answer.status() < MIN_FINAL_STATUS) {
+			fail(NO_FINAL_ANSWER);
+			return;
+		}
 		boolean ours = this.answer.attemptId().isEmpty() ? !this.answer.isSuccess()
 				: this.answer.attemptId().get().equals(this.attemptId);
 		if (!ours) {
@@ -217,6 +240,13 @@
 		return true;
 	}
 
+	/**
+	 * Returns whether the replica answers with a failure of its own.
+	 */
+	boolean hasFailed() {
+		return new AttemptEnd.Answered(this.answer.status()).hasFailed();
+	}
+
 	/**
 	 * Returns whether the connection broke before the answer was complete.
 	 */
--- a/daemon/src/main/java/org/gullsaddle/gateway/LoadProbe.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/LoadProbe.java
@@ -30,6 +30,9 @@
 	/** Time within which engines must report, in milliseconds. */
 	private static final long TIMEOUT_MILLIS = 60;
 
+	/** Largest report, in bytes: several times that of an engine with all slots busy. */
+	private static final int MAX_REPORT_BYTES = 65_536;
+
 	private final Vertx vertx;
 
 	private final ChannelPool pool;
@@ -139,7 +142,7 @@
 			answer.slowdownPercent()
 				.ifPresent(
 						(percent) -> this.replicaSelector.onSlowdownReport(MonotonicClock.millis(), replica, percent));
-			return response.body().compose((body) -> parseReport(channel, answer, body));
+			return BoundedBody.read(response, MAX_REPORT_BYTES).compose((body) -> parseReport(channel, answer, body));
 		});
 	}
 
--- a/daemon/src/main/java/org/gullsaddle/gateway/RequestExecution.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/RequestExecution.java
@@ -257,8 +257,8 @@
 		else if (this.relay.relayEvents(from, bytes)) {
 			this.timing.onEvent(MonotonicClock.millis(), from.readSince());
 		}
-		if (this.relay.isEventTooLarge()) {
-			from.withdraw(new AttemptEnd.Broken("event too large"));
+		if (this.relay.isTooLarge()) {
+			from.withdraw(new AttemptEnd.Broken(isStreamed(from) ? "event too large" : "failure too large"));
 		}
 	}
 
