Answers: what callers don't read is accounted for in all deployments

What callers saw: answers without end that their callers read slowly or not at all filled the heap of a gateway (100 MB and more of each answer taken, as long as its replica sent), unless the settings name the contract of slow callers. Chunks of one byte cost a system call each.

Cause: AnswerSink.Direct passed everything to the caller's connection, which holds what is not read. BufferManager, which bounds it, was there and turned off but for one kind of deployment.

The change: the budget, a quarter of the heap or the process' memory, holds everywhere. Where the settings say nothing of slow callers a replica is paused only when memory is short, so that deployments without slow callers are served as before. More than 16 writes to one caller in a millisecond are gathered until the end of the turn.

--- a/daemon/src/main/java/org/gullsaddle/gateway/AnswerSink.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/AnswerSink.java
@@ -29,8 +29,7 @@
 	void onRead(Attempt attempt, int incompleteBytes);
 
 	/**
-	 * Writes straight to the response; the connection buffers what the caller does not
-	 * read.
+	 * Writes a short answer of this node itself straight to the response.
 	 *
 	 * @param response the response to the caller
 	 */
@@ -53,7 +52,7 @@
 
 		@Override
 		public void onRead(Attempt attempt, int incompleteBytes) {
-			// No flow control: the replica is read as fast as it sends.
+			// Nothing is read from a replica.
 		}
 
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/BufferManager.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/BufferManager.java
@@ -3,19 +3,23 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 
 import org.gullsaddle.hold.BufferAccount;
 import org.gullsaddle.hold.BufferBudget;
 import org.gullsaddle.telemetry.Telemetry;
 
 /**
- * Accounts for the bytes that this node buffers for callers and replicas, in deployments
- * whose callers may read slowly. Confined to the event loop.
+ * Accounts for the bytes that this node buffers for callers and replicas, which may read
+ * slowly or send without end. Confined to the event loop.
  */
 final class BufferManager {
 
-	private final Optional<BufferBudget> budget;
+	private final BufferBudget budget;
+
+	/**
+	 * Whether replicas are paused as soon as a caller reads more slowly than they send.
+	 */
+	private final boolean pausesEarly;
 
 	private final DecisionLog log;
 
@@ -28,23 +32,25 @@
 	 * which may be smaller than the memory limit of the process.
 	 */
 	BufferManager(LoadSettings load, DecisionLog log, Telemetry telemetry) {
-		this.budget = (load.pressure() && load.memoryLimitBytes() > 0)
-				? Optional
-					.of(BufferBudget.ofMemory(Math.min(load.memoryLimitBytes(), Runtime.getRuntime().maxMemory())))
-				: Optional.empty();
+		long heapBytes = Runtime.getRuntime().maxMemory();
+		this.budget = BufferBudget
+			.ofMemory((load.memoryLimitBytes() > 0) ? Math.min(load.memoryLimitBytes(), heapBytes) : heapBytes);
+		this.pausesEarly = load.pressure();
 		this.log = log;
 		this.telemetry = telemetry;
 	}
 
 	void registerGauges() {
-		if (this.budget.isPresent()) {
-			this.telemetry.gauge("held.bytes", () -> this.budget.get().bufferedBytes());
-			this.telemetry.gauge("paused.answers", this::countPaused);
-		}
+		this.telemetry.gauge("held.bytes", this.budget::bufferedBytes);
+		this.telemetry.gauge("paused.answers", this::countPaused);
 	}
 
-	boolean isEnabled() {
-		return this.budget.isPresent();
+	/**
+	 * Returns whether a replica is paused as soon as its answer's caller reads more
+	 * slowly than it sends, and not only when memory is short.
+	 */
+	boolean pausesEarly() {
+		return this.pausesEarly;
 	}
 
 	/**
@@ -52,7 +58,7 @@
 	 * read.
 	 */
 	boolean isExhausted() {
-		return this.budget.map(BufferBudget::isExhausted).orElse(false);
+		return this.budget.isExhausted();
 	}
 
 	/**
@@ -60,8 +66,7 @@
 	 * @param onAbort aborts the answer
 	 */
 	AnswerSink newSink(ServedRequest request, Runnable onAbort) {
-		return isEnabled() ? new FlowControlledSink(request, this, onAbort)
-				: new AnswerSink.Direct(request.http().response());
+		return new FlowControlledSink(request, this, onAbort);
 	}
 
 	/**
@@ -69,7 +74,7 @@
 	 * @param windowMillis how long the other side may pause and still be on time
 	 */
 	BufferAccount open(String id, long windowMillis, Transfer party) {
-		BufferAccount account = this.budget.orElseThrow().openAccount(id, windowMillis);
+		BufferAccount account = this.budget.openAccount(id, windowMillis);
 		this.transfers.put(account, party);
 		return account;
 	}
@@ -88,13 +93,12 @@
 			return;
 		}
 		List.copyOf(this.transfers.values()).forEach((party) -> party.check(now));
-		this.budget.flatMap((each) -> each.findToAbort(now)).ifPresent((account) -> abort(account, now));
+		this.budget.findToAbort(now).ifPresent((account) -> abort(account, now));
 	}
 
 	private void abort(BufferAccount account, long now) {
 		Transfer party = this.transfers.get(account);
-		this.log.transferAborted(account, party.kind(), account.secondsToEmpty(now),
-				this.budget.orElseThrow().bufferedBytes());
+		this.log.transferAborted(account, party.kind(), account.secondsToEmpty(now), this.budget.bufferedBytes());
 		this.telemetry.count("given.up." + party.kind());
 		close(account);
 		party.abort();
--- a/daemon/src/main/java/org/gullsaddle/gateway/FlowControlledSink.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/FlowControlledSink.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 
+import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServerResponse;
@@ -10,9 +11,10 @@
 import org.gullsaddle.hold.BufferAccount;
 
 /**
- * Writes an answer as fast as its caller reads and pauses the replica meanwhile. Replicas
- * abort answers that stay unread for long, so reading resumes after a while, as far as
- * the buffer budget allows.
+ * Writes an answer as fast as its caller reads. The replica is paused when the buffer
+ * budget is short, and where the deployment asks for it as soon as the caller is slower
+ * than the replica. Replicas abort answers that stay unread for long, so reading resumes
+ * after a while, as far as the budget allows.
  */
 final class FlowControlledSink implements AnswerSink, BufferManager.Transfer {
 
@@ -24,6 +26,12 @@
 
 	private static final int SLICE_BYTES = 16_384;
 
+	/**
+	 * Writes to the connection in a millisecond after which further ones are gathered:
+	 * each is a system call, and a replica may send an answer byte by byte.
+	 */
+	private static final int MAX_WRITES_PER_MILLI = 16;
+
 	private final HttpServerResponse response;
 
 	private final BufferManager buffers;
@@ -36,6 +44,12 @@
 
 	private long queuedBytes;
 
+	private long lastWriteAt;
+
+	private int writesInMilli;
+
+	private boolean pumpScheduled;
+
 	/** Bytes that do not yet form a complete event or answer. */
 	private int incompleteBytes;
 
@@ -61,6 +75,7 @@
 		this.bufferAccount = buffers.open(request.id(), maxPauseMillis, this);
 		this.response.setWriteQueueMaxSize(CONNECTION_QUEUE_BYTES);
 		this.response.drainHandler((nothing) -> pump());
+		this.readingAhead = !buffers.pausesEarly();
 	}
 
 	@Override
@@ -68,15 +83,48 @@
 		if (this.discarded) {
 			return;
 		}
-		if (this.queued.isEmpty() && bytes.length() <= SLICE_BYTES && !this.response.writeQueueFull()) {
+		boolean gather = isWritingOften();
+		if (!gather && this.queued.isEmpty() && bytes.length() <= SLICE_BYTES && !this.response.writeQueueFull()) {
 			this.response.write(bytes);
 			return;
 		}
+		enqueue(bytes);
+		if (gather && this.queuedBytes < SLICE_BYTES) {
+			schedulePump();
+		}
+		else {
+			pump();
+		}
+	}
+
+	private boolean isWritingOften() {
+		long now = MonotonicClock.millis();
+		this.writesInMilli = (now == this.lastWriteAt) ? this.writesInMilli + 1 : 0;
+		this.lastWriteAt = now;
+		return this.writesInMilli >= MAX_WRITES_PER_MILLI;
+	}
+
+	private void enqueue(Buffer bytes) {
+		this.queuedBytes += bytes.length();
+		Buffer last = this.queued.peekLast();
+		if (last != null && last.length() + bytes.length() <= SLICE_BYTES) {
+			this.queued.removeLast();
+			this.queued.add(last.copy().appendBuffer(bytes));
+			return;
+		}
 		for (int at = 0; at < bytes.length(); at += SLICE_BYTES) {
 			this.queued.add(bytes.slice(at, Math.min(bytes.length(), at + SLICE_BYTES)));
 		}
-		this.queuedBytes += bytes.length();
-		pump();
+	}
+
+	private void schedulePump() {
+		if (!this.pumpScheduled) {
+			this.pumpScheduled = true;
+			Vertx.currentContext().runOnContext((nothing) -> {
+				this.pumpScheduled = false;
+				pump();
+			});
+		}
 	}
 
 	@Override
@@ -112,7 +160,7 @@
 		if (!this.queued.isEmpty()) {
 			return;
 		}
-		this.readingAhead = false;
+		this.readingAhead = !this.buffers.pausesEarly();
 		if (this.ended) {
 			this.response.end();
 		}
--- a/daemon/src/main/java/org/gullsaddle/gateway/RequestBodyReader.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/RequestBodyReader.java
@@ -72,9 +72,7 @@
 			return;
 		}
 		this.body.appendBuffer(bytes);
-		if (this.gateway.buffers().isEnabled()) {
-			updateHolder(bytes.length(), this.caller.attemptId().orElse(""));
-		}
+		updateHolder(bytes.length(), this.caller.attemptId().orElse(""));
 	}
 
 	private void updateHolder(int bytes, String id) {
--- a/daemon/src/main/java/org/gullsaddle/gateway/RequestDispatcher.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/RequestDispatcher.java
@@ -117,7 +117,7 @@
 			.body(body)
 			.time(startedAt, this.gateway.drainPolicy().latestAnswerAt(route.get()))
 			.build();
-		if (this.gateway.buffers().isEnabled() && !served.fitsReplicaMemory()) {
+		if (this.gateway.settings().load().pressure() && !served.fitsReplicaMemory()) {
 			sendRefusal(writer, caller, HttpStatuses.SERVICE_UNAVAILABLE,
 					Optional.of(this.gateway.routingState().retryAfterMillis()), "larger than a replica's memory");
 			return;
