Roll-outs: the written final state goes before a node's own verdict

What callers saw: a roll-out is completed, the old replicas stop, the new ones fail some requests for 6.5 s.

Cause: Rollout went on collecting evidence after the end, and what a node had found itself went before the state in the store. The state machine had no end.

Why it works: once completed or rolled back is written, it alone decides; no answer or note is evidence any more. A release that was taken back stays so.

Ruled out: an age for the verdict (the old replicas do not come back with it).

--- a/core/src/main/java/org/gullsaddle/serve/Rollout.java
+++ b/core/src/main/java/org/gullsaddle/serve/Rollout.java
@@ -202,6 +202,9 @@
 	 */
 	public void onAnswerStarted(Replica replica, AnswerKind kind, boolean failed, long sentAt, long firstMillis,
 			OptionalDouble expectedMillis) {
+		if (isOver()) {
+			return;
+		}
 		if (!failed && expectedMillis.isPresent()) {
 			recordPace(replica, sentAt + firstMillis, firstMillis, expectedMillis.getAsDouble());
 		}
@@ -522,8 +525,17 @@
 		return (this.writtenState == RolloutState.COMPLETED) ? List.of() : replicasOf(replicas, false);
 	}
 
+	/**
+	 * Returns whether the roll-out has ended: the written state is final for all nodes,
+	 * whatever this node found or finds. Once a release is completed, the old replicas
+	 * are stopped, so failures of the only release left are no reason to leave it.
+	 */
+	private boolean isOver() {
+		return this.writtenState == RolloutState.COMPLETED || this.writtenState == RolloutState.ROLLED_BACK;
+	}
+
 	private boolean isRolledBack() {
-		return this.foundBad || this.writtenState == RolloutState.ROLLED_BACK;
+		return isOver() ? this.writtenState == RolloutState.ROLLED_BACK : this.foundBad;
 	}
 
 	private List<Replica> replicasOf(List<Replica> replicas, boolean onTarget) {
@@ -535,7 +547,7 @@
 	}
 
 	private void checkEvidence() {
-		this.foundBad = this.foundBad || this.evidence.isReleaseBad(this.proof.answersUnderLoad());
+		this.foundBad = this.foundBad || (!isOver() && this.evidence.isReleaseBad(this.proof.answersUnderLoad()));
 	}
 
 	private double elapsedRatio(long now) {
