Crashes: an answer speaks for its request only while it runs, and by its end

What callers saw: a stream whose replica crashes 0.8 s after its first event comes again and is never refused.

Cause: after half a second of body a success of content and parts was recorded for good, and only crashes after the last success count. Each run wiped out the crashes before it, and its own came after its own success.

Evidence: CrashingContentTests.contentThatCrashesEnginesLateIsRefused: 54, 60 and 10 requests after the third crash before (3 allowed; one gateway, three, copies with answers to the close), all three rows pass now, with the ten others of the class; CrashingPartTests, CrashModelTests (72 rows), RepeatedContentTests pass.

Why it works: a running answer outweighs crashes as long as it goes well, so that long sound streams still clear a common part, and is forgotten when its attempt ends. Only a whole answer is a success, lifts a refusal, or is told to peers.

Ruled out: a longer time than half a second (a request may crash its replica later still).

--- a/core/src/main/java/org/gullsaddle/suspect/CrashEvidence.java
+++ b/core/src/main/java/org/gullsaddle/suspect/CrashEvidence.java
@@ -260,10 +260,10 @@
 	 * @param crashesWithTrait the crashes at which it was, in order of time
 	 */
 	private TraitEvidence weigh(Trait trait, List<Crash> crashesWithTrait) {
-		long lastSuccessAt = this.successes.lastSuccessAt(trait);
+		long lastSoundAt = this.successes.lastSoundAt(trait);
 		boolean hadSuccess = this.successes.hasSuccess(trait) || trait.kind() == Trait.Kind.PART_UNDER_MODEL;
 		List<Crash> against = crashesWithTrait.stream()
-			.filter((crash) -> crash.at() > lastSuccessAt && (!trait.isPart() || crash.at() >= this.observingSince))
+			.filter((crash) -> crash.at() > lastSoundAt && (!trait.isPart() || crash.at() >= this.observingSince))
 			.toList();
 		List<Crash> counted = countedCrashes(trait, against);
 		int count = 0;
--- a/core/src/main/java/org/gullsaddle/suspect/CrashTracker.java
+++ b/core/src/main/java/org/gullsaddle/suspect/CrashTracker.java
@@ -126,6 +126,27 @@
 		return unblockSucceeded(traits);
 	}
 
+	/**
+	 * Records that a request's answer has been going well for a while. That speaks for
+	 * its traits as long as it goes on: a request may crash its replica late, so that
+	 * only its end tells.
+	 * @param attempt identifies the attempt that runs it
+	 * @param now the time in milliseconds
+	 * @param traits the request's traits
+	 */
+	public void onRunning(Object attempt, long now, Collection<Trait> traits) {
+		this.evidence.observeFrom(now);
+		this.successes.recordRunning(attempt, now, traits);
+	}
+
+	/**
+	 * Handles the end of an attempt, however it ended.
+	 * @param attempt identifies the attempt
+	 */
+	public void onRunEnded(Object attempt) {
+		this.successes.endRunning(attempt);
+	}
+
 	private List<Trait> unblockSucceeded(Collection<Trait> traits) {
 		if (this.blockedTraits.isEmpty()) {
 			return List.of();
--- a/core/src/main/java/org/gullsaddle/suspect/SuccessTracker.java
+++ b/core/src/main/java/org/gullsaddle/suspect/SuccessTracker.java
@@ -23,6 +23,9 @@
 		}
 	};
 
+	/** Requests whose answers go well so far, by the attempt that runs them. */
+	private final Map<Object, Request> running = new LinkedHashMap<>();
+
 	/** The most recent requests that succeeded at this node. */
 	private final Deque<Request> recentSuccesses = new ArrayDeque<>();
 
@@ -37,6 +40,21 @@
 		}
 	}
 
+	/**
+	 * Records that a request's answer goes well so far.
+	 * @param attempt the attempt that runs it, until {@link #endRunning}
+	 */
+	void recordRunning(Object attempt, long now, Collection<Trait> traits) {
+		this.running.put(attempt, new Request(now, Set.copyOf(traits)));
+	}
+
+	/**
+	 * Forgets a running request, as its attempt has ended.
+	 */
+	void endRunning(Object attempt) {
+		this.running.remove(attempt);
+	}
+
 	/**
 	 * Records the success of a request with a trait at any node.
 	 */
@@ -55,6 +73,18 @@
 		return this.lastSuccesses.getOrDefault(trait, Long.MIN_VALUE);
 	}
 
+	/**
+	 * Returns the latest moment at which a request with a trait succeeded, or went well
+	 * and still runs, or {@link Long#MIN_VALUE}.
+	 */
+	long lastSoundAt(Trait trait) {
+		return this.running.values()
+			.stream()
+			.filter((request) -> request.traits.contains(trait))
+			.mapToLong(Request::at)
+			.reduce(lastSuccessAt(trait), Math::max);
+	}
+
 	/**
 	 * Returns whether a request without a trait succeeded at this node after some time.
 	 * For a part, requests without a prompt do not count, as other replicas serve them.
--- a/daemon/src/main/java/org/gullsaddle/gateway/CrashController.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/CrashController.java
@@ -63,8 +63,8 @@
 	private static final long SECOND_CHECK_DELAY_MILLIS = 500;
 
 	/**
-	 * How long an answer must go on until the request counts as sound for its engine, in
-	 * milliseconds.
+	 * How long an answer must go on until the request counts as sound for its engine
+	 * while it runs, in milliseconds.
 	 */
 	private static final long MIN_SOUND_ANSWER_MILLIS = 500;
 
@@ -157,7 +157,7 @@
 	 */
 	void onData(ServedRequest request, String model, Attempt attempt) {
 		if (attempt.checkBodyLasted(MIN_SOUND_ANSWER_MILLIS)) {
-			recordSound(traits(request, model));
+			this.crashTracker.onRunning(attempt, MonotonicClock.millis(), traits(request, model));
 		}
 	}
 
@@ -165,6 +165,7 @@
 	 * Handles the end of an attempt.
 	 */
 	void onEnded(ServedRequest request, String model, Attempt attempt, AttemptEnd end) {
+		this.crashTracker.onRunEnded(attempt);
 		switch (end) {
 			case AttemptEnd.Broken broken -> {
 				boolean lost = attempt.isConnectionLost() || attempt.hasEndedWithConnection();
