Answers: gathered bytes are appended in place

Cause: each small write to a full queue copied what was gathered before it, up to 16 KiB a byte. The change: the last queued buffer is owned while more can be appended to it. UnreadAnswerTests and SlowCallerTests pass.

--- a/daemon/src/main/java/org/gullsaddle/gateway/FlowControlledSink.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/FlowControlledSink.java
@@ -42,6 +42,9 @@
 
 	private final Deque<Buffer> queued = new ArrayDeque<>();
 
+	/** The last queued bytes, if more can be appended to them. */
+	private Buffer tail;
+
 	private long queuedBytes;
 
 	private long lastWriteAt;
@@ -106,12 +109,16 @@
 
 	private void enqueue(Buffer bytes) {
 		this.queuedBytes += bytes.length();
-		Buffer last = this.queued.peekLast();
-		if (last != null && last.length() + bytes.length() <= SLICE_BYTES) {
-			this.queued.removeLast();
-			this.queued.add(last.copy().appendBuffer(bytes));
+		if (this.tail != null && this.tail.length() + bytes.length() <= SLICE_BYTES) {
+			this.tail.appendBuffer(bytes);
+			return;
+		}
+		if (bytes.length() < SLICE_BYTES) {
+			this.tail = bytes.copy();
+			this.queued.add(this.tail);
 			return;
 		}
+		this.tail = null;
 		for (int at = 0; at < bytes.length(); at += SLICE_BYTES) {
 			this.queued.add(bytes.slice(at, Math.min(bytes.length(), at + SLICE_BYTES)));
 		}
@@ -151,6 +158,7 @@
 		long sent = 0;
 		while (!this.queued.isEmpty() && !this.response.closed() && !this.response.writeQueueFull()) {
 			Buffer next = this.queued.remove();
+			this.tail = this.queued.isEmpty() ? null : this.tail;
 			sent += next.length();
 			this.response.write(next);
 		}
@@ -173,6 +181,7 @@
 	public void discard() {
 		this.discarded = true;
 		this.queued.clear();
+		this.tail = null;
 		this.queuedBytes = 0;
 		this.incompleteBytes = 0;
 		updateHolder();
