Stops: a second signal does not move the end

Cause: each signal began the stop anew. The gateway took requests again for 2.9 s, counted from the second signal, while the thread of the first one ended the process.

Evidence: StoppingTests.secondSignalDoesNotMoveTheEnd failed before (the second stop was not over when the first one was).

Why it works: a stop has one beginning; what comes later waits for its end.

--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -110,6 +110,8 @@
 
 	private final DrainPolicy drainPolicy = new DrainPolicy();
 
+	private final Promise<Void> stopped = Promise.promise();
+
 	private final RequestDispatcher dispatcher;
 
 	private final StateCleaner stateCleaner;
@@ -230,21 +232,27 @@
 
 	/**
 	 * Stops gracefully: reports not ready to the load balancer, still accepts all
-	 * requests for a moment, then only those that end before the process does.
+	 * requests for a moment, then only those that end before the process does. Further
+	 * calls change nothing: the process ends when the first one said.
 	 * @return completes when nothing is open or the stop timeout is over
 	 */
 	public Future<Void> drain() {
-		Promise<Void> stopped = Promise.promise();
 		this.vertx.runOnContext((nothing) -> {
-			this.drainPolicy.begin(MonotonicClock.millis(), this.settings.stopTimeoutMillis());
-			this.log.stopping(this.inFlight.count());
-			this.vertx.setTimer(DrainPolicy.ACCEPT_ALL_MILLIS,
-					(timer) -> this.vertx.setPeriodic(TICK_INTERVAL_MILLIS, (tick) -> stopIfIdle(tick, stopped)));
+			if (!this.drainPolicy.hasBegun()) {
+				beginDrain();
+			}
 		});
-		return stopped.future();
+		return this.stopped.future();
+	}
+
+	private void beginDrain() {
+		this.drainPolicy.begin(MonotonicClock.millis(), this.settings.stopTimeoutMillis());
+		this.log.stopping(this.inFlight.count());
+		this.vertx.setTimer(DrainPolicy.ACCEPT_ALL_MILLIS,
+				(timer) -> this.vertx.setPeriodic(TICK_INTERVAL_MILLIS, this::stopIfIdle));
 	}
 
-	private void stopIfIdle(long tick, Promise<Void> stopped) {
+	private void stopIfIdle(long tick) {
 		long now = MonotonicClock.millis();
 		if (!this.inFlight.isEmpty() && !this.drainPolicy.isOver(now)) {
 			return;
@@ -257,7 +265,7 @@
 		this.connections.close()
 			.timeout(this.drainPolicy.flushMillis(now), TimeUnit.MILLISECONDS)
 			.onFailure((failure) -> this.log.callersNotClosed(failure.getMessage()))
-			.onComplete((closed) -> stopped.complete());
+			.onComplete((closed) -> this.stopped.complete());
 	}
 
 	/**
