Metrics: streams without a model keep their series

Found by reading the change: the label "model" of a stream of a plain service is empty, which no configuration names, so its series was added to "other" each second. A model that a caller names and no engine has still goes there. No test of its own: the stand-in's configuration has no such route.

--- a/core/src/main/java/org/gullsaddle/serve/ReplicaTask.java
+++ b/core/src/main/java/org/gullsaddle/serve/ReplicaTask.java
@@ -13,13 +13,16 @@
 public record ReplicaTask(String model, Prompt prompt, double slowdown, ModelSizeClass sizeClass, long cacheTokens,
 		long objectiveMillis) {
 
+	/** The model of a call to a plain service. */
+	public static final String NO_MODEL = "";
+
 	/**
 	 * Creates a call to a plain service.
 	 * @param objectiveMillis how soon it is to be answered, in milliseconds
 	 * @return the task
 	 */
 	public static ReplicaTask plainCall(long objectiveMillis) {
-		return new ReplicaTask("", Prompt.NONE, 1, ModelSizeClass.SIMILAR, 0, objectiveMillis);
+		return new ReplicaTask(NO_MODEL, Prompt.NONE, 1, ModelSizeClass.SIMILAR, 0, objectiveMillis);
 	}
 
 	boolean isPlainCall() {
--- a/daemon/src/main/java/org/gullsaddle/gateway/StateCleaner.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/StateCleaner.java
@@ -1,5 +1,6 @@
 package org.gullsaddle.gateway;
 
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
@@ -12,6 +13,7 @@
 import org.gullsaddle.fleet.FleetConfig;
 import org.gullsaddle.fleet.ReplicaId;
 import org.gullsaddle.fleet.ServiceName;
+import org.gullsaddle.serve.ReplicaTask;
 import org.gullsaddle.telemetry.Telemetry;
 
 /**
@@ -73,8 +75,10 @@
 	 */
 	static void retainMetrics(Telemetry telemetry, ConfiguredNames names) {
 		telemetry.retain("route", names.routes());
-		telemetry.retain("model", names.models());
 		telemetry.retain("service", texts(names.services(), ServiceName::value));
+		Set<String> models = new HashSet<>(names.models());
+		models.add(ReplicaTask.NO_MODEL);
+		telemetry.retain("model", models);
 		Set<String> teams = texts(names.teams(), TeamId::value);
 		teams.add(ServedRequest.NO_TEAM);
 		telemetry.retain("team", teams);
