Tests: the entry's metrics are histograms

It asks now for the metric's type, and for a bucket and a count of the team that are not zero: more than before, where any sample of the metric and any label of the team would do.

--- a/standin/src/test/java/org/gullsaddle/standin/ContractTests.java
+++ b/standin/src/test/java/org/gullsaddle/standin/ContractTests.java
@@ -208,7 +208,9 @@
 		void metricsAreServedPerTeamInAScrapeFormat() {
 			ContractTests.this.cluster.chat("entry-1", Cluster.BASIC, "x", Map.of());
 			String metrics = ContractTests.this.cluster.send("GET", "entry-1-admin", "/metrics", "", Map.of()).body();
-			assertThat(metrics).contains("gullsaddle_whole_seconds{").contains("team=\"basic\"");
+			assertThat(metrics).contains("# TYPE gullsaddle_whole_seconds histogram\n")
+				.containsPattern("gullsaddle_whole_seconds_bucket\\{[^}]*team=\"basic\",le=\"\\+Inf\",} [1-9]")
+				.containsPattern("gullsaddle_whole_seconds_count\\{[^}]*team=\"basic\",} [1-9]");
 		}
 
 		@Test
