--- a/daemon/src/main/java/org/gullsaddle/gateway/Attempt.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Attempt.java
@@ -50,6 +50,9 @@
 
 	private ChannelPool.Channel channel;
 
+	/** Answers that the connection carried before. */
+	private int earlierAnswers;
+
 	private ReplicaAnswer answer;
 
 	private HttpClientResponse response;
@@ -106,6 +109,7 @@
 				return;
 			}
 			this.channel = taken;
+			this.earlierAnswers = taken.answers();
 			if (this.ended) {
 				taken.close();
 				return;
@@ -374,6 +378,13 @@
 		return (this.answer != null) ? this.answer.confidence().orElse(-1) : -1;
 	}
 
+	/**
+	 * Returns how many answers to other requests its connection carried before.
+	 */
+	int earlierAnswers() {
+		return this.earlierAnswers;
+	}
+
 	long startedAt() {
 		return this.startedAt;
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/ChannelPool.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/ChannelPool.java
@@ -101,6 +101,7 @@
 	 * @param keepAliveMillis how long the replica keeps it open, in milliseconds
 	 */
 	void release(Channel channel, long keepAliveMillis) {
+		channel.answers++;
 		Deque<Channel> idleChannels = this.idle.computeIfAbsent(channel.replica.id(), (id) -> new ArrayDeque<>());
 		if (channel.closed || idleChannels.size() >= MAX_IDLE_PER_REPLICA || keepAliveMillis <= 0) {
 			channel.close();
@@ -171,6 +172,9 @@
 
 		private long idleUntil;
 
+		/** Complete answers that it carried. */
+		private int answers;
+
 		Channel(Replica replica, HttpClientConnection connection) {
 			this.replica = replica;
 			this.connection = connection;
@@ -185,6 +189,13 @@
 			return this.connection;
 		}
 
+		/**
+		 * Returns how many complete answers it carried.
+		 */
+		int answers() {
+			return this.answers;
+		}
+
 		/**
 		 * Returns whether the connection ended with an error, such as a reset.
 		 */
