Connections: each request of a caller gets a new one

Whatever a replica sends after a whole answer stays in the connection's HTTP decoder, unseen if it is not a whole message; it becomes the beginning of the next answer's head, so that the status is of the leftover bytes and all fields are of the next answer. It is a response desynchronisation: two parties that disagree on where an answer ends share a connection.

Change: each request of a caller gets a new connection, as requests that run at most once already did, and the connection is closed after the answer. Connections to engines are kept after an answer for load reports only. The field earlierAnswers of the attempt's line would always be 0 and is gone; reading the rest of a refusal, in order to use its connection again, is gone too.

Ruled out: to count what lies in the decoder when a connection is put back finds only what came with the answer, not what comes after the next request was written; an answer's id does not help, as the id that is read is the next answer's own.

CutAnswerTests, EndlessRefusalTests, LoadProbeTests and GatewayTests pass.

--- a/daemon/src/main/java/org/gullsaddle/gateway/Attempt.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Attempt.java
@@ -50,9 +50,6 @@
 
 	private ChannelPool.Channel channel;
 
-	/** Answers that the connection carried before. */
-	private int earlierAnswers;
-
 	private ReplicaAnswer answer;
 
 	private HttpClientResponse response;
@@ -62,6 +59,8 @@
 	/** When the answer was last resumed after a pause for its caller. */
 	private long resumedAt = this.startedAt;
 
+	private boolean reportsLoad;
+
 	private boolean sent;
 
 	private boolean ended;
@@ -98,18 +97,18 @@
 	}
 
 	/**
-	 * Sends the request.
-	 * @param fresh whether the connection must be new
+	 * Sends the request on a new connection.
+	 * @param loadReported whether the replica is asked for load reports
 	 */
-	void send(HttpMethod method, String uri, MultiMap headers, Buffer body, boolean fresh) {
-		this.pool.acquire(this.choice.replica(), fresh).onComplete((taken, failure) -> {
+	void send(HttpMethod method, String uri, MultiMap headers, Buffer body, boolean loadReported) {
+		this.reportsLoad = loadReported;
+		this.pool.connect(this.choice.replica()).onComplete((taken, failure) -> {
 			if (failure != null) {
 				this.connectionRefused = ChannelPool.isConnectionRefused(failure);
 				end(new AttemptEnd.NotRun(true, "unreachable"));
 				return;
 			}
 			this.channel = taken;
-			this.earlierAnswers = taken.answers();
 			if (this.ended) {
 				taken.close();
 				return;
@@ -185,7 +184,7 @@
 		}
 		if (wasNotRun()) {
 			// The head has said all: the body may be slow, broken or without end.
-			this.pool.drain(this.channel, response, this.answer.reusableMillis());
+			this.channel.close();
 			end(new AttemptEnd.NotRun(false, "refused with " + this.answer.status()));
 			return;
 		}
@@ -279,7 +278,12 @@
 			return;
 		}
 		this.endedWithConnection = !isFramed(this.response.headers());
-		this.pool.release(this.channel, this.answer.reusableMillis());
+		if (this.reportsLoad) {
+			this.pool.keepForReports(this.channel, this.answer.reusableMillis());
+		}
+		else {
+			this.channel.close();
+		}
 		end(new AttemptEnd.Answered(this.answer.status()));
 	}
 
@@ -378,13 +382,6 @@
 		return (this.answer != null) ? this.answer.confidence().orElse(-1) : -1;
 	}
 
-	/**
-	 * Returns how many answers to other requests its connection carried before.
-	 */
-	int earlierAnswers() {
-		return this.earlierAnswers;
-	}
-
 	long startedAt() {
 		return this.startedAt;
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/ChannelPool.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/ChannelPool.java
@@ -7,7 +7,6 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.atomic.AtomicLong;
 
 import io.netty.channel.ConnectTimeoutException;
 import io.vertx.core.Future;
@@ -15,7 +14,6 @@
 import io.vertx.core.http.HttpClientAgent;
 import io.vertx.core.http.HttpClientConnection;
 import io.vertx.core.http.HttpClientOptions;
-import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpConnectOptions;
 import io.vertx.core.net.SocketAddress;
 
@@ -23,7 +21,10 @@
 import org.gullsaddle.fleet.ReplicaId;
 
 /**
- * Pool of connections to replicas. A connection carries one request at a time.
+ * Connections to replicas. Each request of a caller gets a new connection: bytes that a
+ * replica sends after an answer belong to no request, but on a connection that is used
+ * again the HTTP decoder takes them for the beginning of the next answer. Connections
+ * that have carried an answer are used for load reports only, which reach no caller.
  */
 final class ChannelPool {
 
@@ -39,22 +40,13 @@
 	 */
 	private static final long MAX_IDLE_MILLIS = 2500;
 
-	private static final int MAX_IDLE_PER_REPLICA = 16;
-
-	/** Time for the rest of an answer that nobody needs, in milliseconds. */
-	private static final long MAX_DRAIN_MILLIS = 300;
-
-	/** Largest rest of an answer that nobody needs, in bytes. */
-	private static final long MAX_DRAIN_BYTES = 16_384;
-
-	private final Vertx vertx;
+	private static final int MAX_IDLE_PER_REPLICA = 2;
 
 	private final HttpClientAgent client;
 
 	private final Map<ReplicaId, Deque<Channel>> idle = new HashMap<>();
 
 	ChannelPool(Vertx vertx) {
-		this.vertx = vertx;
 		this.client = vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
 			.setTcpNoDelay(true)
 			.setTcpKeepAlive(true)
@@ -64,20 +56,26 @@
 	}
 
 	/**
-	 * Returns a connection without a request on it.
+	 * Returns a connection for a load report, an idle one if there is any.
 	 * @param replica the replica to connect to
-	 * @param fresh whether it must be new, so that the request is not lost on an idle
-	 * connection that is just being closed
 	 */
-	Future<Channel> acquire(Replica replica, boolean fresh) {
+	Future<Channel> acquireForReport(Replica replica) {
 		Deque<Channel> idleChannels = this.idle.get(replica.id());
-		while (!fresh && idleChannels != null && !idleChannels.isEmpty()) {
+		while (idleChannels != null && !idleChannels.isEmpty()) {
 			Channel channel = idleChannels.pollLast();
 			if (channel.isUsable(replica, MonotonicClock.millis())) {
 				return Future.succeededFuture(channel);
 			}
 			channel.close();
 		}
+		return connect(replica);
+	}
+
+	/**
+	 * Opens a new connection.
+	 * @param replica the replica to connect to
+	 */
+	Future<Channel> connect(Replica replica) {
 		HttpConnectOptions options = new HttpConnectOptions()
 			.setServer(SocketAddress.inetSocketAddress(replica.address().port(), replica.address().host()))
 			.setHost(replica.address().host())
@@ -96,12 +94,11 @@
 	}
 
 	/**
-	 * Returns a connection to the pool after a complete answer.
+	 * Keeps a connection for load reports after a complete answer.
 	 * @param channel the connection
 	 * @param keepAliveMillis how long the replica keeps it open, in milliseconds
 	 */
-	void release(Channel channel, long keepAliveMillis) {
-		channel.answers++;
+	void keepForReports(Channel channel, long keepAliveMillis) {
 		Deque<Channel> idleChannels = this.idle.computeIfAbsent(channel.replica.id(), (id) -> new ArrayDeque<>());
 		if (channel.closed || idleChannels.size() >= MAX_IDLE_PER_REPLICA || keepAliveMillis <= 0) {
 			channel.close();
@@ -111,32 +108,6 @@
 		idleChannels.addLast(channel);
 	}
 
-	/**
-	 * Returns a connection to the pool once the rest of an answer, which nobody needs,
-	 * has arrived. If the rest is long or takes long, the connection is closed.
-	 * @param channel the connection
-	 * @param response the answer, of whose body nothing was read yet
-	 * @param keepAliveMillis how long the replica keeps the connection open, in
-	 * milliseconds, 0 if it closes it
-	 */
-	void drain(Channel channel, HttpClientResponse response, long keepAliveMillis) {
-		long timer = this.vertx.setTimer(MAX_DRAIN_MILLIS, (id) -> channel.close());
-		AtomicLong bytes = new AtomicLong();
-		response.handler((part) -> {
-			if (bytes.addAndGet(part.length()) > MAX_DRAIN_BYTES) {
-				channel.close();
-			}
-		});
-		response.exceptionHandler((failure) -> {
-			this.vertx.cancelTimer(timer);
-			channel.close();
-		});
-		response.endHandler((nothing) -> {
-			this.vertx.cancelTimer(timer);
-			release(channel, keepAliveMillis);
-		});
-	}
-
 	/**
 	 * Closes idle connections that have expired or whose replica is no longer listed.
 	 * @param known the replicas that are still listed
@@ -172,9 +143,6 @@
 
 		private long idleUntil;
 
-		/** Complete answers that it carried. */
-		private int answers;
-
 		Channel(Replica replica, HttpClientConnection connection) {
 			this.replica = replica;
 			this.connection = connection;
@@ -189,13 +157,6 @@
 			return this.connection;
 		}
 
-		/**
-		 * Returns how many complete answers it carried.
-		 */
-		int answers() {
-			return this.answers;
-		}
-
 		/**
 		 * Returns whether the connection ended with an error, such as a reset.
 		 */
--- a/daemon/src/main/java/org/gullsaddle/gateway/CrashController.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/CrashController.java
@@ -243,7 +243,7 @@
 	private void connectAfter(long millis, Replica replica, LongConsumer accepted) {
 		this.vertx.setTimer(millis, (timer) -> {
 			long askedAt = MonotonicClock.millis();
-			this.pool.acquire(replica, true).onComplete((channel, failure) -> {
+			this.pool.connect(replica).onComplete((channel, failure) -> {
 				if (failure == null) {
 					channel.close();
 					accepted.accept(askedAt);
--- a/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
@@ -213,7 +213,6 @@
 				.addKeyValue("load", choice.load().requests())
 				.addKeyValue("toldRunning", reportedLoad.map(LoadReport::running).orElse(-1))
 				.addKeyValue("toldWaiting", reportedLoad.map(LoadReport::waiting).orElse(-1))
-				.addKeyValue("earlierAnswers", attempt.earlierAnswers())
 				.addKeyValue("end", end)
 				.addKeyValue("millis", millis)
 				.addKeyValue("firstEventMillis", stream.hasBegun() ? stream.firstEventMillis(0) : -1)
--- a/daemon/src/main/java/org/gullsaddle/gateway/LoadProbe.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/LoadProbe.java
@@ -104,7 +104,7 @@
 		Promise<EngineReport> answer = Promise.promise();
 		long timer = this.vertx.setTimer(waitMillis, (id) -> answer.tryFail("nothing in " + waitMillis + " ms"));
 		answer.future().onComplete((done) -> this.vertx.cancelTimer(timer));
-		this.pool.acquire(replica, false).onComplete((channel, unreachable) -> {
+		this.pool.acquireForReport(replica).onComplete((channel, unreachable) -> {
 			if (unreachable != null) {
 				this.replicaSelector.onUnreachable(MonotonicClock.millis(), replica);
 				answer.tryFail("unreachable");
@@ -151,7 +151,7 @@
 		if (report.isEmpty()) {
 			return Future.failedFuture("no report, but status " + answer.status());
 		}
-		this.pool.release(channel, answer.reusableMillis());
+		this.pool.keepForReports(channel, answer.reusableMillis());
 		return Future.succeededFuture(report.get());
 	}
 
--- a/daemon/src/main/java/org/gullsaddle/gateway/RequestExecution.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/RequestExecution.java
@@ -184,7 +184,7 @@
 		this.attempt = new Attempt(choice, sendPermission, this.replicas.coldMillis(choice.replica()), id(),
 				this.gateway.pool(), this.gateway.codec(), this);
 		this.attempt.send(this.request.http().method(), this.request.http().uri(), headers, this.request.body(),
-				route().kind() == RouteKind.ONCE);
+				this.request.engine().isPresent());
 	}
 
 	@Override
