Registry: a deeply nested entry no longer ends a node's reading

What callers saw: an entry of another writer whose service, address, zone, release or state is nested some 900 to 1000 levels deep. The node went on serving with what it knew, said that it was ready, and followed no change any more: draining replicas went on getting requests, new ones got none.

Cause: JSON of up to 1000 levels was parsed, and the message that a field must be a text printed the field's value, which is recursive. On a thread with the platform's stack of 512 KB that is a StackOverflowError, which is no RuntimeException, and which RxJava throws on instead of handing it to the subscriber: neither the update nor the failure reached the poller, which sets its next call there. Deeper values were refused by the parser.

Ruled out: the answer of the store itself (values are base64 text in it), parsing (not recursive), numbers, peers' notes (depth of 64 before).

--- a/core/src/main/java/org/gullsaddle/base/Json.java
+++ b/core/src/main/java/org/gullsaddle/base/Json.java
@@ -1,13 +1,16 @@
 package org.gullsaddle.base;
 
 import java.io.IOException;
+import java.util.Map;
 
 import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.core.type.TypeReference;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.ObjectReader;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 
 /**
@@ -16,6 +19,10 @@
  */
 public final class Json {
 
+	/**
+	 * Deepest nesting that is read: what handles a value recursively must fit into the
+	 * stack of an event loop.
+	 */
 	private static final int MAX_DEPTH = 64;
 
 	private static final ObjectMapper MAPPER = JsonMapper.builder()
@@ -28,6 +35,9 @@
 			.setStreamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(MAX_DEPTH).build());
 	}
 
+	private static final ObjectReader FIELDS = MAPPER.readerFor(new TypeReference<Map<String, Object>>() {
+	}).with(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+
 	private Json() {
 	}
 
@@ -72,6 +82,20 @@
 		return MAPPER.readTree(text);
 	}
 
+	/**
+	 * Reads a JSON object.
+	 * @param text the JSON text
+	 * @return its fields
+	 * @throws IOException if the text is not one JSON object, or nested too deeply
+	 */
+	public static Map<String, Object> fields(String text) throws IOException {
+		Map<String, Object> fields = FIELDS.readValue(text);
+		if (fields == null) {
+			throw new IOException("null is no object");
+		}
+		return fields;
+	}
+
 	/**
 	 * Turns a tree into a value.
 	 * @param <T> the type of the value
