--- a/daemon/src/main/java/org/gullsaddle/gateway/FleetSource.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/FleetSource.java
@@ -28,7 +28,7 @@
 	Single<Update> awaitChanges(long after, long waitMillis);
 
 	/**
-	 * Reads the current configuration, on a new connection.
+	 * Reads the current configuration, soon or not at all.
 	 * @return the configuration, empty if there is none yet
 	 */
 	Single<List<FleetChange>> readConfig();
