Daemon: calls to the store, for ratings and for the VM list have connections of their own

A write to etcd counted as done that was refused, an answer was rated by another one's score. A VM list could be an older one by the same cause.

Cause: EtcdStore, RatingClient and MemberController kept connections, and nothing in these answers names its call. BackendHttp keeps none.

MemberController, and etcd's watches, are by reading only, not shown by a run.

Left as it is: AdminClient of the command line keeps connections to an entry of ours for the few calls of one command.

--- a/daemon/src/main/java/org/gullsaddle/controller/MemberController.java
+++ b/daemon/src/main/java/org/gullsaddle/controller/MemberController.java
@@ -80,8 +80,11 @@
 		this.dialer = dialer;
 		this.listener = listener;
 		this.leavingListener = leavingListener;
+		// On a kept connection a late second answer would be taken for the next list.
 		this.client = WebClient.create(vertx,
-				new WebClientOptions().setDefaultHost(this.url.getHost()).setDefaultPort(this.url.getPort()));
+				new WebClientOptions().setDefaultHost(this.url.getHost())
+					.setDefaultPort(this.url.getPort())
+					.setKeepAlive(false));
 	}
 
 	/**
--- a/daemon/src/main/java/org/gullsaddle/entry/RatingClient.java
+++ b/daemon/src/main/java/org/gullsaddle/entry/RatingClient.java
@@ -7,6 +7,7 @@
 
 import io.reactivex.rxjava3.core.Single;
 import io.vertx.core.json.JsonObject;
+import io.vertx.ext.web.client.WebClientOptions;
 import io.vertx.rxjava3.core.Vertx;
 import io.vertx.rxjava3.ext.web.client.WebClient;
 
@@ -23,9 +24,17 @@
 
 	private final Optional<URI> url;
 
+	private final long timeoutMillis;
+
 	RatingClient(Vertx vertx, Optional<URI> url) {
+		this(vertx, url, TIMEOUT_MILLIS);
+	}
+
+	RatingClient(Vertx vertx, Optional<URI> url, long timeoutMillis) {
 		this.url = url;
-		this.client = WebClient.create(vertx);
+		this.timeoutMillis = timeoutMillis;
+		// Nothing in an answer names its call, so a late second one would rate another.
+		this.client = WebClient.create(vertx, new WebClientOptions().setKeepAlive(false));
 	}
 
 	/**
@@ -41,7 +50,7 @@
 			.put("answer", answer);
 		return this.client.postAbs(this.url.get().toString())
 			.rxSendJsonObject(body)
-			.timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+			.timeout(this.timeoutMillis, TimeUnit.MILLISECONDS)
 			.map((response) -> parseScore(response.bodyAsJsonObject()))
 			.onErrorReturnItem(OptionalDouble.empty());
 	}
--- a/daemon/src/main/java/org/gullsaddle/store/EtcdStore.java
+++ b/daemon/src/main/java/org/gullsaddle/store/EtcdStore.java
@@ -12,6 +12,7 @@
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Single;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.json.JsonArray;
@@ -25,7 +26,9 @@
 import io.vertx.rxjava3.ext.web.client.WebClient;
 
 /**
- * The store by etcd's JSON interface. Thread-safe.
+ * The store by etcd's JSON interface. Thread-safe. Each call has a connection of its own:
+ * nothing in an answer names its call, so what follows a whole answer would become the
+ * beginning of the next one.
  */
 public final class EtcdStore implements Store {
 
@@ -52,9 +55,10 @@
 		this.timeoutMillis = timeoutMillis;
 		WebClientOptions options = new WebClientOptions().setDefaultHost(url.getHost())
 			.setDefaultPort(url.getPort())
-			.setConnectTimeout((int) timeoutMillis);
+			.setConnectTimeout((int) timeoutMillis)
+			.setKeepAlive(false);
 		this.client = WebClient.create(vertx, options);
-		this.watchClient = vertx.createHttpClient();
+		this.watchClient = vertx.createHttpClient(new HttpClientOptions().setKeepAlive(false));
 	}
 
 	@Override
--- /dev/null
+++ b/daemon/src/test/java/org/gullsaddle/store/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the package of the same name.
+ */
+package org.gullsaddle.store;
