Attempts: a header that cannot be sent ends the attempt at once

What callers saw: 504 at the request's limit, though a sound replica stood by and nothing had been sent; a stream that broke was held open until then.

Cause: the client library refuses header values with control characters by an exception, when a request's headers are set on the new connection. That runs in a callback, of which no step of the request is the caller: the attempt counted as sent, and had no end. Two values come from elsewhere: the replica's id, and the id of the last event, which a replica chose.

Change: such an attempt ends as one that did not run, so that the request goes on or ends at once.

Evidence: InternalErrorTests' new case, a stream with a control character in its event's id that breaks, timed out after 20 s on the code before and passes; the class passes.

--- a/daemon/src/main/java/org/gullsaddle/gateway/Attempt.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Attempt.java
@@ -132,8 +132,15 @@
 	}
 
 	private void send(HttpClientRequest request, MultiMap headers, Buffer body) {
+		try {
+			request.headers().setAll(headers);
+		}
+		catch (IllegalArgumentException ex) {
+			this.channel.close();
+			end(new AttemptEnd.NotRun(false, "a header cannot be sent"));
+			return;
+		}
 		this.sent = true;
-		request.headers().setAll(headers);
 		request.exceptionHandler((failure) -> onConnectionLost("connection broke"));
 		request.continueHandler((nothing) -> onInterimHead());
 		request.earlyHintsHandler((hints) -> onInterimHead());
