Registry: a replica whose entry became unreadable in an outage is not kept

What callers saw: after an outage of the store, an order was served by a replica that had reported that it drains, though the node had read that report: another field of the entry could not be read.

Cause: an entry that cannot be read was handled as one that is missing, and a missing one counts as lapsed around an outage, and its replica is used for 2.2 s more. This one is there. The state in it did not bind, as nothing of such an entry is taken in.

Change: EntryUnreadable is a change of its own; the replica is unlisted and nothing is kept of it. Crash detection treats it as before.

--- a/core/src/main/java/org/gullsaddle/fleet/FleetChange.java
+++ b/core/src/main/java/org/gullsaddle/fleet/FleetChange.java
@@ -25,7 +25,7 @@
 	}
 
 	/**
-	 * A replica's entry was removed, or no longer describes a usable replica.
+	 * A replica's entry was removed.
 	 *
 	 * @param id the replica
 	 */
@@ -113,6 +113,16 @@
 	record ConfigUnreadable(String reason) implements FleetChange {
 	}
 
+	/**
+	 * A replica's entry is there but cannot be read, so that the replica is not usable.
+	 *
+	 * @param key the entry's key in the store
+	 * @param id the replica
+	 * @param reason what is wrong with the entry
+	 */
+	record EntryUnreadable(String key, ReplicaId id, String reason) implements FleetChange {
+	}
+
 	/**
 	 * A record could not be read and was skipped.
 	 *
--- a/core/src/main/java/org/gullsaddle/fleet/ReplicaDirectory.java
+++ b/core/src/main/java/org/gullsaddle/fleet/ReplicaDirectory.java
@@ -79,8 +79,7 @@
 	}
 
 	/**
-	 * Handles the removal of an entry, or an entry that no longer describes a usable
-	 * replica.
+	 * Handles the removal of an entry.
 	 * @param now the time
 	 * @param id the replica
 	 */
@@ -94,6 +93,17 @@
 		}
 	}
 
+	/**
+	 * Handles an entry that does not describe a usable replica. It is there and has not
+	 * lapsed: the replica may have reported that it leaves.
+	 * @param id the replica
+	 */
+	public void onUnusable(ReplicaId id) {
+		this.listed.remove(id);
+		this.lapsed.remove(id);
+		this.cold.remove(id);
+	}
+
 	/**
 	 * Handles a replica's report of how long it stays cold. An entry that is read again
 	 * unchanged counts from its first read.
--- a/core/src/test/java/org/gullsaddle/fleet/ReplicaDirectoryTests.java
+++ b/core/src/test/java/org/gullsaddle/fleet/ReplicaDirectoryTests.java
@@ -118,6 +118,21 @@
 			assertThat(usable(9001 + ReplicaDirectory.LAPSED_RETENTION_MILLIS)).isEmpty();
 		}
 
+		/**
+		 * Guards against keeping a replica that drains as one whose entry has lapsed, as
+		 * its entry became unreadable.
+		 */
+		@Test
+		void replicaWhoseEntryBecameUnreadableIsNotKept() {
+			ReplicaDirectoryTests.this.directory.onListed(replica("one", false));
+			ReplicaDirectoryTests.this.directory.onListed(replica("two", false));
+			ReplicaDirectoryTests.this.directory.storeUnreachable(1000, true);
+			ReplicaDirectoryTests.this.directory.storeUnreachable(9000, false);
+			ReplicaDirectoryTests.this.directory.onRegistryRead(9000, Set.of(new ReplicaId("two")));
+			ReplicaDirectoryTests.this.directory.onUnusable(new ReplicaId("one"));
+			assertThat(usable(9000)).containsExactly("two");
+		}
+
 		@Test
 		void replicaThatWasDrainingIsNotKept() {
 			ReplicaDirectoryTests.this.directory.onListed(replica("one", true));
--- a/daemon/src/main/java/org/gullsaddle/gateway/CrashController.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/CrashController.java
@@ -293,10 +293,8 @@
 	 */
 	void onFleetChange(FleetChange change) {
 		switch (change) {
-			case FleetChange.Unlisted unlisted -> {
-				onProcessGone(unlisted.id(), "is not listed any more");
-				this.crashDetector.onLeaving(MonotonicClock.millis(), unlisted.id());
-			}
+			case FleetChange.Unlisted unlisted -> onUnlisted(unlisted.id());
+			case FleetChange.EntryUnreadable unreadable -> onUnlisted(unreadable.id());
 			case FleetChange.Listed listed -> this.crashDetector.onListed(MonotonicClock.millis(), listed.replica())
 				.ifPresent((crash) -> onCrash(crash, "another process has its id"));
 			case FleetChange.NoteWritten noted -> {
@@ -311,6 +309,11 @@
 		}
 	}
 
+	private void onUnlisted(ReplicaId replica) {
+		onProcessGone(replica, "is not listed any more");
+		this.crashDetector.onLeaving(MonotonicClock.millis(), replica);
+	}
+
 	private void onProcessGone(ReplicaId replica, String how) {
 		this.crashDetector.onDead(MonotonicClock.millis(), replica).ifPresent((crash) -> onCrash(crash, how));
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
@@ -140,6 +140,7 @@
 				line.addKeyValue("dataCenter", ended.dataCenter()).log("evacuation ended");
 			case FleetChange.NoteWritten noted -> line.addKeyValue("key", noted.key()).log("note taken in");
 			case FleetChange.ConfigUnreadable unreadable -> unreadableRecord("configuration", unreadable.reason());
+			case FleetChange.EntryUnreadable unreadable -> unreadableRecord(unreadable.key(), unreadable.reason());
 			case FleetChange.RecordUnreadable unreadable -> unreadableRecord(unreadable.key(), unreadable.reason());
 		}
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/FleetState.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/FleetState.java
@@ -69,6 +69,10 @@
 				this.directory.onUnlisted(now, unlisted.id());
 				yield known;
 			}
+			case FleetChange.EntryUnreadable unreadable -> {
+				this.directory.onUnusable(unreadable.id());
+				yield true;
+			}
 			case FleetChange.RolloutOrdered ordered -> applyOrdered(now, ordered);
 			case FleetChange.RolloutProgressed progressed -> applyProgressed(progressed);
 			case FleetChange.EvacuationBegan began -> this.directory.evacuate(began.dataCenter());
