Fleet: a missing entry's time runs on through the next outage of the store

Callers saw orders end with 502: a replica that had removed its entry between two outages of the store, without reporting that it drains, got requests all through the second one, until it exited. The gateway had read the removal.

Cause: the directory keeps an entry that goes missing within 2.2 s of the store's return, since healthy replicas' leases expire in an outage. The time was the store's and not the entry's, so that an outage that began sooner held all missing entries until its own end and 2.2 s longer.

Now each missing entry has an end of its own. A service of which the store has lost several entries and lists none is not emptied by this: its replicas had no time to write theirs, so they are used while the store is unreachable, get 2.2 s anew after its return, and are gone at its first answer after that.

Weighed: stopping the time while the store is away (what left is used through the outage, as before); an end for all (a service whose entries expired in the first outage is refused through the second); keeping a lost service until the store has answered after the 2.2 s, also without a second outage (longer than the drain time, if the replicas did leave). Hiding changes of a key before its last one (PlatformFleet.latest) was ruled out as the cause: a heartbeat seen in the same answer may be older than the outage.

--- a/core/src/main/java/org/gullsaddle/fleet/ReplicaDirectory.java
+++ b/core/src/main/java/org/gullsaddle/fleet/ReplicaDirectory.java
@@ -1,5 +1,6 @@
 package org.gullsaddle.fleet;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -9,6 +10,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 
 /**
  * The replicas as last reported by the registry. Confined to one thread; times are in
@@ -18,7 +20,10 @@
  * their entries are missing until the replicas renew them. Believing the empty registry
  * would refuse every caller. So an entry that disappears around an outage is kept for
  * {@link #LAPSED_RETENTION_MILLIS} after the store's return, by when a healthy replica
- * has renewed it, and is removed then.
+ * has renewed it. That time runs on through the next outage, as the replica may have
+ * left. Only a service that has lost several entries, and has none left, is taken for one
+ * whose replicas had no time to renew them: while the store is unreachable again they
+ * stay in use, and get that time anew after its return.
  */
 public final class ReplicaDirectory {
 
@@ -37,9 +42,15 @@
 	/** The longest cold time that is accepted from one report. */
 	static final long MAX_COLD_MILLIS = 60_000;
 
+	/**
+	 * Missing entries of one service from which on the store is assumed to have lost
+	 * them. A single one may be that of a replica that left.
+	 */
+	private static final int MIN_LOST_ENTRIES = 2;
+
 	private final Map<ReplicaId, Replica> listed = new TreeMap<>();
 
-	private final Map<ReplicaId, Replica> lapsed = new HashMap<>();
+	private final Map<ReplicaId, Lapsed> lapsed = new HashMap<>();
 
 	private final Set<String> evacuatedDataCenters = new TreeSet<>();
 
@@ -184,18 +195,28 @@
 	}
 
 	/**
-	 * Handles a change of the store's reachability.
+	 * Handles an answer of the store, or the finding that it is unreachable.
 	 * @param now the time
 	 * @param unreachable whether it is unreachable
 	 */
 	public void storeUnreachable(long now, boolean unreachable) {
-		if (this.storeUnreachable && !unreachable) {
-			this.reachableSince = now;
+		if (!unreachable) {
+			onStoreAnswer(now);
 		}
 		this.wasUnreachable = this.wasUnreachable || unreachable;
 		this.storeUnreachable = unreachable;
 	}
 
+	private void onStoreAnswer(long now) {
+		if (this.storeUnreachable) {
+			this.reachableSince = now;
+			this.lapsed.replaceAll((id, entry) -> isLost(entry.replica.service())
+					? new Lapsed(entry.replica, now + LAPSED_RETENTION_MILLIS) : entry);
+		}
+		this.lapsed.values().removeIf((entry) -> now > entry.until);
+		this.cold.keySet().removeIf((id) -> !this.listed.containsKey(id) && !this.lapsed.containsKey(id));
+	}
+
 	/**
 	 * Returns whether the store is unreachable.
 	 * @return true until it answers again
@@ -240,15 +261,8 @@
 	 * @return the replicas, in the order of their ids
 	 */
 	public List<Replica> usableReplicas(long now, ServiceName service, Predicate<String> allowed) {
-		if (!isOutage(now)) {
-			this.cold.keySet().removeAll(this.lapsed.keySet());
-			this.lapsed.clear();
-		}
-		TreeMap<ReplicaId, Replica> all = new TreeMap<>(this.lapsed);
-		all.putAll(this.listed);
-		return all.values()
-			.stream()
-			.filter((replica) -> replica.service().equals(service))
+		return Stream.concat(listed(service), retained(now, service))
+			.sorted(Comparator.comparing(Replica::id))
 			.filter(this::canUse)
 			.filter((replica) -> allowed.test(replica.dataCenter()))
 			.toList();
@@ -262,11 +276,37 @@
 	 * evacuated
 	 */
 	public boolean canStillUse(long now, Replica chosen) {
-		Replica known = this.listed.get(chosen.id());
-		if (known == null && isOutage(now)) {
-			known = this.lapsed.get(chosen.id());
-		}
-		return known != null && known.isSameProcess(chosen) && canUse(known);
+		return find(chosen.id()).or(() -> findRetained(now, chosen))
+			.filter((known) -> known.isSameProcess(chosen) && canUse(known))
+			.isPresent();
+	}
+
+	private Optional<Replica> findRetained(long now, Replica chosen) {
+		return retained(now, chosen.service()).filter((each) -> each.id().equals(chosen.id())).findFirst();
+	}
+
+	private Stream<Replica> listed(ServiceName service) {
+		return this.listed.values().stream().filter((replica) -> replica.service().equals(service));
+	}
+
+	private Stream<Lapsed> lapsed(ServiceName service) {
+		return this.lapsed.values().stream().filter((entry) -> entry.replica.service().equals(service));
+	}
+
+	/**
+	 * Returns the replicas of a service that are in use though their entries are missing.
+	 */
+	private Stream<Replica> retained(long now, ServiceName service) {
+		boolean lost = this.storeUnreachable && isLost(service);
+		return lapsed(service).filter((entry) -> lost || now <= entry.until).map(Lapsed::replica);
+	}
+
+	/**
+	 * Returns whether the store has lost the entries of a service: none is left, and
+	 * their replicas had no time to renew them.
+	 */
+	private boolean isLost(ServiceName service) {
+		return lapsed(service).count() >= MIN_LOST_ENTRIES && listed(service).findAny().isEmpty();
 	}
 
 	private boolean canUse(Replica replica) {
@@ -274,13 +314,21 @@
 	}
 
 	private void onMissing(long now, Replica replica) {
-		if (isOutage(now) && !replica.draining()) {
-			this.lapsed.put(replica.id(), replica);
+		if (!replica.draining() && this.wasUnreachable && now <= retentionEnd(now)) {
+			this.lapsed.put(replica.id(), new Lapsed(replica, retentionEnd(now)));
 		}
 	}
 
-	private boolean isOutage(long now) {
-		return this.storeUnreachable || (this.wasUnreachable && now - this.reachableSince <= LAPSED_RETENTION_MILLIS);
+	private long retentionEnd(long now) {
+		return (this.storeUnreachable ? now : this.reachableSince) + LAPSED_RETENTION_MILLIS;
+	}
+
+	/**
+	 * A replica whose entry is missing.
+	 *
+	 * @param until when it is gone unless it is listed again
+	 */
+	private record Lapsed(Replica replica, long until) {
 	}
 
 	private record Leaving(Replica replica, long at) {
--- a/core/src/test/java/org/gullsaddle/fleet/ReplicaDirectoryTests.java
+++ b/core/src/test/java/org/gullsaddle/fleet/ReplicaDirectoryTests.java
@@ -138,6 +138,143 @@
 
 	}
 
+	@Nested
+	class BetweenTwoOutagesOfTheStore {
+
+		private static final long RETURN = 5500;
+
+		private static final long GRACE_END = RETURN + ReplicaDirectory.LAPSED_RETENTION_MILLIS;
+
+		private static final long SECOND_OUTAGE = 7000;
+
+		private static final long SECOND_RETURN = 11_500;
+
+		private final ReplicaDirectory directory = ReplicaDirectoryTests.this.directory;
+
+		@BeforeEach
+		void firstOutage() {
+			this.directory.onListed(replica("one", false));
+			this.directory.onListed(replica("two", false));
+			this.directory.storeUnreachable(1000, true);
+			this.directory.storeUnreachable(RETURN, false);
+		}
+
+		private void unlist(String... ids) {
+			for (String id : ids) {
+				this.directory.onUnlisted(RETURN + 100, new ReplicaId(id));
+			}
+		}
+
+		/**
+		 * Guards against using a replica that left after an outage for as long as the
+		 * next outage lasts.
+		 */
+		@Test
+		void replicaThatLeftIsNotUsedThroughTheSecond() {
+			unlist("one");
+			this.directory.storeUnreachable(SECOND_OUTAGE, true);
+			assertThat(usable(GRACE_END)).containsExactly("one", "two");
+			assertThat(this.directory.canStillUse(GRACE_END, replica("one", false))).isTrue();
+			assertThat(this.directory.canStillUse(GRACE_END + 1, replica("one", false))).isFalse();
+			assertThat(usable(GRACE_END + 1)).containsExactly("two");
+		}
+
+		/** Guards against a return of the store that makes gone replicas usable again. */
+		@Test
+		void replicaThatLeftIsNotUsedAfterTheSecond() {
+			unlist("one");
+			this.directory.storeUnreachable(SECOND_OUTAGE, true);
+			this.directory.storeUnreachable(SECOND_RETURN, false);
+			assertThat(this.directory.canStillUse(SECOND_RETURN, replica("one", false))).isFalse();
+			assertThat(usable(SECOND_RETURN)).containsExactly("two");
+		}
+
+		@Test
+		void replicaThatIsListedAgainIsUsedThroughTheSecond() {
+			unlist("one");
+			this.directory.onListed(replica("one", false));
+			this.directory.storeUnreachable(SECOND_OUTAGE, true);
+			assertThat(usable(SECOND_RETURN)).containsExactly("one", "two");
+		}
+
+		@Test
+		void replicaMissingFromAFullReadIsNotUsedThroughTheSecond() {
+			this.directory.onRegistryRead(RETURN + 100, Set.of(new ReplicaId("two")));
+			this.directory.storeUnreachable(SECOND_OUTAGE, true);
+			assertThat(usable(GRACE_END)).containsExactly("one", "two");
+			assertThat(usable(GRACE_END + 1)).containsExactly("two");
+		}
+
+		@Test
+		void replicaThatLeftIsForgottenWhenTheStoreAnswersAgain() {
+			this.directory.onColdReport(RETURN, replica("one", false), 60_000);
+			unlist("one");
+			this.directory.storeUnreachable(SECOND_OUTAGE, true);
+			this.directory.storeUnreachable(SECOND_RETURN, false);
+			assertThat(this.directory.coldMillis(SECOND_RETURN, new ReplicaId("one"))).isZero();
+			assertThat(this.directory.knownIds()).containsExactly(new ReplicaId("two"));
+		}
+
+		@Test
+		void lonelyReplicaThatLeftIsNotUsedThroughTheSecond() {
+			this.directory.onListed(new Replica(new ReplicaId("three"), new ServiceName("shelf"),
+					new Address("10.0.0.3", 80), "a", "v1", 8, false, 1));
+			unlist("three");
+			this.directory.storeUnreachable(SECOND_OUTAGE, true);
+			assertThat(this.directory.usableReplicas(GRACE_END + 1, new ServiceName("shelf"), (dataCenter) -> true))
+				.isEmpty();
+		}
+
+		/**
+		 * Guards against refusing all callers of a service whose entries expired in one
+		 * outage and could not be renewed before the next.
+		 */
+		@Test
+		void serviceThatLostAllEntriesIsServedThroughTheSecond() {
+			unlist("one", "two");
+			this.directory.storeUnreachable(SECOND_OUTAGE, true);
+			assertThat(usable(SECOND_RETURN)).containsExactly("one", "two");
+			assertThat(this.directory.canStillUse(SECOND_RETURN, replica("one", false))).isTrue();
+			this.directory.storeUnreachable(SECOND_RETURN, false);
+			assertThat(usable(SECOND_RETURN + ReplicaDirectory.LAPSED_RETENTION_MILLIS)).containsExactly("one", "two");
+			assertThat(usable(SECOND_RETURN + ReplicaDirectory.LAPSED_RETENTION_MILLIS + 1)).isEmpty();
+		}
+
+		/** Guards against a second outage that is noticed only after the retention. */
+		@Test
+		void serviceThatLostAllEntriesIsServedThoughTheSecondIsNoticedLate() {
+			unlist("one", "two");
+			assertThat(usable(GRACE_END + 1)).isEmpty();
+			this.directory.storeUnreachable(GRACE_END + 500, true);
+			assertThat(usable(GRACE_END + 500)).containsExactly("one", "two");
+		}
+
+		@Test
+		void entriesThatWereStillMissingWhenTheStoreAnsweredLaterAreGone() {
+			unlist("one", "two");
+			this.directory.storeUnreachable(GRACE_END + 1, false);
+			this.directory.storeUnreachable(GRACE_END + 500, true);
+			assertThat(usable(GRACE_END + 500)).isEmpty();
+		}
+
+		@Test
+		void entriesOfAServiceOfWhichOneIsBackAreGoneInTime() {
+			unlist("one", "two");
+			this.directory.onListed(replica("two", false));
+			this.directory.storeUnreachable(SECOND_OUTAGE, true);
+			assertThat(usable(GRACE_END + 1)).containsExactly("two");
+		}
+
+		@Test
+		void replicaOfALostServiceThatSaidThatItLeavesIsNotUsed() {
+			this.directory.onLeaving(RETURN, replica("one", false));
+			unlist("one", "two");
+			this.directory.storeUnreachable(SECOND_OUTAGE, true);
+			assertThat(usable(SECOND_RETURN)).containsExactly("two");
+		}
+
+	}
+
 	@Nested
 	class ColdReplicas {
 
