Configuration: an empty list of tenants means that no key is valid

Callers without a key, with a key that no configuration ever held and with the one that was revoked had their requests run, as soon as a version of the configuration had taken the last tenant away.

Cause: whether requests need a key was told by whether there are teams, and a list that is there and empty was read like one that is missing. A configuration without the list serves all, as before.

--- a/core/src/main/java/org/gullsaddle/fleet/FleetConfig.java
+++ b/core/src/main/java/org/gullsaddle/fleet/FleetConfig.java
@@ -33,14 +33,16 @@
 	 * @param version its version; higher ones are newer
 	 * @param routes the routes
 	 * @param services the services
-	 * @param teams the teams; if there are none, requests need no key
+	 * @param teams the teams
+	 * @param keyRequired whether requests need a key of a team; without teams, no key is
+	 * valid then
 	 * @param limits what callers may send
 	 */
 	public FleetConfig(long version, List<Route> routes, List<ServiceSpec> services, List<Team> teams,
-			CallerLimits limits) {
+			boolean keyRequired, CallerLimits limits) {
 		this.version = version;
 		this.limits = limits;
-		this.isKeyRequired = !teams.isEmpty();
+		this.isKeyRequired = keyRequired;
 		this.names = ConfiguredNames.of(routes, services, teams);
 		routes.forEach((route) -> this.routesByHost
 			.computeIfAbsent(route.host().toLowerCase(Locale.ROOT), (host) -> new ArrayList<>())
@@ -84,7 +86,7 @@
 
 	/**
 	 * Returns whether requests need a key unless their route is open.
-	 * @return true if there are teams
+	 * @return true if a request without a valid key must be refused
 	 */
 	public boolean isKeyRequired() {
 		return this.isKeyRequired;
