Configuration: a failed read is forgotten once the store has answered

After one failed read of the configuration a gateway served requests under the configuration that it knew, however old that was, until a request came that it would have refused.

Cause: a failed read turns off further reads for requests that are allowed, so that callers don't wait for a store that is away. Only a successful read ended that, and only a request that is not allowed made one. The poller's answers ended the outage, but not this.

Now any answer of the store that tells the configuration ends it.

--- a/daemon/src/main/java/org/gullsaddle/gateway/ConfigRefresher.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/ConfigRefresher.java
@@ -54,8 +54,6 @@
 
 	private final List<Runnable> waiting = new ArrayList<>();
 
-	private boolean failing;
-
 	private long failedAt;
 
 	/**
@@ -85,7 +83,7 @@
 		long age = this.state.configAgeMillis(now);
 		if (allowed) {
 			// While the store fails, another call would only cost the caller time.
-			boolean away = this.failing || this.state.directory().storeUnreachable();
+			boolean away = this.state.hasConfigReadFailed() || this.state.directory().storeUnreachable();
 			return !away && age > MAX_AGE_TO_SERVE_RATIO * this.maxPropagationMillis;
 		}
 		return this.state.hasUnreadableConfig() || age > MAX_AGE_TO_REFUSE_RATIO * this.maxPropagationMillis;
@@ -108,7 +106,8 @@
 	 */
 	void refresh(Runnable then) {
 		long now = MonotonicClock.millis();
-		if (this.waiting.size() >= MAX_WAITING || (this.failing && now - this.failedAt < RETRY_DELAY_MILLIS)) {
+		if (this.waiting.size() >= MAX_WAITING
+				|| (this.state.hasConfigReadFailed() && now - this.failedAt < RETRY_DELAY_MILLIS)) {
 			then.run();
 			return;
 		}
@@ -121,7 +120,6 @@
 	}
 
 	private void onConfig(List<FleetChange> changes, long askedAt) {
-		this.failing = false;
 		this.state.onConfigRead(askedAt);
 		for (FleetChange change : changes) {
 			this.guard.run("configuration", () -> apply(change, askedAt));
@@ -137,7 +135,7 @@
 	}
 
 	private void onFailure(Throwable failure, long askedAt) {
-		this.failing = true;
+		this.state.onConfigReadFailed();
 		this.failedAt = MonotonicClock.millis();
 		this.telemetry.count("config.checks.failed");
 		this.log.storeCallFailed("configuration", this.failedAt - askedAt, failure.getMessage());
--- a/daemon/src/main/java/org/gullsaddle/gateway/FleetState.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/FleetState.java
@@ -48,6 +48,8 @@
 
 	private boolean everUpdated;
 
+	private boolean configReadFailed;
+
 	FleetState(RolloutLimits limits) {
 		this.limits = limits;
 	}
@@ -173,6 +175,21 @@
 	 */
 	void onConfigRead(long askedAt) {
 		this.configKnownAt = Math.max(this.configKnownAt, askedAt);
+		this.configReadFailed = false;
+	}
+
+	/**
+	 * Records that the configuration could not be read.
+	 */
+	void onConfigReadFailed() {
+		this.configReadFailed = true;
+	}
+
+	/**
+	 * Returns whether the last attempt to read the configuration failed.
+	 */
+	boolean hasConfigReadFailed() {
+		return this.configReadFailed;
 	}
 
 	/**
