Fleet poller: changes are read each second for a while after an outage

After an outage replicas write their expired entries again within about two seconds, and their former entries are used for 2.2 s.

Cause: the shorter interval for replicas that reappear held after full reads only, and an outage ends with a reading of changes. A comment said that everything is reread; that isn't so, nor needed, as an entry that expired and came back shows in the changes. Now it holds after an outage, too: about two more calls in each.

--- a/daemon/src/main/java/org/gullsaddle/gateway/FleetPoller.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/FleetPoller.java
@@ -23,8 +23,8 @@
 	private static final long POLL_WAIT_MILLIS = 200;
 
 	/**
-	 * Interval between calls for a while after a full read, in milliseconds, when
-	 * replicas reappear one after another.
+	 * Interval between calls for a while after a full read or an outage, in milliseconds,
+	 * when replicas reappear one after another.
 	 */
 	private static final long SETTLING_INTERVAL_MILLIS = 1000;
 
@@ -48,7 +48,7 @@
 	 */
 	private static final long URGENT_INTERVAL_MILLIS = 500;
 
-	/** How long replicas reappear after a full read, in milliseconds. */
+	/** How long replicas reappear after a full read or an outage, in milliseconds. */
 	private static final long SETTLE_MILLIS = 5000;
 
 	/**
@@ -93,7 +93,7 @@
 
 	private long revision = -1;
 
-	private long readAllAt = Long.MIN_VALUE;
+	private long settlingSince = Long.MIN_VALUE;
 
 	private long requestedAt;
 
@@ -159,10 +159,12 @@
 			this.log.dependencyRegained("store", now);
 		}
 		this.failures = 0;
+		if (fullRead || this.state.directory().storeUnreachable()) {
+			this.settlingSince = now;
+		}
 		this.state.directory().storeUnreachable(now, false);
 		this.state.onUpdate(this.requestedAt);
 		if (fullRead) {
-			this.readAllAt = now;
 			this.state.retain(now, update.changes());
 		}
 		for (FleetChange change : update.changes()) {
@@ -192,7 +194,7 @@
 		if (this.crashNotesAwaited.getAsBoolean() || this.state.isReleaseShareRising()) {
 			return URGENT_INTERVAL_MILLIS;
 		}
-		boolean settling = this.readAllAt != Long.MIN_VALUE && now - this.readAllAt < SETTLE_MILLIS;
+		boolean settling = this.settlingSince != Long.MIN_VALUE && now - this.settlingSince < SETTLE_MILLIS;
 		if (settling) {
 			return SETTLING_INTERVAL_MILLIS;
 		}
@@ -231,8 +233,6 @@
 		this.log.storeCallFailed((this.revision < 0) ? "read all" : "changes", now - this.requestedAt,
 				failure.getMessage());
 		if (this.failures == FAILURES_UNTIL_UNAVAILABLE) {
-			// After the outage everything is reread: an entry that expired during the
-			// outage and came back does not show in the changes.
 			this.state.directory().storeUnreachable(now, true);
 			this.log.dependencyLost("store", failure.getMessage(), this.state.ageMillis(now));
 		}
--- a/daemon/src/test/java/org/gullsaddle/gateway/FleetPollerTests.java
+++ b/daemon/src/test/java/org/gullsaddle/gateway/FleetPollerTests.java
@@ -213,6 +213,45 @@
 
 	}
 
+	@Nested
+	class WhenTheStoreIsBack {
+
+		private final Vertx vertx = Vertx.vertx();
+
+		private final FleetState state = new FleetState(RolloutLimits.DEFAULT);
+
+		private final DecisionLog log = new DecisionLog();
+
+		private final FleetPoller poller = new FleetPoller(this.vertx,
+				WhenChangesArriveConstantly.STORE_THAT_NEVER_ANSWERS, this.state, this.log, (change) -> {
+				}, 5000, () -> false, new StepGuard(this.log, new Telemetry()));
+
+		@AfterEach
+		void close() {
+			this.vertx.close().await();
+		}
+
+		/**
+		 * Guards against replicas that write their entries again after an outage and are
+		 * noticed only when their former entries are no longer used.
+		 */
+		@Test
+		void intervalIsOneSecondForAWhile() {
+			this.state.directory().storeUnreachable(0, true);
+			this.poller.onUpdate(new FleetSource.Update(List.of(), 7), false);
+			long now = MonotonicClock.millis();
+			assertThat(this.poller.intervalMillis(now)).isEqualTo(1000);
+			assertThat(this.poller.intervalMillis(now + 5000)).isEqualTo(2500);
+		}
+
+		@Test
+		void intervalIsTheUsualOneWithoutAnOutage() {
+			this.poller.onUpdate(new FleetSource.Update(List.of(), 7), false);
+			assertThat(this.poller.intervalMillis(MonotonicClock.millis())).isEqualTo(2500);
+		}
+
+	}
+
 	@Nested
 	class WhenACallHasWaitedLong {
 
