Connections: load reports have one of their own, too

A status line cut short gives the report another status, and a leaving notice, a rate limit or a back-off among the leftover fields was applied to the replica before its body was judged; the limit also went to the other nodes. A second whole report made each later one stale by one.

Change: no connection is kept. ChannelPool is ReplicaConnections, which only opens them; idle times, Keep-Alive and the clean-up of idle connections are gone.

--- a/daemon/src/main/java/org/gullsaddle/gateway/Attempt.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Attempt.java
@@ -38,7 +38,7 @@
 
 	private final long coldMillis;
 
-	private final ChannelPool pool;
+	private final ReplicaConnections connections;
 
 	private final HeaderCodec codec;
 
@@ -48,7 +48,7 @@
 
 	private final long startedAt = MonotonicClock.millis();
 
-	private ChannelPool.Channel channel;
+	private ReplicaConnections.Channel channel;
 
 	private ReplicaAnswer answer;
 
@@ -59,8 +59,6 @@
 	/** When the answer was last resumed after a pause for its caller. */
 	private long resumedAt = this.startedAt;
 
-	private boolean reportsLoad;
-
 	private boolean sent;
 
 	private boolean ended;
@@ -85,26 +83,24 @@
 
 	private long headAt = this.startedAt;
 
-	Attempt(ReplicaChoice choice, SendPermission sendPermission, long coldMillis, String attemptId, ChannelPool pool,
-			HeaderCodec codec, Listener listener) {
+	Attempt(ReplicaChoice choice, SendPermission sendPermission, long coldMillis, String attemptId,
+			ReplicaConnections connections, HeaderCodec codec, Listener listener) {
 		this.choice = choice;
 		this.sendPermission = sendPermission;
 		this.coldMillis = coldMillis;
 		this.attemptId = attemptId;
-		this.pool = pool;
+		this.connections = connections;
 		this.codec = codec;
 		this.listener = listener;
 	}
 
 	/**
 	 * Sends the request on a new connection.
-	 * @param loadReported whether the replica is asked for load reports
 	 */
-	void send(HttpMethod method, String uri, MultiMap headers, Buffer body, boolean loadReported) {
-		this.reportsLoad = loadReported;
-		this.pool.connect(this.choice.replica()).onComplete((taken, failure) -> {
+	void send(HttpMethod method, String uri, MultiMap headers, Buffer body) {
+		this.connections.connect(this.choice.replica()).onComplete((taken, failure) -> {
 			if (failure != null) {
-				this.connectionRefused = ChannelPool.isConnectionRefused(failure);
+				this.connectionRefused = ReplicaConnections.isConnectionRefused(failure);
 				end(new AttemptEnd.NotRun(true, "unreachable"));
 				return;
 			}
@@ -285,12 +281,7 @@
 			return;
 		}
 		this.endedWithConnection = !isFramed(this.response.headers());
-		if (this.reportsLoad) {
-			this.pool.keepForReports(this.channel, this.answer.reusableMillis());
-		}
-		else {
-			this.channel.close();
-		}
+		this.channel.close();
 		end(new AttemptEnd.Answered(this.answer.status()));
 	}
 
--- a/daemon/src/main/java/org/gullsaddle/gateway/CrashController.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/CrashController.java
@@ -70,7 +70,7 @@
 
 	private final Vertx vertx;
 
-	private final ChannelPool pool;
+	private final ReplicaConnections connections;
 
 	private final SharedRoutingState routingState;
 
@@ -101,10 +101,10 @@
 
 	private boolean spreadScheduled;
 
-	CrashController(Vertx vertx, Store store, String node, ChannelPool pool, SharedRoutingState routingState,
-			NodeRegistry nodeRegistry, DecisionLog log, Telemetry telemetry) {
+	CrashController(Vertx vertx, Store store, String node, ReplicaConnections connections,
+			SharedRoutingState routingState, NodeRegistry nodeRegistry, DecisionLog log, Telemetry telemetry) {
 		this.vertx = vertx;
-		this.pool = pool;
+		this.connections = connections;
 		this.routingState = routingState;
 		this.nodeRegistry = nodeRegistry;
 		this.log = log;
@@ -243,14 +243,14 @@
 	private void connectAfter(long millis, Replica replica, LongConsumer accepted) {
 		this.vertx.setTimer(millis, (timer) -> {
 			long askedAt = MonotonicClock.millis();
-			this.pool.connect(replica).onComplete((channel, failure) -> {
+			this.connections.connect(replica).onComplete((channel, failure) -> {
 				if (failure == null) {
 					channel.close();
 					accepted.accept(askedAt);
 					return;
 				}
 				this.livenessChecks.remove(Crash.processName(replica));
-				if (ChannelPool.isConnectionRefused(failure)) {
+				if (ReplicaConnections.isConnectionRefused(failure)) {
 					this.routingState.replicaSelector().onUnreachable(MonotonicClock.millis(), replica);
 					onProcessGone(replica.id(), "refuses connections");
 				}
--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -78,7 +78,7 @@
 
 	private final ColdReplicaLimiter coldReplicaLimiter;
 
-	private final ChannelPool pool;
+	private final ReplicaConnections replicaConnections;
 
 	private final LoadProbe loadProbe;
 
@@ -126,17 +126,17 @@
 				this.settings.load().pressure());
 		this.retryAfterAdvisor = new RetryAfterAdvisor(this.settings.load().pressure(), this.telemetry);
 		this.coldReplicaLimiter = new ColdReplicaLimiter(this.settings.node());
-		this.pool = new ChannelPool(vertx);
+		this.replicaConnections = new ReplicaConnections(vertx);
 		this.nodeRegistry = new NodeRegistry(vertx, builder.store, this.settings,
 				() -> this.fleet.directory().storeUnreachable());
 		BackpressureTable backpressureTable = new BackpressureTable(new NodeId(this.settings.node()),
 				this.settings.place(), this.nodeRegistry::peers, RandomGenerator.getDefault());
 		this.backpressure = new BackpressureController(vertx, builder.store, this.fleet, backpressureTable, this.log,
 				this.telemetry);
-		this.loadProbe = new LoadProbe(vertx, this.pool, this.codec, this.routingState.replicaSelector(),
+		this.loadProbe = new LoadProbe(vertx, this.replicaConnections, this.codec, this.routingState.replicaSelector(),
 				this.backpressure, this.log);
-		this.crashes = new CrashController(vertx, builder.store, this.settings.node(), this.pool, this.routingState,
-				this.nodeRegistry, this.log, this.telemetry);
+		this.crashes = new CrashController(vertx, builder.store, this.settings.node(), this.replicaConnections,
+				this.routingState, this.nodeRegistry, this.log, this.telemetry);
 		this.replicaEligibility = new ReplicaEligibility(this.fleet.directory(), this.settings.place(),
 				this.coldReplicaLimiter, backpressureTable, this.crashes.crashTracker());
 		this.rollouts = new RolloutController(vertx, builder.stateWriter, builder.store, this.settings.node(),
@@ -159,7 +159,7 @@
 	}
 
 	private StateCleaner stateCleaner() {
-		return new StateCleaner(this.fleet, this.guard).replicas("connection clean-up", this.pool::closeExpired)
+		return new StateCleaner(this.fleet, this.guard)
 			.replicas("load clean-up", this.routingState.replicaSelector()::retain)
 			.replicas("silence clean-up", this.routingState.silentReplicaPolicy()::retain)
 			.replicas("cold replica clean-up", this.coldReplicaLimiter::retain)
@@ -480,8 +480,8 @@
 		return this.buffers;
 	}
 
-	ChannelPool pool() {
-		return this.pool;
+	ReplicaConnections replicaConnections() {
+		return this.replicaConnections;
 	}
 
 	LoadProbe loadProbe() {
--- a/daemon/src/main/java/org/gullsaddle/gateway/LoadProbe.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/LoadProbe.java
@@ -35,7 +35,7 @@
 
 	private final Vertx vertx;
 
-	private final ChannelPool pool;
+	private final ReplicaConnections connections;
 
 	private final HeaderCodec codec;
 
@@ -49,11 +49,11 @@
 
 	private int failedCount;
 
-	LoadProbe(Vertx vertx, ChannelPool pool, HeaderCodec codec, ReplicaSelector replicaSelector,
+	LoadProbe(Vertx vertx, ReplicaConnections connections, HeaderCodec codec, ReplicaSelector replicaSelector,
 			BackpressureController backpressure, DecisionLog log) {
 		this.vertx = vertx;
 		this.log = log;
-		this.pool = pool;
+		this.connections = connections;
 		this.codec = codec;
 		this.replicaSelector = replicaSelector;
 		this.backpressure = backpressure;
@@ -104,13 +104,13 @@
 		Promise<EngineReport> answer = Promise.promise();
 		long timer = this.vertx.setTimer(waitMillis, (id) -> answer.tryFail("nothing in " + waitMillis + " ms"));
 		answer.future().onComplete((done) -> this.vertx.cancelTimer(timer));
-		this.pool.acquireForReport(replica).onComplete((channel, unreachable) -> {
+		this.connections.connect(replica).onComplete((channel, unreachable) -> {
 			if (unreachable != null) {
 				this.replicaSelector.onUnreachable(MonotonicClock.millis(), replica);
 				answer.tryFail("unreachable");
 				return;
 			}
-			answer.future().onFailure((failure) -> channel.close());
+			answer.future().onComplete((done) -> channel.close());
 			if (!this.backpressure.canProbe(replica)) {
 				answer.tryFail("asks for fewer requests");
 			}
@@ -134,7 +134,7 @@
 		return Optional.empty();
 	}
 
-	private Future<EngineReport> requestReport(Replica replica, ChannelPool.Channel channel) {
+	private Future<EngineReport> requestReport(Replica replica, ReplicaConnections.Channel channel) {
 		RequestOptions options = new RequestOptions().setMethod(HttpMethod.GET).setURI(this.codec.loadReportPath());
 		return channel.connection().request(options).compose(HttpClientRequest::send).compose((response) -> {
 			ReplicaAnswer answer = this.codec.read(response);
@@ -145,16 +145,15 @@
 			answer.slowdownPercent()
 				.ifPresent(
 						(percent) -> this.replicaSelector.onSlowdownReport(MonotonicClock.millis(), replica, percent));
-			return BoundedBody.read(response, MAX_REPORT_BYTES).compose((body) -> parseReport(channel, answer, body));
+			return BoundedBody.read(response, MAX_REPORT_BYTES).compose((body) -> parseReport(answer, body));
 		});
 	}
 
-	private Future<EngineReport> parseReport(ChannelPool.Channel channel, ReplicaAnswer answer, Buffer body) {
+	private Future<EngineReport> parseReport(ReplicaAnswer answer, Buffer body) {
 		Optional<EngineReport> report = answer.isSuccess() ? this.codec.readLoadReport(body) : Optional.empty();
 		if (report.isEmpty()) {
 			return Future.failedFuture("no report, but status " + answer.status());
 		}
-		this.pool.keepForReports(channel, answer.reusableMillis());
 		return Future.succeededFuture(report.get());
 	}
 
--- a/daemon/src/main/java/org/gullsaddle/gateway/ReplicaAnswer.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/ReplicaAnswer.java
@@ -18,16 +18,13 @@
  * usual, if any
  * @param confidence the model's confidence in its answer, 0 to 100, if reported
  * @param leaving whether the replica announces that it is leaving
- * @param closesConnection whether the connection ends with the answer
- * @param keepAliveMillis how long the replica keeps the connection when idle, in
- * milliseconds
  * @param encoded whether the body has a content encoding, so that it is not the replica's
  * own
  * @param backpressure the replica's rate limit and back-off, if any
  */
 public record ReplicaAnswer(int status, Optional<String> attemptId, boolean signed, boolean notRun,
 		Optional<LoadReport> load, OptionalInt slowdownPercent, OptionalInt confidence, boolean leaving,
-		boolean closesConnection, long keepAliveMillis, boolean encoded, Backpressure backpressure) {
+		boolean encoded, Backpressure backpressure) {
 
 	/**
 	 * Returns whether the status is a success.
@@ -37,12 +34,4 @@
 		return HttpStatuses.isSuccess(this.status);
 	}
 
-	/**
-	 * Returns how long the connection can be used again after this answer.
-	 * @return the time in milliseconds, 0 if it cannot
-	 */
-	public long reusableMillis() {
-		return this.closesConnection ? 0 : this.keepAliveMillis;
-	}
-
 }
--- a/daemon/src/main/java/org/gullsaddle/gateway/RequestExecution.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/RequestExecution.java
@@ -182,9 +182,8 @@
 				this.priority.recordSent(MonotonicClock.millis(), choice, this.task), lastEvent);
 		MultiMap headers = this.gateway.codec().replicaHeaders(this.request.http().headers(), context);
 		this.attempt = new Attempt(choice, sendPermission, this.replicas.coldMillis(choice.replica()), id(),
-				this.gateway.pool(), this.gateway.codec(), this);
-		this.attempt.send(this.request.http().method(), this.request.http().uri(), headers, this.request.body(),
-				this.request.engine().isPresent());
+				this.gateway.replicaConnections(), this.gateway.codec(), this);
+		this.attempt.send(this.request.http().method(), this.request.http().uri(), headers, this.request.body());
 	}
 
 	@Override
