Crashes: a replica that goes silent under a request and is found dead is one

Cause: CrashDetector took an end for a crash only if a connection broke there or an answer ended with its connection. Attempts at a silent replica are given up long before the end is known, or outlast the entry by more than a second and then counted as a planned stop.

Change: since when its replica has been silent goes with each attempt's end. A replica that is found dead and was not heard since has crashed under what waited there when it was last heard or was sent within half a second after. Attempts that outlast the entry count at their end. A replica that is heard again takes its crash back; one that went silent after its notice stopped as planned. Silent crashes within three seconds count once for a trait that was not at all of them, as a rack or a network fell silent; notes tell it in a field that is left out for other crashes, so stored documents stay as they were.

--- a/core/src/main/java/org/gullsaddle/suspect/Crash.java
+++ b/core/src/main/java/org/gullsaddle/suspect/Crash.java
@@ -15,13 +15,24 @@
  * @param at when it ended, in milliseconds
  * @param runMillis for each trait of those requests, how long the most recent one with
  * that trait had been on the replica, in milliseconds
+ * @param silent whether it went silent before it was found dead, and no connection broke
  */
-public record Crash(String processName, long at, Map<Trait, Long> runMillis) {
+public record Crash(String processName, long at, Map<Trait, Long> runMillis, boolean silent) {
 
 	public Crash {
 		runMillis = Map.copyOf(runMillis);
 	}
 
+	/**
+	 * Makes a crash at which connections broke.
+	 * @param processName the process
+	 * @param at when it ended, in milliseconds
+	 * @param runMillis how long requests had run by trait, in milliseconds
+	 */
+	public Crash(String processName, long at, Map<Trait, Long> runMillis) {
+		this(processName, at, runMillis, false);
+	}
+
 	/**
 	 * Returns the name of a replica's process. A later process under the same replica id
 	 * has another name.
@@ -79,7 +90,7 @@
 	Crash merge(Crash other) {
 		Map<Trait, Long> merged = new LinkedHashMap<>(this.runMillis);
 		other.runMillis.forEach((trait, millis) -> merged.merge(trait, millis, Math::min));
-		return new Crash(this.processName, Math.min(this.at, other.at), merged);
+		return new Crash(this.processName, Math.min(this.at, other.at), merged, this.silent && other.silent);
 	}
 
 	/**
@@ -88,7 +99,7 @@
 	Crash retainTraits(Set<Trait> traits) {
 		Map<Trait, Long> retained = new HashMap<>(this.runMillis);
 		retained.keySet().retainAll(traits);
-		return new Crash(this.processName, this.at, retained);
+		return new Crash(this.processName, this.at, retained, this.silent);
 	}
 
 }
--- a/core/src/main/java/org/gullsaddle/suspect/CrashEvidence.java
+++ b/core/src/main/java/org/gullsaddle/suspect/CrashEvidence.java
@@ -47,6 +47,12 @@
 	/** Crashes at least this far apart count as independent. */
 	private static final long MIN_CRASH_GAP_MILLIS = 300;
 
+	/**
+	 * Silent crashes that are less far apart may have one cause if not all of them have a
+	 * request in common.
+	 */
+	private static final long MAX_SILENCE_SPREAD_MILLIS = 3000;
+
 	/** How long a crash is remembered. */
 	static final long RETENTION_MILLIS = 300_000;
 
@@ -272,7 +278,7 @@
 		long totalRunMillis = 0;
 		boolean areCopies = false;
 		for (Crash crash : counted) {
-			if (crash.at() - last >= MIN_CRASH_GAP_MILLIS || crash.lastRequestAt(trait) >= last) {
+			if (isSeparate(trait, last, crash)) {
 				count++;
 				last = crash.at();
 				first = Math.min(first, last);
@@ -288,6 +294,23 @@
 				trait.isPart() && shareOneContent(counted));
 	}
 
+	/**
+	 * Returns whether a crash counts besides the one before. Where several replicas go
+	 * silent, it shows only by their requests, and so one after the other.
+	 */
+	private boolean isSeparate(Trait trait, long last, Crash crash) {
+		boolean later = crash.at() - last >= MIN_CRASH_GAP_MILLIS || crash.lastRequestAt(trait) >= last;
+		return later && !(crash.silent() && crash.at() - last < MAX_SILENCE_SPREAD_MILLIS
+				&& hasSilentCrashWithout(trait, crash.at()));
+	}
+
+	private boolean hasSilentCrashWithout(Trait trait, long at) {
+		return this.crashes.values()
+			.stream()
+			.anyMatch((crash) -> crash.silent() && !crash.hasTrait(trait)
+					&& Math.abs(crash.at() - at) < MAX_SILENCE_SPREAD_MILLIS);
+	}
+
 	/**
 	 * Returns the crashes that count against a trait. A content's explained crashes count
 	 * too once it was at an unexplained crash of a replica that it reached after the
--- a/core/src/main/java/org/gullsaddle/suspect/CrashNote.java
+++ b/core/src/main/java/org/gullsaddle/suspect/CrashNote.java
@@ -4,6 +4,8 @@
 import java.util.Map;
 import java.util.stream.Collectors;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
+
 import org.gullsaddle.base.Check;
 
 /**
@@ -56,8 +58,10 @@
 	 * @param process the process, see {@link Crash#processName()}
 	 * @param ageMillis how long ago the process ended
 	 * @param ran how long requests had run by trait, see {@link Crash#runMillis()}
+	 * @param silent whether it went silent, see {@link Crash#silent()}
 	 */
-	public record NotedCrash(String process, long ageMillis, Map<Trait, Long> ran) {
+	public record NotedCrash(String process, long ageMillis, Map<Trait, Long> ran,
+			@JsonInclude(JsonInclude.Include.NON_DEFAULT) boolean silent) {
 
 		public NotedCrash {
 			Check.notNull(process, "process");
--- a/core/src/main/java/org/gullsaddle/suspect/CrashTracker.java
+++ b/core/src/main/java/org/gullsaddle/suspect/CrashTracker.java
@@ -258,7 +258,7 @@
 		List<Trait> unblocked = unblockSucceeded(note.sound().keySet());
 		for (CrashNote.NotedCrash each : note.crashes()) {
 			if (lag + each.ageMillis() < CrashEvidence.RETENTION_MILLIS) {
-				addCrash(now, new Crash(each.process(), now - lag - each.ageMillis(), each.ran()));
+				addCrash(now, new Crash(each.process(), now - lag - each.ageMillis(), each.ran(), each.silent()));
 			}
 		}
 		List<Trait> blocked = new ArrayList<>();
@@ -327,7 +327,8 @@
 		List<CrashNote.NotedCrash> ended = this.ownCrashes.values()
 			.stream()
 			.map((crash) -> crash.retainTraits(chooseMostSuspect(crash)))
-			.map((crash) -> new CrashNote.NotedCrash(crash.processName(), now - crash.at(), crash.runMillis()))
+			.map((crash) -> new CrashNote.NotedCrash(crash.processName(), now - crash.at(), crash.runMillis(),
+					crash.silent()))
 			.toList();
 		Set<Trait> suspects = new LinkedHashSet<>(this.blockedTraits.keySet());
 		suspects.addAll(this.unblockedAt.keySet());
--- a/core/src/test/java/org/gullsaddle/base/StoredDocumentTests.java
+++ b/core/src/test/java/org/gullsaddle/base/StoredDocumentTests.java
@@ -81,7 +81,8 @@
 		documents.put("rollout-note",
 				new RolloutNote("node-1", -1.5, Map.of("chat", 0.25), 12, 13, Map.of("chat", 14), 15, 0.5, 16, 17, 18));
 		documents.put("crash-note",
-				new CrashNote(1000, List.of(new CrashNote.NotedCrash("replica-1@5", 20, Map.of(Trait.part("p1"), 21L))),
+				new CrashNote(1000,
+						List.of(new CrashNote.NotedCrash("replica-1@5", 20, Map.of(Trait.part("p1"), 21L), false)),
 						Map.of(Trait.part("p2", "large"), 22L),
 						List.of(new CrashNote.NotedBlock(Trait.content(CONTENT), 23, 24, 25, 26))));
 		documents.put("limit-note", new LimitNote(27, true, 2.5));
--- a/core/src/test/java/org/gullsaddle/suspect/CrashDetectorTests.java
+++ b/core/src/test/java/org/gullsaddle/suspect/CrashDetectorTests.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -164,4 +165,91 @@
 
 	}
 
+	@Nested
+	class OfASilentReplica {
+
+		private Optional<Crash> onSilentEnd(long now, long startedAt, long silentSince, Trait trait) {
+			return CrashDetectorTests.this.detector.onAttemptEnd(now, replica("r1"), startedAt,
+					OptionalLong.of(silentSince), EndKind.CANCELLED, List.of(trait));
+		}
+
+		private Optional<Crash> onUnlisted(long now) {
+			return CrashDetectorTests.this.detector.onUnlisted(now, new ReplicaId("r1"));
+		}
+
+		/** Guards against missing the end of a replica whose attempts were given up. */
+		@Test
+		void attemptsGivenUpForSilenceArePartOfTheCrash() {
+			onSilentEnd(1000, 100, 200, DEADLY);
+			onSilentEnd(1100, 300, 300, OTHER);
+			Crash crash = onUnlisted(3800).orElseThrow();
+			assertThat(crash.at()).isEqualTo(300);
+			assertThat(crash.lastRequestAt(DEADLY)).isEqualTo(100);
+			assertThat(crash.traits()).containsExactlyInAnyOrder(DEADLY, OTHER);
+		}
+
+		@Test
+		void attemptThatItsCallerLeftDuringTheSilenceIsPartOfTheCrash() {
+			onAttemptEnd(150, 100, EndKind.CANCELLED, OTHER);
+			onAttemptEnd(500, 100, EndKind.CANCELLED, DEADLY);
+			onSilentEnd(1000, 100, 200, DEADLY);
+			assertThat(onUnlisted(3800).orElseThrow().traits()).containsExactly(DEADLY);
+		}
+
+		/** Guards against missing an attempt that outlasts its replica's entry. */
+		@Test
+		void attemptThatEndsAfterTheEntryIsGoneIsPartOfTheCrash() {
+			assertThat(onUnlisted(3000)).isEmpty();
+			Crash crash = onSilentEnd(5000, 100, 200, DEADLY).orElseThrow();
+			Crash more = onSilentEnd(5500, 150, 200, OTHER).orElseThrow();
+			assertThat(crash.merge(more).traits()).containsExactlyInAnyOrder(DEADLY, OTHER);
+		}
+
+		@Test
+		void attemptThatEndsAfterANewProcessIsListedIsPartOfTheCrash() {
+			CrashDetectorTests.this.detector.onListed(0, replica("r1"));
+			CrashDetectorTests.this.detector.onListed(3000, replica("r1", 2));
+			assertThat(onSilentEnd(5000, 100, 200, DEADLY)).isPresent();
+		}
+
+		@Test
+		void listedReplicaHasNotCrashed() {
+			CrashDetectorTests.this.detector.onListed(0, replica("r1"));
+			assertThat(onSilentEnd(5000, 100, 200, DEADLY)).isEmpty();
+		}
+
+		/** Guards against blaming requests that were sent to a silent replica. */
+		@Test
+		void attemptSentLongAfterItWentSilentIsNoPartOfTheCrash() {
+			onSilentEnd(1000, 100, 200, DEADLY);
+			onSilentEnd(2000, 1100, 1100, OTHER);
+			assertThat(onUnlisted(3800).orElseThrow().traits()).containsExactly(DEADLY);
+		}
+
+		@Test
+		void replicaThatIsHeardAgainHasNotCrashed() {
+			onSilentEnd(1000, 100, 200, OTHER);
+			CrashDetectorTests.this.detector.onBytes(replica("r1"));
+			assertThat(onUnlisted(3800)).isEmpty();
+		}
+
+		@Test
+		void replicaThatIsHeardAfterItWasTakenForDeadIsReported() {
+			onSilentEnd(1000, 100, 200, OTHER);
+			assertThat(onUnlisted(3800)).isPresent();
+			assertThat(CrashDetectorTests.this.detector.onBytes(replica("r1", 2))).isFalse();
+			assertThat(CrashDetectorTests.this.detector.onBytes(replica("r1"))).isTrue();
+			assertThat(CrashDetectorTests.this.detector.onBytes(replica("r1"))).isFalse();
+		}
+
+		/** Guards against blaming requests for the planned stop of their replica. */
+		@Test
+		void replicaThatGoesSilentAfterItsLeavingNoticeHasNotCrashed() {
+			CrashDetectorTests.this.detector.onLeaving(0, new ReplicaId("r1"));
+			onSilentEnd(1000, 100, 200, OTHER);
+			assertThat(onUnlisted(3800)).isEmpty();
+		}
+
+	}
+
 }
--- a/daemon/src/main/java/org/gullsaddle/gateway/CrashController.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/CrashController.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.LongConsumer;
 import java.util.random.RandomGenerator;
@@ -143,6 +144,24 @@
 		this.trials.requestTrial(request, traits, then);
 	}
 
+	/**
+	 * Handles the head of any answer, also of one that says that the request was not run.
+	 */
+	void onAnswer(Attempt attempt) {
+		if (!attempt.isMisdirected()) {
+			onBytes(attempt.choice().replica());
+		}
+	}
+
+	/**
+	 * Handles bytes of a replica, which may have been taken for dead as it was silent.
+	 */
+	void onBytes(Replica replica) {
+		if (this.crashDetector.onBytes(replica)) {
+			this.crashTracker.onAlive(Crash.processName(replica), MonotonicClock.millis());
+		}
+	}
+
 	/**
 	 * Handles the head of an answer.
 	 */
@@ -156,6 +175,7 @@
 	 * Handles bytes of an answer's body.
 	 */
 	void onData(ServedRequest request, String model, Attempt attempt) {
+		onBytes(attempt.choice().replica());
 		if (attempt.checkBodyLasted(MIN_SOUND_ANSWER_MILLIS)) {
 			this.crashTracker.onRunning(attempt, MonotonicClock.millis(), traits(request, model));
 		}
@@ -163,18 +183,22 @@
 
 	/**
 	 * Handles the end of an attempt.
+	 * @param silentSince since when its replica has been silent, if for too long
 	 */
-	void onEnded(ServedRequest request, String model, Attempt attempt, AttemptEnd end) {
+	void onEnded(ServedRequest request, String model, Attempt attempt, AttemptEnd end, OptionalLong silentSince) {
 		this.crashTracker.onRunEnded(attempt);
 		switch (end) {
 			case AttemptEnd.Broken broken -> {
 				boolean lost = attempt.isConnectionLost() || attempt.hasEndedWithConnection();
-				onEnded(request, model, attempt, lost ? CrashDetector.EndKind.BROKEN : CrashDetector.EndKind.CANCELLED);
+				onEnded(request, model, attempt, silentSince,
+						lost ? CrashDetector.EndKind.BROKEN : CrashDetector.EndKind.CANCELLED);
 			}
 			case AttemptEnd.Answered answered -> onAnswered(request, model, attempt, answered);
 			case AttemptEnd.NotRun notRun -> onNotRun(attempt);
-			case AttemptEnd.Withdrawn withdrawn -> onEnded(request, model, attempt, CrashDetector.EndKind.CANCELLED);
-			case AttemptEnd.Dropped dropped -> onEnded(request, model, attempt, CrashDetector.EndKind.CANCELLED);
+			case AttemptEnd.Withdrawn withdrawn ->
+				onEnded(request, model, attempt, silentSince, CrashDetector.EndKind.CANCELLED);
+			case AttemptEnd.Dropped dropped ->
+				onEnded(request, model, attempt, silentSince, CrashDetector.EndKind.CANCELLED);
 		}
 	}
 
@@ -183,7 +207,7 @@
 			return;
 		}
 		if (attempt.hasEndedWithConnection()) {
-			onEnded(request, model, attempt, CrashDetector.EndKind.CLOSE_DELIMITED);
+			onEnded(request, model, attempt, OptionalLong.empty(), CrashDetector.EndKind.CLOSE_DELIMITED);
 			boolean again = this.crashDetector.recordCloseDelimited(Trait.content(request.contentHash()));
 			if (again || !this.crashTracker.hasSuccessWithEach(request.partTraits(model))) {
 				checkLiveness(attempt.choice().replica());
@@ -194,10 +218,12 @@
 		}
 	}
 
-	private void onEnded(ServedRequest request, String model, Attempt attempt, CrashDetector.EndKind manner) {
+	private void onEnded(ServedRequest request, String model, Attempt attempt, OptionalLong silentSince,
+			CrashDetector.EndKind manner) {
 		Replica replica = attempt.choice().replica();
 		this.crashDetector
-			.onAttemptEnd(MonotonicClock.millis(), replica, attempt.startedAt(), manner, request.traits(model))
+			.onAttemptEnd(MonotonicClock.millis(), replica, attempt.startedAt(), silentSince, manner,
+					request.traits(model))
 			.ifPresent((crash) -> onCrash(crash, "more that ran there"));
 		if (manner == CrashDetector.EndKind.BROKEN) {
 			checkLiveness(replica);
@@ -293,10 +319,8 @@
 	 */
 	void onFleetChange(FleetChange change) {
 		switch (change) {
-			case FleetChange.Unlisted unlisted -> {
-				onProcessGone(unlisted.id(), "is not listed any more");
-				this.crashDetector.onLeaving(MonotonicClock.millis(), unlisted.id());
-			}
+			case FleetChange.Unlisted unlisted -> this.crashDetector.onUnlisted(MonotonicClock.millis(), unlisted.id())
+				.ifPresent((crash) -> onCrash(crash, "is not listed any more"));
 			case FleetChange.Listed listed -> this.crashDetector.onListed(MonotonicClock.millis(), listed.replica())
 				.ifPresent((crash) -> onCrash(crash, "another process has its id"));
 			case FleetChange.NoteWritten noted -> {
--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -343,7 +343,7 @@
 	void onAttemptEnded(RequestExecution serving, Attempt attempt, AttemptEnd end, long now) {
 		long millis = now - attempt.startedAt();
 		this.routingState.replicaSelector().onAttemptEnded(now, attempt.choice(), end);
-		this.crashes.onEnded(serving.request(), serving.model(), attempt, end);
+		this.crashes.onEnded(serving.request(), serving.model(), attempt, end, serving.silentSince(now, attempt));
 		this.log.attempt(serving.request(), attempt, serving.model(), end.toString(), millis, serving.timing(),
 				!(end instanceof AttemptEnd.Answered answered) || answered.hasFailed());
 		this.telemetry.attempt(serving.service().value(), end.metricLabel());
--- a/daemon/src/main/java/org/gullsaddle/gateway/ReplicaChooser.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/ReplicaChooser.java
@@ -147,6 +147,7 @@
 
 	private Optional<ReplicaChoice> chooseAfterProbe(ReplicaTask task, Set<ReplicaId> tried, List<Replica> probed,
 			List<Replica> reported) {
+		reported.forEach(this.gateway.crashes()::onBytes);
 		Set<ReplicaId> excluded = excluded(tried, task.model());
 		List<Replica> usable = usable(excluded, task.model());
 		List<Replica> candidates = withoutUnanswered(usable, probed, reported);
--- a/daemon/src/main/java/org/gullsaddle/gateway/RequestExecution.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/RequestExecution.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import io.vertx.core.MultiMap;
@@ -194,6 +195,7 @@
 
 	@Override
 	public void onAnswer(Attempt from, ReplicaAnswer answer) {
+		this.gateway.crashes().onAnswer(from);
 		this.gateway.backpressure().onAnswer(from.choice().replica(), answer);
 	}
 
@@ -486,6 +488,13 @@
 		return this.timing;
 	}
 
+	/**
+	 * Returns since when an attempt's replica has been silent, if for too long.
+	 */
+	OptionalLong silentSince(long now, Attempt from) {
+		return this.silentReplicaHandler.silentSince(now, from);
+	}
+
 	ServiceName service() {
 		return this.request.service();
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/SilentReplicaHandler.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/SilentReplicaHandler.java
@@ -1,6 +1,7 @@
 package org.gullsaddle.gateway;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.gullsaddle.fleet.Replica;
@@ -109,9 +110,10 @@
 		this.gateway.telemetry().count("silent.replicas.asked");
 		this.gateway.loadProbe()
 			.probe(replica, SilentReplicaPolicy.LOAD_QUERY_MILLIS)
-			.onSuccess((answer) -> answer.ifPresentOrElse(
-					(report) -> silentReplicaPolicy.onLoadReport(MonotonicClock.millis(), replica.id(), report),
-					() -> silentReplicaPolicy.onNoLoadReport(MonotonicClock.millis(), replica.id())));
+			.onSuccess((answer) -> answer.ifPresentOrElse((report) -> {
+				this.gateway.crashes().onBytes(replica);
+				silentReplicaPolicy.onLoadReport(MonotonicClock.millis(), replica.id(), report);
+			}, () -> silentReplicaPolicy.onNoLoadReport(MonotonicClock.millis(), replica.id())));
 	}
 
 	/**
@@ -214,6 +216,17 @@
 				patienceMillis());
 	}
 
+	/**
+	 * Returns since when the attempt waited and nothing was received from its replica on
+	 * any connection, if that is longer than a replica may be silent.
+	 */
+	OptionalLong silentSince(long now, Attempt attempt) {
+		boolean unresponsive = replicaSelector().isUnresponsive(now, attempt.choice(), silentSince(attempt),
+				attempt.answer() == null, patienceMillis());
+		return unresponsive ? OptionalLong.of(replicaSelector().silentSince(attempt.choice(), silentSince(attempt)))
+				: OptionalLong.empty();
+	}
+
 	private long patienceMillis() {
 		return this.gateway.routingState().silenceMillis(this.execution.route(), this.relay.hasBegun());
 	}
