Attempts: a connection that takes no request is closed

Found by the review: where the client refused to make a request on a new connection, the attempt ended and the connection was left open. By reading; no test.

--- a/daemon/src/main/java/org/gullsaddle/gateway/Attempt.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Attempt.java
@@ -117,6 +117,7 @@
 			RequestOptions options = new RequestOptions().setMethod(method).setURI(uri);
 			taken.connection().request(options).onComplete((request, refused) -> {
 				if (refused != null) {
+					taken.close();
 					end(new AttemptEnd.NotRun(true, "connection closed before sending"));
 				}
 				else if (!this.ended) {
