--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -45,8 +45,7 @@
 	private static final long TICK_INTERVAL_MILLIS = 50;
 
 	/**
-	 * Interval at which idle connections and state of unlisted replicas are cleaned up,
-	 * in milliseconds.
+	 * Interval at which state of unlisted replicas is cleaned up, in milliseconds.
 	 */
 	private static final long CLEANUP_INTERVAL_MILLIS = 1000;
 
