Retries: a line and a count for each decision of the budget

Observability for an incident in which retries at one service piled up. Nothing told why a request was sent once more, whether the budget allowed it, and what was left: only "no retry left" of a doubted answer or a silent replica was logged, a failed attempt that was not repeated for want of a retry was not told from one that may not be repeated.

RetryController is the one place where retries are spent. It counts gullsaddle_retries by service, reason and outcome, shows gullsaddle_retries_saved, and logs "retry" with what is left. All sends after a request's first go through it (by reading: three callers). No logic changes.

--- a/core/src/main/java/org/gullsaddle/serve/RetryBudget.java
+++ b/core/src/main/java/org/gullsaddle/serve/RetryBudget.java
@@ -44,4 +44,12 @@
 		return true;
 	}
 
+	/**
+	 * Returns the retries that may be spent now.
+	 * @return their number, without the fraction that is saved
+	 */
+	public int savedRetries() {
+		return (int) this.savedRetries;
+	}
+
 }
--- a/daemon/src/main/java/org/gullsaddle/gateway/Cascade.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Cascade.java
@@ -9,6 +9,7 @@
 import org.gullsaddle.serve.QueueBounds;
 import org.gullsaddle.serve.ReplicaChoice;
 import org.gullsaddle.serve.RetryPolicy;
+import org.gullsaddle.serve.RetryReason;
 import org.gullsaddle.telemetry.Telemetry;
 
 /**
@@ -19,6 +20,8 @@
 
 	private final SharedRoutingState routingState;
 
+	private final RetryController retries;
+
 	private final DecisionLog log;
 
 	private final Telemetry telemetry;
@@ -44,6 +47,7 @@
 	 */
 	Cascade(Gateway gateway, ServedRequest request, RetryPolicy retryPolicy, RequestPriority turn) {
 		this.routingState = gateway.routingState();
+		this.retries = gateway.retries();
 		this.log = gateway.log();
 		this.telemetry = gateway.telemetry();
 		this.request = request;
@@ -116,7 +120,7 @@
 		if (!tooSlow.isEmpty()) {
 			return tooSlow;
 		}
-		return this.routingState.spendRetry() ? "" : "no retry left";
+		return this.retries.trySpend(this.request, RetryReason.LOW_CONFIDENCE) ? "" : "no retry left";
 	}
 
 	private String reasonTooSlow(int confidence, ReplicaChoice choice, long remainingMillis) {
--- a/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
@@ -12,8 +12,10 @@
 import org.gullsaddle.fleet.FleetChange;
 import org.gullsaddle.fleet.ReplicaId;
 import org.gullsaddle.fleet.RolloutState;
+import org.gullsaddle.fleet.ServiceName;
 import org.gullsaddle.hold.BufferAccount;
 import org.gullsaddle.serve.ReplicaChoice;
+import org.gullsaddle.serve.RetryReason;
 import org.gullsaddle.serve.Rollout;
 import org.gullsaddle.serve.RolloutProgress;
 import org.gullsaddle.suspect.Crash;
@@ -236,6 +238,22 @@
 		}
 	}
 
+	/**
+	 * Logs whether the retry budget allowed another attempt.
+	 * @param saved the retries that are left
+	 */
+	void retry(String id, ServiceName service, RetryReason reason, String outcome, int saved) {
+		if (shouldWrite(false)) {
+			LOG.atInfo()
+				.addKeyValue("id", id)
+				.addKeyValue("service", service.value())
+				.addKeyValue("reason", reason.label())
+				.addKeyValue("outcome", outcome)
+				.addKeyValue("saved", saved)
+				.log("retry");
+		}
+	}
+
 	void loadProbeFailed(ReplicaId replica, String reason) {
 		if (shouldWrite(false)) {
 			LOG.atInfo()
--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -73,6 +73,8 @@
 
 	private final SharedRoutingState routingState;
 
+	private final RetryController retries;
+
 	private final RetryAfterAdvisor retryAfterAdvisor;
 
 	private final ColdReplicaLimiter coldReplicaLimiter;
@@ -121,8 +123,8 @@
 		this.codec = builder.codec;
 		this.fleet = new FleetState(this.settings.rolloutLimits());
 		this.buffers = new BufferManager(this.settings.load(), this.log, this.telemetry);
-		this.routingState = new SharedRoutingState(this.settings.place(), this.settings.retryBudgetRatio(),
-				this.settings.load().pressure());
+		this.routingState = new SharedRoutingState(this.settings.place(), this.settings.load().pressure());
+		this.retries = new RetryController(this.settings.retryBudgetRatio(), this.log, this.telemetry);
 		this.retryAfterAdvisor = new RetryAfterAdvisor(this.settings.load().pressure(), this.telemetry);
 		this.coldReplicaLimiter = new ColdReplicaLimiter(this.settings.node());
 		this.replicaConnections = new ReplicaConnections(vertx);
@@ -185,6 +187,7 @@
 		this.telemetry.gauge("config.version", this::configVersion);
 		this.telemetry.gauge("fleet.age.milliseconds", () -> this.fleet.ageMillis(MonotonicClock.millis()));
 		this.telemetry.gauge("log.lines.left.out", this.log::omittedLines);
+		this.telemetry.gauge("retries.saved", this.retries::savedRetries);
 		this.telemetry.gauge("probes.sent", this.loadProbe::sentCount);
 		this.telemetry.gauge("probes.failed", this.loadProbe::failedCount);
 		this.buffers.registerGauges();
@@ -427,6 +430,10 @@
 		return this.routingState;
 	}
 
+	RetryController retries() {
+		return this.retries;
+	}
+
 	RetryAfterAdvisor retryAfterAdvisor() {
 		return this.retryAfterAdvisor;
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/RequestExecution.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/RequestExecution.java
@@ -22,6 +22,7 @@
 import org.gullsaddle.serve.ReplicaEligibility;
 import org.gullsaddle.serve.ReplicaTask;
 import org.gullsaddle.serve.RetryPolicy;
+import org.gullsaddle.serve.RetryReason;
 import org.gullsaddle.serve.SendPermission;
 
 /**
@@ -92,7 +93,7 @@
 			refuseWithoutReplica();
 			return;
 		}
-		this.gateway.routingState().earnRetry();
+		this.gateway.retries().onAdmitted();
 		this.priority.onArrival(MonotonicClock.millis());
 		startNextAttempt();
 	}
@@ -313,7 +314,8 @@
 				|| !this.silentReplicaHandler.canContinueElsewhere()) {
 			return false;
 		}
-		if (!this.replicas.hasUntried(this.tried, model()) || !this.gateway.routingState().spendRetry()) {
+		if (!this.replicas.hasUntried(this.tried, model())
+				|| !this.gateway.retries().trySpend(this.request, RetryReason.FAILURE)) {
 			return false;
 		}
 		startNextAttempt();
--- a/daemon/src/main/java/org/gullsaddle/gateway/SharedRoutingState.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/SharedRoutingState.java
@@ -18,7 +18,6 @@
 import org.gullsaddle.serve.QueueBounds;
 import org.gullsaddle.serve.ReplicaEligibility;
 import org.gullsaddle.serve.ReplicaSelector;
-import org.gullsaddle.serve.RetryBudget;
 import org.gullsaddle.serve.SilentReplicaPolicy;
 import org.gullsaddle.serve.TeamBurstDetector;
 import org.gullsaddle.serve.WorkShares;
@@ -59,8 +58,6 @@
 
 	private final ReplicaSelector replicaSelector;
 
-	private final RetryBudget retryBudget;
-
 	private final ModelSelector models;
 
 	private FleetConfig boundsConfig;
@@ -80,10 +77,9 @@
 
 	private final RandomGenerator random = RandomGenerator.getDefault();
 
-	SharedRoutingState(NodeLocation here, double retryBudgetRatio, boolean pressure) {
+	SharedRoutingState(NodeLocation here, boolean pressure) {
 		this.workShares = pressure ? Optional.of(new WorkShares()) : Optional.empty();
 		this.replicaSelector = new ReplicaSelector(here);
-		this.retryBudget = new RetryBudget(retryBudgetRatio);
 		this.models = pressure ? ModelSelector.withQueueBounds() : new ModelSelector();
 		if (pressure) {
 			this.replicaSelector.separateModelSizes();
@@ -118,14 +114,6 @@
 		return this.silentReplicaPolicy;
 	}
 
-	void earnRetry() {
-		this.retryBudget.earn();
-	}
-
-	boolean spendRetry() {
-		return this.retryBudget.trySpend();
-	}
-
 	/**
 	 * Returns the retry delay for a refused caller, in milliseconds, with jitter so that
 	 * callers refused together do not return together.
--- a/daemon/src/main/java/org/gullsaddle/gateway/SilentReplicaHandler.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/SilentReplicaHandler.java
@@ -12,6 +12,7 @@
 import org.gullsaddle.serve.ReplicaSelector;
 import org.gullsaddle.serve.ReplicaTask;
 import org.gullsaddle.serve.RetryPolicy;
+import org.gullsaddle.serve.RetryReason;
 import org.gullsaddle.serve.SilentReplicaPolicy;
 
 /**
@@ -157,7 +158,7 @@
 		if (choice.isEmpty()) {
 			stay(attempt, end, "no replica");
 		}
-		else if (!this.gateway.routingState().spendRetry()) {
+		else if (!this.gateway.retries().trySpend(this.execution.request(), RetryReason.WAIT)) {
 			stay(attempt, end, "no retry left");
 		}
 		else {
--- a/daemon/src/main/java/org/gullsaddle/telemetry/Telemetry.java
+++ b/daemon/src/main/java/org/gullsaddle/telemetry/Telemetry.java
@@ -49,6 +49,8 @@
 
 	private final MetricFamily attempts = MetricFamily.counter("gullsaddle_attempts", "service", "end");
 
+	private final MetricFamily retries = MetricFamily.counter("gullsaddle_retries", "service", "reason", "outcome");
+
 	private final MetricFamily firstEvents = MetricFamily.histogram("gullsaddle_first_event_seconds", "route", "model");
 
 	private final MetricFamily delayErrors = MetricFamily.histogram("gullsaddle_delay_error_seconds", "service",
@@ -57,7 +59,7 @@
 	private final MetricFamily served = MetricFamily.counter("gullsaddle_served", "template", "version");
 
 	private final List<MetricFamily> families = List.of(this.whole, this.first, this.between, this.outcomes,
-			this.requests, this.attempts, this.firstEvents, this.delayErrors, this.served);
+			this.requests, this.attempts, this.retries, this.firstEvents, this.delayErrors, this.served);
 
 	/**
 	 * Makes an empty set of metrics.
@@ -119,6 +121,16 @@
 		this.attempts.increment(service, end);
 	}
 
+	/**
+	 * Counts a request that was to be sent once more.
+	 * @param service its service
+	 * @param reason {@code failure}, {@code wait} or {@code low-confidence}
+	 * @param outcome {@code spent} or {@code denied} by the retry budget
+	 */
+	public void retry(String service, String reason, String outcome) {
+		this.retries.increment(service, reason, outcome);
+	}
+
 	/**
 	 * Notes how long a replica took to a stream's first event.
 	 * @param route the request's route
