Retries: a budget for each service, whose retries lapse

Cause: nothing kept the bound. A node had one budget for all services, added 0.45 of a retry for each request, began with 5 and saved up to 20 for any time. So retries were paid by another service's requests, by quiet seconds long before, and by each start; savings of all nodes may be spent at once, and no node knows of the others.

Change: a budget for each service; a retry lapses half a window after it was earned; a request earns ratio / 1.5 = 0.6; nothing is there before the first request, which earns a whole one. Then what is spent in a window was earned in it or in the half window before, over any number of nodes, whoever starts anew or takes over requests. The entry's Router uses the same class: nine in a hundred in any minute, and five at a start.

Ruled out: sends past the budget, by reading (three callers, all sends of a request).

--- a/core/src/main/java/org/gullsaddle/route/Router.java
+++ b/core/src/main/java/org/gullsaddle/route/Router.java
@@ -84,7 +84,7 @@
 	public Router(RouterSettings settings, RandomGenerator random) {
 		this.settings = settings;
 		this.random = random;
-		this.retryBudget = new RetryBudget(settings.retryBudgetRatio());
+		this.retryBudget = new RetryBudget(settings.retryLimits());
 		this.balancer = new LoadBalancer(settings.region(), settings.dataCenter(), random);
 		this.retryAfter = new RetryAfterJitter(random);
 		this.admission = new RequestAdmission(settings, this.templates, this.suspects, this.retryAfter);
@@ -149,7 +149,7 @@
 			this.finisher.giveUp(now, state, refusal.get());
 			return;
 		}
-		this.retryBudget.earn();
+		this.retryBudget.earn(now.millis());
 		this.openRequests.scheduleCheck(request.deadline(), request.id());
 		if (request.isRepeatable()) {
 			planAndSend(now, state);
@@ -439,7 +439,7 @@
 			this.actions.releaseClaim(state);
 			this.finisher.writeRecord(state);
 		}
-		else if (refusal.reason() != RefusalReason.DEADLINE && takeRetry(state, refusal.reason())) {
+		else if (refusal.reason() != RefusalReason.DEADLINE && takeRetry(now, state, refusal.reason())) {
 			sendStage(now, state);
 		}
 		else {
@@ -447,13 +447,13 @@
 		}
 	}
 
-	private boolean takeRetry(RequestState state, RefusalReason reason) {
+	private boolean takeRetry(Moment now, RequestState state, RefusalReason reason) {
 		if (state.attemptCount() >= this.settings.maxAttempts()) {
 			return false;
 		}
 		return switch (reason) {
 			case LEAVING, STOPPING, FORBIDDEN -> true;
-			default -> this.retryBudget.trySpend();
+			default -> this.retryBudget.trySpend(now.millis());
 		};
 	}
 
@@ -485,7 +485,7 @@
 			this.finisher.giveUp(now, state, Refusal.notRun(RefusalReason.POISON, 0));
 		}
 		else if ((state.request().isRepeatable() || event.verdict() == Verdict.NOT_RUN)
-				&& takeRetry(state, RefusalReason.BACKEND_FAILED)) {
+				&& takeRetry(now, state, RefusalReason.BACKEND_FAILED)) {
 			if (!state.isDelivering()) {
 				state.receivedText().setLength(0);
 			}
--- a/core/src/main/java/org/gullsaddle/route/RouterSettings.java
+++ b/core/src/main/java/org/gullsaddle/route/RouterSettings.java
@@ -1,19 +1,28 @@
 package org.gullsaddle.route;
 
 import org.gullsaddle.base.Check;
+import org.gullsaddle.serve.RetryLimits;
 
 /**
  * The settings of the {@link Router}.
  */
 public final class RouterSettings {
 
+	private static final double RETRY_RATIO = 0.09;
+
+	/** Window in which retries keep to their ratio, in milliseconds. */
+	private static final long RETRY_WINDOW_MILLIS = 60_000;
+
+	/** Retries that the first requests find before they have earned any. */
+	private static final int INITIAL_RETRIES = 5;
+
 	private final String region;
 
 	private final String dataCenter;
 
 	private final int maxAttempts;
 
-	private final double retryBudgetRatio;
+	private final RetryLimits retryLimits;
 
 	private final int maxAnswerLength;
 
@@ -29,7 +38,7 @@
 		this.region = Check.notNull(builder.region, "region");
 		this.dataCenter = Check.notNull(builder.dataCenter, "dataCenter");
 		this.maxAttempts = builder.maxAttempts;
-		this.retryBudgetRatio = builder.retryBudgetRatio;
+		this.retryLimits = builder.retryLimits;
 		this.maxAnswerLength = builder.maxAnswerLength;
 		this.maxOpenRequests = builder.maxOpenRequests;
 		this.attemptEndTimeoutMillis = builder.attemptEndTimeoutMillis;
@@ -72,11 +81,11 @@
 	}
 
 	/**
-	 * Returns how many retries each request adds to the retry budget.
-	 * @return the ratio, 0 to 1
+	 * Returns what the retry budget allows.
+	 * @return the limits
 	 */
-	public double retryBudgetRatio() {
-		return this.retryBudgetRatio;
+	public RetryLimits retryLimits() {
+		return this.retryLimits;
 	}
 
 	/**
@@ -131,7 +140,8 @@
 
 		private int maxAttempts = 4;
 
-		private double retryBudgetRatio = 0.09;
+		private RetryLimits retryLimits = RetryLimits.within(RETRY_RATIO, RETRY_WINDOW_MILLIS)
+			.startingWith(INITIAL_RETRIES);
 
 		private int maxAnswerLength = 1 << 20;
 
@@ -159,12 +169,12 @@
 		}
 
 		/**
-		 * Sets how many retries each request adds to the retry budget.
-		 * @param ratio the ratio, 0 to 1
+		 * Sets what the retry budget allows.
+		 * @param limits the limits
 		 * @return this builder
 		 */
-		public Builder retryBudgetRatio(double ratio) {
-			this.retryBudgetRatio = ratio;
+		public Builder retryLimits(RetryLimits limits) {
+			this.retryLimits = limits;
 			return this;
 		}
 
--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -124,7 +124,7 @@
 		this.fleet = new FleetState(this.settings.rolloutLimits());
 		this.buffers = new BufferManager(this.settings.load(), this.log, this.telemetry);
 		this.routingState = new SharedRoutingState(this.settings.place(), this.settings.load().pressure());
-		this.retries = new RetryController(this.settings.retryBudgetRatio(), this.log, this.telemetry);
+		this.retries = new RetryController(this.settings.retryLimits(), this.log, this.telemetry);
 		this.retryAfterAdvisor = new RetryAfterAdvisor(this.settings.load().pressure(), this.telemetry);
 		this.coldReplicaLimiter = new ColdReplicaLimiter(this.settings.node());
 		this.replicaConnections = new ReplicaConnections(vertx);
@@ -166,6 +166,7 @@
 			.replicas("cold replica clean-up", this.coldReplicaLimiter::retain)
 			.replicas("back-pressure clean-up", this.backpressure::retain)
 			.names("routing clean-up", this.routingState::retain)
+			.names("retry budget clean-up", (names) -> this.retries.retain(names.services()))
 			.names("promise clean-up",
 					(names) -> this.backpressure.backpressureTable().retainServices(names.services()))
 			.names("retry time clean-up", (names) -> this.retryAfterAdvisor.retain(names.services()))
--- a/daemon/src/main/java/org/gullsaddle/gateway/RequestExecution.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/RequestExecution.java
@@ -93,7 +93,7 @@
 			refuseWithoutReplica();
 			return;
 		}
-		this.gateway.retries().onAdmitted();
+		this.gateway.retries().onAdmitted(this.request);
 		this.priority.onArrival(MonotonicClock.millis());
 		startNextAttempt();
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/RetryController.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/RetryController.java
@@ -1,50 +1,64 @@
 package org.gullsaddle.gateway;
 
-import org.gullsaddle.serve.RetryBudget;
+import java.util.Set;
+
+import org.gullsaddle.fleet.ServiceName;
+import org.gullsaddle.serve.RetryLimits;
 import org.gullsaddle.serve.RetryReason;
+import org.gullsaddle.serve.ServiceRetryBudgets;
 import org.gullsaddle.telemetry.Telemetry;
 
 /**
- * Decides whether the retry budget allows another attempt, and records each decision.
+ * Decides whether a service's retry budget allows another attempt, and records each
+ * decision.
  */
 final class RetryController {
 
-	private final RetryBudget budget;
+	private final ServiceRetryBudgets budgets;
 
 	private final DecisionLog log;
 
 	private final Telemetry telemetry;
 
-	RetryController(double retryBudgetRatio, DecisionLog log, Telemetry telemetry) {
-		this.budget = new RetryBudget(retryBudgetRatio);
+	RetryController(RetryLimits limits, DecisionLog log, Telemetry telemetry) {
+		this.budgets = new ServiceRetryBudgets(limits);
 		this.log = log;
 		this.telemetry = telemetry;
 	}
 
 	/**
-	 * Adds what an admitted request earns.
+	 * Adds what an admitted request earns for its service.
 	 */
-	void onAdmitted() {
-		this.budget.earn();
+	void onAdmitted(ServedRequest request) {
+		this.budgets.earn(MonotonicClock.millis(), request.service());
 	}
 
 	/**
-	 * Takes a retry for a request out of the budget if there is one.
+	 * Takes a retry for a request out of its service's budget if there is one.
 	 * @return whether the request may be sent once more
 	 */
 	boolean trySpend(ServedRequest request, RetryReason reason) {
-		boolean spent = this.budget.trySpend();
+		long now = MonotonicClock.millis();
+		boolean spent = this.budgets.trySpend(now, request.service());
 		String outcome = spent ? "spent" : "denied";
 		this.telemetry.retry(request.service().value(), reason.label(), outcome);
-		this.log.retry(request.id(), request.service(), reason, outcome, savedRetries());
+		this.log.retry(request.id(), request.service(), reason, outcome,
+				this.budgets.savedRetries(now, request.service()));
 		return spent;
 	}
 
 	/**
-	 * Returns the retries that may be spent now.
+	 * Returns the retries that may be spent now at all services.
 	 */
 	int savedRetries() {
-		return this.budget.savedRetries();
+		return this.budgets.savedRetries(MonotonicClock.millis());
+	}
+
+	/**
+	 * Drops the budgets of services that are no longer configured.
+	 */
+	void retain(Set<ServiceName> services) {
+		this.budgets.retain(services);
 	}
 
 }
--- a/daemon/src/test/java/org/gullsaddle/gateway/NodeRegistryTests.java
+++ b/daemon/src/test/java/org/gullsaddle/gateway/NodeRegistryTests.java
@@ -15,6 +15,7 @@
 import org.gullsaddle.base.Address;
 import org.gullsaddle.fleet.FleetChange;
 import org.gullsaddle.serve.NodeLocation;
+import org.gullsaddle.serve.RetryLimits;
 import org.gullsaddle.serve.RolloutLimits;
 import org.gullsaddle.store.Store;
 
@@ -41,7 +42,7 @@
 	void open() {
 		Address nowhere = new Address("127.0.0.1", 1);
 		GatewaySettings settings = new GatewaySettings(SELF, new NodeLocation("a", Map.of("a", "north")), nowhere,
-				nowhere, nowhere, 1, 1, 1, RolloutLimits.DEFAULT, LoadSettings.DEFAULTS);
+				nowhere, nowhere, 1, RetryLimits.within(1, 1), 1, RolloutLimits.DEFAULT, LoadSettings.DEFAULTS);
 		this.registry = new NodeRegistry(this.vertx, this.store, settings, () -> this.storeUnavailable);
 	}
 
