Retries: none is spent after an attempt that sent nothing

A connection that did not open cost a retry of the budget like a failure, though no replica got anything of it (known red, lost SYN packets). Now the next attempt takes its place; how many may follow each other is bounded by RetryPolicy as before.

ServiceRetriesTests.areNotSpentAfterAnAttemptThatSentNothing failed before: on retries were counted for reads whose first replica could not be reached.

--- a/daemon/src/main/java/org/gullsaddle/gateway/RequestExecution.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/RequestExecution.java
@@ -291,20 +291,22 @@
 			startNextAttempt();
 			return;
 		}
-		if (counted instanceof AttemptEnd.Answered answered && !(answered.hasFailed() && retryIfAllowed(now))) {
+		if (counted instanceof AttemptEnd.Answered answered
+				&& !(answered.hasFailed() && retryIfAllowed(now, counted))) {
 			complete(from, answered);
 			return;
 		}
-		if (!(counted instanceof AttemptEnd.Answered) && !retryIfAllowed(now)) {
+		if (!(counted instanceof AttemptEnd.Answered) && !retryIfAllowed(now, counted)) {
 			refuseAfter(counted);
 		}
 	}
 
 	/**
 	 * Starts another attempt if that is allowed.
+	 * @param end how the attempt before it ended
 	 * @return whether one was started
 	 */
-	private boolean retryIfAllowed(long now) {
+	private boolean retryIfAllowed(long now, AttemptEnd end) {
 		if (this.nextChoice.isPresent()) {
 			// Chosen, and its retry spent, before the silent replica was left.
 			startNextAttempt();
@@ -314,8 +316,12 @@
 				|| !this.silentReplicaHandler.canContinueElsewhere()) {
 			return false;
 		}
-		if (!this.replicas.hasUntried(this.tried, model())
-				|| !this.gateway.retries().trySpend(this.request, RetryReason.FAILURE)) {
+		if (!this.replicas.hasUntried(this.tried, model())) {
+			return false;
+		}
+		// An attempt that sent nothing is no load on any replica.
+		boolean sentNothing = end instanceof AttemptEnd.NotRun notRun && notRun.unreachable();
+		if (!sentNothing && !this.gateway.retries().trySpend(this.request, RetryReason.FAILURE)) {
 			return false;
 		}
 		startNextAttempt();
