Connections: another try after 250 ms without an answer

Each attempt opens a connection, so that a lost SYN or its answer cost the attempt: TCP sends it again after a second, which is the time to connect. A longer time would hold the request up for that second. Now up to three tries run beside each other, begun 250 ms after one another; the first that opens is used, the others are closed unused. An address at which nothing listens fails at once, as before.

LostPacketTests.requestIsServedThoughTheFirstPacketIsLost failed before: the attempt ended as unreachable after 1006 ms; now it is answered after 281 ms.

--- a/daemon/src/main/java/org/gullsaddle/gateway/ReplicaConnections.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/ReplicaConnections.java
@@ -27,7 +27,10 @@
 
 	private final HttpClientAgent client;
 
+	private final Vertx vertx;
+
 	ReplicaConnections(Vertx vertx) {
+		this.vertx = vertx;
 		this.client = vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
 			.setTcpNoDelay(true)
 			.setTcpKeepAlive(true)
@@ -46,7 +49,7 @@
 			.setHost(replica.address().host())
 			.setPort(replica.address().port())
 			.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
-		return this.client.connect(options).map(Channel::new);
+		return new ConnectionRace(this.vertx, () -> this.client.connect(options).map(Channel::new)).start();
 	}
 
 	/**
