Retries: lapse after a quarter of the window, and spare ones are for failures

Change: a retry lapses after a quarter of the window, so that a request may earn 0.72 under the same bound (0.72 x 12.5 s of requests is 0.9 x 10 s). Spare retries are not used for doubted answers, so that a failure finds one. A ratio of 0 now allows none; a node's first request had one.

--- a/core/src/main/java/org/gullsaddle/serve/RetryLimits.java
+++ b/core/src/main/java/org/gullsaddle/serve/RetryLimits.java
@@ -16,7 +16,7 @@
 	 * How long a retry may be saved, relative to the window. The longer, the more retries
 	 * outlast the gaps between requests, and the less each request can earn.
 	 */
-	private static final double LIFETIME_RATIO = 0.5;
+	private static final double LIFETIME_RATIO = 0.25;
 
 	/**
 	 * How much of the slack is used. The rest bears the parts of retries that nodes find
@@ -38,7 +38,7 @@
 	 * @return the limits
 	 */
 	public static RetryLimits within(double ratio, long windowMillis) {
-		return new RetryLimits(ratio, windowMillis, 0, 1 - earned(Math.max(0, ratio)));
+		return new RetryLimits(ratio, windowMillis, 0, (ratio > 0) ? 1 - earned(ratio) : 0);
 	}
 
 	/**
--- a/daemon/src/main/java/org/gullsaddle/gateway/RetryController.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/RetryController.java
@@ -44,7 +44,9 @@
 	 */
 	boolean trySpend(ServedRequest request, RetryReason reason) {
 		long now = MonotonicClock.millis();
-		boolean spent = this.budgets.trySpend(now, request.service(), this.nodes.getAsInt());
+		// Spare retries are for requests that fail: a poor answer still is one.
+		int sharing = (reason == RetryReason.LOW_CONFIDENCE) ? 0 : this.nodes.getAsInt();
+		boolean spent = this.budgets.trySpend(now, request.service(), sharing);
 		String outcome = spent ? "spent" : "denied";
 		this.telemetry.retry(request.service().value(), reason.label(), outcome);
 		this.log.retry(request.id(), request.service(), reason, outcome,
