Connections: a try that fails ends the race

By reading: with a time limit for each try, a replica that sends nothing at all was given up after 1.5 s in place of 1 s. The first try that fails now ends the race: nothing listens, or the time to connect is over.

--- a/core/src/main/java/org/gullsaddle/serve/RetryReason.java
+++ b/core/src/main/java/org/gullsaddle/serve/RetryReason.java
@@ -1,7 +1,7 @@
 package org.gullsaddle.serve;
 
 /**
- * Why a request is sent to a replica once more.
+ * Reason why a request is to be sent to a replica once more.
  */
 public enum RetryReason {
 
--- a/daemon/src/main/java/org/gullsaddle/gateway/ConnectionRace.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/ConnectionRace.java
@@ -33,8 +33,6 @@
 
 	private int begun;
 
-	private int failed;
-
 	ConnectionRace(Vertx vertx, Supplier<Future<ReplicaConnections.Channel>> open) {
 		this.vertx = vertx;
 		this.open = open;
@@ -42,7 +40,7 @@
 
 	/**
 	 * Begins the first try.
-	 * @return the connection, or the failure of the last try that failed
+	 * @return the connection, or the failure of the first try that failed
 	 */
 	Future<ReplicaConnections.Channel> start() {
 		begin();
@@ -70,13 +68,11 @@
 	}
 
 	/**
-	 * Fails at once if nothing listens at the address, else once no try waits any more.
+	 * Fails with the first try that does: nothing listens at the address, or the time to
+	 * connect is over.
 	 */
 	private void onFailed(Throwable failure) {
-		this.failed++;
-		if (ReplicaConnections.isConnectionRefused(failure) || this.failed == this.begun) {
-			this.winner.tryFail(failure);
-		}
+		this.winner.tryFail(failure);
 	}
 
 }
