Tests: two more courses of retries; the model's moves by name

Requests that fall to a fifth and two services that fail at once were not among the courses of RetryBudgetTests: both hold. The model's way to move requests was two functions and a mark; it is one time now, with the same figures.

No code that ships changed.

--- a/core/src/test/java/org/gullsaddle/serve/RetryBudgetModel.java
+++ b/core/src/test/java/org/gullsaddle/serve/RetryBudgetModel.java
@@ -30,8 +30,6 @@
 	/** Length of a step, in milliseconds. */
 	private static final int STEP_MILLIS = 100;
 
-	private static final int WINDOW = WINDOW_MILLIS / STEP_MILLIS;
-
 	private static final int MAX_ATTEMPTS = 3;
 
 	private final List<ServiceRetryBudgets> nodes = new ArrayList<>();
@@ -41,8 +39,10 @@
 	/** Maps a time in milliseconds to the number of nodes that start anew. */
 	private IntUnaryOperator restarts = (millis) -> 0;
 
-	/** Maps a time in milliseconds to the number of nodes that get all requests. */
-	private IntUnaryOperator firstNode = (millis) -> 0;
+	/**
+	 * When requests move from the lower half of the nodes to the upper one; 0 if never.
+	 */
+	private int moveAtMillis;
 
 	private final Random random;
 
@@ -78,7 +78,7 @@
 	 * before.
 	 */
 	void moveRequests(int atMillis) {
-		this.firstNode = (millis) -> (millis < atMillis) ? 0 : this.nodes.size() / 2;
+		this.moveAtMillis = atMillis;
 	}
 
 	void play(int seconds) {
@@ -98,14 +98,11 @@
 			due.forEach((sent) -> end(now, service, sent));
 		}
 		double mean = service.perSecond.applyAsDouble(now / 1000.0) * STEP_MILLIS / 1000;
-		int half = this.nodes.size() / 2;
-		boolean moves = this.firstNode.applyAsInt(Integer.MAX_VALUE) > 0;
 		// A binomial number of requests with this mean.
 		int tries = (int) Math.ceil(2 * mean);
 		for (int i = 0; i < tries; i++) {
 			if (this.random.nextDouble() < mean / tries) {
-				int node = moves ? this.firstNode.applyAsInt(now) + this.random.nextInt(half)
-						: this.random.nextInt(this.nodes.size());
+				int node = pickNode(now);
 				service.requests.merge(now, 1, Integer::sum);
 				this.nodes.get(node).earn(now, service.name);
 				send(now, service, new Sent(node, 1));
@@ -113,6 +110,14 @@
 		}
 	}
 
+	private int pickNode(int now) {
+		if (this.moveAtMillis == 0) {
+			return this.random.nextInt(this.nodes.size());
+		}
+		int half = this.nodes.size() / 2;
+		return ((now < this.moveAtMillis) ? 0 : half) + this.random.nextInt(half);
+	}
+
 	private void send(int now, Service service, Sent sent) {
 		int end = now + STEP_MILLIS * (1 + this.random.nextInt(8));
 		service.ending.computeIfAbsent(end, (missing) -> new ArrayList<>()).add(sent);
@@ -181,7 +186,7 @@
 		}
 
 		private static int sum(TreeMap<Integer, Integer> counts, int from) {
-			return total(counts.subMap(from, from + WINDOW * STEP_MILLIS));
+			return total(counts.subMap(from, from + WINDOW_MILLIS));
 		}
 
 		private static int total(Map<Integer, Integer> counts) {
--- a/core/src/test/java/org/gullsaddle/serve/RetryBudgetTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/RetryBudgetTests.java
@@ -186,6 +186,14 @@
 		REQUESTS_FALL(
 				(model) -> model.service("engines", (at) -> (at < 15) ? 78 : 30, (at) -> isFailing(at) ? 1 : 0, 0)),
 
+		REQUESTS_FALL_TO_A_FIFTH(
+				(model) -> model.service("engines", (at) -> (at < 17) ? 78 : 15.6, (at) -> isFailing(at) ? 1 : 0, 0)),
+
+		BOTH_SERVICES_FAIL((model) -> {
+			model.service("desk", (at) -> 35, (at) -> isFailing(at) ? 1 : 0, 0);
+			return engines(model, 1, 0.5);
+		}),
+
 		BURST_AND_LULL((model) -> model.service("engines", (at) -> (at < 14) ? 78 : (at < 17) ? 234 : 31,
 				(at) -> isFailing(at) ? 1 : 0, 0)),
 
