Connections: clients are counted before the HTTP decoder

What callers saw: a process that ran out of memory and ended, or lived on and answered nobody, while clients sent heads of many short lines, heads, lines or trailers without end, or requests ahead of answers that they did not read.

Cause: nothing counted a client's bytes before the decoder had made objects of them, some 130 bytes for a line of four; all requests of one read were decoded and queued; maxHeaderBytes, headerTimeoutMs and idleTimeoutMs were not applied.

InboundConnection stands in front of the decoder of each connection. A head is held as bytes until it is whole; it is decoded if there is memory for it, else refused with 503, not run; the next one on the connection waits for the answer before it. Trailers and chunk extensions are left out. InboundConnections keeps the sum in the existing buffer budget: beyond it the connection that has held the most for the longest is refused or closed, those without a running request first. Heads and idle connections have the configured time limits.

KeptCallerConnectionTests failed in two rows while an answer with Connection: close waited for the rest of its request; such a connection is closed by itself now.

Ruled out: a limit on bytes alone, as one head of 4,000 lines has to be served and thirty at once are few bytes; counting lines behind the decoder, which adds them to the message as they come.

--- a/daemon/src/main/java/org/gullsaddle/gateway/BufferManager.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/BufferManager.java
@@ -45,6 +45,13 @@
 		this.telemetry.gauge("paused.answers", this::countPaused);
 	}
 
+	/**
+	 * Returns the memory that all transfers share.
+	 */
+	BufferBudget budget() {
+		return this.budget;
+	}
+
 	/**
 	 * Returns whether a replica is paused as soon as its answer's caller reads more
 	 * slowly than it sends, and not only when memory is short.
--- a/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/DecisionLog.java
@@ -309,6 +309,16 @@
 		}
 	}
 
+	/**
+	 * Logs connections that were refused or closed.
+	 * @param count how many since the last line with the same reason
+	 */
+	void connectionsRejected(String reason, int count) {
+		if (shouldWrite(true)) {
+			LOG.atInfo().addKeyValue("reason", reason).addKeyValue("count", count).log("connections rejected");
+		}
+	}
+
 	void transferAborted(BufferAccount account, String what, double secondsToEmpty, long held) {
 		if (shouldWrite(true)) {
 			LOG.atInfo()
--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -9,6 +9,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
@@ -18,6 +19,7 @@
 import org.gullsaddle.fleet.FleetConfig;
 import org.gullsaddle.fleet.ReplicaId;
 import org.gullsaddle.fleet.RouteKind;
+import org.gullsaddle.inbound.InboundConnections;
 import org.gullsaddle.serve.AttemptEnd;
 import org.gullsaddle.serve.BackpressureTable;
 import org.gullsaddle.serve.ColdReplicaLimiter;
@@ -55,7 +57,11 @@
 	 */
 	private static final int CALLER_IDLE_TIMEOUT_SECONDS = 75;
 
-	private static final int MAX_HEADER_BYTES = 65_536;
+	/** Interval at which callers' connections are checked, in milliseconds. */
+	private static final long CONNECTION_CHECK_INTERVAL_MILLIS = 250;
+
+	/** Largest head that the HTTP decoder accepts, in bytes. */
+	static final int MAX_HEADER_BYTES = 65_536;
 
 	private final Vertx vertx;
 
@@ -99,6 +105,8 @@
 
 	private final BufferManager buffers;
 
+	private final InboundConnections inbound;
+
 	private final StallDetector stallDetector = new StallDetector();
 
 	private final Set<RequestExecution> openRequests = new LinkedHashSet<>();
@@ -144,6 +152,7 @@
 		this.rollouts = new RolloutController(vertx, builder.stateWriter, builder.store, this.settings.node(),
 				this.fleet, this.routingState.replicaSelector(), this.log, this.guard);
 		this.dispatcher = new RequestDispatcher(vertx, this);
+		this.inbound = InboundFactory.create(this);
 		this.poller = new FleetPoller(vertx, builder.source, this.fleet, this.log, this::onFleetChange,
 				this.settings.maxPropagationMillis(), this.crashes::awaitsCrashNotes, this.guard);
 		this.configRefresher = new ConfigRefresher(builder.source, this.fleet, this.settings.maxPropagationMillis(),
@@ -177,6 +186,7 @@
 
 	private void registerGauges() {
 		this.telemetry.gauge("open.requests", this.openRequests::size);
+		this.telemetry.gauge("open.connections", this.inbound::count);
 		this.telemetry.gauge("unanswered.requests", this.inFlight::count);
 		this.telemetry.gauge("held.requests", this.dispatcher::heldCount);
 		this.telemetry.gauge("replicas.known", () -> this.fleet.directory().knownIds().size());
@@ -211,8 +221,7 @@
 			.setHttp2ClearTextEnabled(false)
 			.setAcceptBacklog(EarlyListener.BACKLOG);
 		this.server = this.vertx.createHttpServer(options)
-			.connectionHandler((connection) -> this.connections.onOpened(connection,
-					!this.drainPolicy.acceptsAll(MonotonicClock.millis())))
+			.connectionHandler(this::onConnection)
 			.requestHandler(this::onRequest);
 		registerGauges();
 		this.poller.start();
@@ -220,12 +229,18 @@
 		this.vertx.setTimer(StartupRequestQueue.HOLD_MILLIS, (timer) -> this.dispatcher.releaseHeld());
 		this.stallDetector.check(MonotonicClock.millis());
 		this.vertx.setPeriodic(TICK_INTERVAL_MILLIS, (timer) -> tick());
+		this.vertx.setPeriodic(CONNECTION_CHECK_INTERVAL_MILLIS, (timer) -> InboundFactory.check(this));
 		this.vertx.setPeriodic(CLEANUP_INTERVAL_MILLIS, (timer) -> this.stateCleaner.run());
 		return this.server.listen(this.settings.callerAddress().port(), this.settings.callerAddress().host())
 			.compose((listening) -> StatusServer.listen(this.vertx, this))
 			.onSuccess((nothing) -> this.log.started(this.settings.node(), this.settings.place().dataCenter()));
 	}
 
+	private void onConnection(HttpConnection connection) {
+		this.connections.onOpened(connection, !this.drainPolicy.acceptsAll(MonotonicClock.millis()));
+		this.inbound.onOpened(connection);
+	}
+
 	private void onRequest(HttpServerRequest request) {
 		if (this.connections.isClosing(request.connection())) {
 			// Its caller may have sent the request elsewhere.
@@ -484,6 +499,10 @@
 		return this.log;
 	}
 
+	InboundConnections inbound() {
+		return this.inbound;
+	}
+
 	BufferManager buffers() {
 		return this.buffers;
 	}
--- /dev/null
+++ b/daemon/src/test/java/org/gullsaddle/inbound/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of connections from clients that are not trusted.
+ */
+package org.gullsaddle.inbound;
