Status server: its connections are in the same account

What callers saw: the same ends and silences by heads without end at the address of the readiness check, and by requests ahead at that of the metrics.

Cause: both servers read whatever came, and metrics were rendered for requests whose answers were not read. Their connections pass through InboundConnections now; a request whose body is not whole is answered and its connection closed.

Evidence: UNFINISHED_HEADS_AT_READINESS and REQUESTS_AHEAD_AT_METRICS failed before, and pass with it.

--- a/daemon/src/main/java/org/gullsaddle/gateway/StatusServer.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/StatusServer.java
@@ -2,7 +2,11 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpHeaders;
+import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
 
 import org.gullsaddle.base.Address;
 import org.gullsaddle.telemetry.MetricsResponse;
@@ -20,8 +24,8 @@
 
 	static Future<Void> listen(Vertx vertx, Gateway gateway) {
 		Address ready = gateway.settings().readinessAddress();
-		Future<Void> listening = vertx.createHttpServer(OPTIONS)
-			.requestHandler((request) -> request.response()
+		Future<Void> listening = server(vertx, gateway)
+			.requestHandler((request) -> response(request)
 				.setStatusCode(gateway.isReady() ? HttpStatuses.OK : HttpStatuses.SERVICE_UNAVAILABLE)
 				.end())
 			.listen(ready.port(), ready.host())
@@ -30,10 +34,24 @@
 		if (metrics.port() == 0) {
 			return listening;
 		}
-		return listening.compose((nothing) -> vertx.createHttpServer(OPTIONS)
-			.requestHandler((request) -> MetricsResponse.send(request.response(), gateway.telemetry()))
+		return listening.compose((nothing) -> server(vertx, gateway)
+			.requestHandler((request) -> MetricsResponse.send(response(request), gateway.telemetry()))
 			.listen(metrics.port(), metrics.host())
 			.mapEmpty());
 	}
 
+	private static HttpServer server(Vertx vertx, Gateway gateway) {
+		return vertx.createHttpServer(OPTIONS).connectionHandler(gateway.inbound()::onOpened);
+	}
+
+	/**
+	 * Returns the response to a request whose body, if it has one, is not read.
+	 */
+	private static HttpServerResponse response(HttpServerRequest request) {
+		if (!request.isEnded()) {
+			request.response().putHeader(HttpHeaders.CONNECTION, HttpHeaders.CLOSE);
+		}
+		return request.response();
+	}
+
 }
