Connections: some descriptors and memory are kept from clients

What callers saw: with all descriptors taken by clients that send nothing, an ordinary request was not answered, as neither store nor replicas were reached; a thousand clients that send a line without end used up the heap.

Cause: nothing bounded the number of connections. A connection by itself uses 8 KB of heap (17.8 MB with a thousand idle ones, 9.7 MB without, by a class histogram).

--- a/daemon/src/main/java/org/gullsaddle/gateway/InboundFactory.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/InboundFactory.java
@@ -16,6 +16,7 @@
 
 	static InboundConnections create(Gateway gateway) {
 		return InboundConnections.builder(gateway.buffers().budget())
+			.maxConnections(gateway.settings().load().maxClientConnections())
 			.limits(() -> limits(gateway.fleet()))
 			.retryAfterMillis(gateway.routingState()::retryAfterMillis)
 			.onRejected(new RejectionLog(gateway.log(), gateway.telemetry())::onRejected)
--- a/daemon/src/main/java/org/gullsaddle/inbound/InboundConnections.java
+++ b/daemon/src/main/java/org/gullsaddle/inbound/InboundConnections.java
@@ -41,6 +41,9 @@
 	 */
 	private static final int DECODED_DIVISOR = 2;
 
+	/** Heap that an idle connection uses, in bytes. */
+	private static final int CONNECTION_BYTES = 8192;
+
 	private final BufferBudget budget;
 
 	private final int maxConnections;
@@ -62,7 +65,8 @@
 
 	private InboundConnections(Builder builder) {
 		this.budget = builder.budget;
-		this.maxConnections = builder.maxConnections;
+		// Idle connections use as much memory as may be buffered, at most.
+		this.maxConnections = (int) Math.min(builder.maxConnections, this.budget.limitBytes() / CONNECTION_BYTES);
 		this.limits = builder.limits;
 		this.retryAfterMillis = builder.retryAfterMillis;
 		this.onRejected = builder.onRejected;
@@ -244,7 +248,7 @@
 		}
 
 		/**
-		 * Sets the largest number of open connections.
+		 * Sets the largest number of open connections. Memory may allow fewer.
 		 * @param newMax the number
 		 * @return this builder
 		 */
