Connections: requests in service and their bodies are counted, too

Cause: only heads, held bytes and unread answers were counted. A connection uses 8 KB of heap and a request in service 12 KB (3.1 MB more with 150 of both, by a class histogram), and a body uses up to twice its bytes. Bodies of accepted requests may use half as much again, so that the existing budget pauses and refuses slow senders before. A refused request's body is dropped at once and not only when its connection has closed.

--- a/daemon/src/main/java/org/gullsaddle/gateway/RequestBodyReader.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/RequestBodyReader.java
@@ -52,7 +52,7 @@
 			.map((config) -> config.limits().bodyBytes())
 			.orElse(DEFAULT_BODY_BYTES);
 		this.request.handler((bytes) -> append(bytes, limit));
-		this.request.exceptionHandler((failure) -> this.done = true);
+		this.request.exceptionHandler((failure) -> onBroken());
 		this.request.endHandler((nothing) -> {
 			if (!this.done) {
 				this.done = true;
@@ -63,6 +63,15 @@
 		});
 	}
 
+	/**
+	 * Drops what was read of a request whose connection has closed.
+	 */
+	private void onBroken() {
+		this.done = true;
+		this.body = Buffer.buffer();
+		this.bufferAccount.ifPresent(this.gateway.buffers()::close);
+	}
+
 	private void append(Buffer bytes, long limit) {
 		if (this.done) {
 			return;
--- a/daemon/src/main/java/org/gullsaddle/inbound/InboundConnection.java
+++ b/daemon/src/main/java/org/gullsaddle/inbound/InboundConnection.java
@@ -38,6 +38,9 @@
 
 	private static final int MIN_HELD_BYTES = 512;
 
+	/** Heap for a byte of a body in a buffer that grows. */
+	private static final int BODY_COST = 2;
+
 	private static final byte[] EMPTY = {};
 
 	private final InboundConnections connections;
@@ -63,6 +66,9 @@
 	/** Heap that the decoded head uses, in bytes. */
 	private long decodedCost;
 
+	/** Bytes of the body that the server has got, which it accounts for itself. */
+	private long bodyBytes;
+
 	private long unreadAnswerBytes;
 
 	private int ignoredBytes;
@@ -81,6 +87,9 @@
 	/** Whether it was reported why the connection is closed, if it is to be. */
 	private boolean reported;
 
+	/** Whether the server was told that the connection has closed. */
+	private boolean detached;
+
 	private boolean resumeScheduled;
 
 	/** Whether the connection is not read until the answer was sent. */
@@ -112,7 +121,9 @@
 		release();
 		this.account.close();
 		this.connections.onClosed(this);
-		inactive.fireChannelInactive();
+		if (!this.detached) {
+			inactive.fireChannelInactive();
+		}
 	}
 
 	@Override
@@ -268,6 +279,7 @@
 		try {
 			ByteBuf part = this.exchange.framing().take(in);
 			if (part.isReadable()) {
+				this.bodyBytes += part.readableBytes();
 				this.context.fireChannelRead(part);
 			}
 			else {
@@ -316,8 +328,7 @@
 			lingerBeforeClose();
 		}
 		if (this.phase == Phase.ANSWER && this.exchange.hasEnded()) {
-			this.connections.onReleased(this.decodedCost);
-			this.decodedCost = 0;
+			endRequest();
 			this.scanner = new HeadScanner();
 			this.blankBytes = 0;
 			this.headBegunAt = 0;
@@ -360,7 +371,8 @@
 	 * Records how much memory the connection uses, which may close others, or this one.
 	 */
 	private void recharge() {
-		long bytes = this.held.length + this.decodedCost + this.unreadAnswerBytes;
+		long buffered = this.held.length + this.decodedCost + this.unreadAnswerBytes;
+		long bytes = buffered + BODY_COST * this.bodyBytes;
 		if (bytes == this.chargedBytes) {
 			return;
 		}
@@ -370,9 +382,9 @@
 		}
 		this.connections.onCharged(this.chargedBytes, bytes);
 		this.chargedBytes = bytes;
-		this.account.recordBuffered(bytes, false, this.connections.now());
+		this.account.recordBuffered(buffered, false, this.connections.now());
 		if (more) {
-			this.connections.enforceBudget();
+			this.connections.enforceLimit();
 		}
 	}
 
@@ -401,7 +413,8 @@
 	 * Returns for how many byte milliseconds the connection has used memory.
 	 */
 	double occupancy(long now) {
-		return (double) this.chargedBytes * (now - this.chargedSince + 1);
+		long since = (this.chargedBytes > 0) ? this.chargedSince : this.lastTransferAt;
+		return (double) (this.chargedBytes + InboundConnections.CONNECTION_BYTES) * (now - since + 1);
 	}
 
 	/**
@@ -466,6 +479,12 @@
 		}
 		report(rejection);
 		beginClosing(LINGER_MILLIS);
+		if (decoded) {
+			// The server drops what it has of the request now, not after the client has
+			// read.
+			this.detached = true;
+			this.context.fireChannelInactive();
+		}
 		ByteBuf refusal = Unpooled.wrappedBuffer(this.connections.refusal(rejection));
 		this.context.writeAndFlush(refusal).addListener((done) -> lingerBeforeClose());
 	}
@@ -494,6 +513,19 @@
 		release();
 	}
 
+	/**
+	 * Gives up its memory for others. A refused connection, or one on which nothing was
+	 * sent, is closed at once.
+	 */
+	void yieldMemory() {
+		if (this.phase == Phase.CLOSING || isIdle()) {
+			drop(Rejection.OUT_OF_MEMORY);
+		}
+		else {
+			refuse(Rejection.OUT_OF_MEMORY);
+		}
+	}
+
 	/**
 	 * Closes the connection at once.
 	 */
@@ -503,16 +535,24 @@
 		this.context.close();
 		this.unreadAnswerBytes = 0;
 		release();
+		this.connections.onClosed(this);
 	}
 
 	private void release() {
 		this.held = EMPTY;
 		this.heldBytes = 0;
-		this.connections.onReleased(this.decodedCost);
-		this.decodedCost = 0;
+		endRequest();
 		recharge();
 	}
 
+	private void endRequest() {
+		if (this.decodedCost > 0) {
+			this.connections.onServed(this.decodedCost);
+			this.decodedCost = 0;
+			this.bodyBytes = 0;
+		}
+	}
+
 	/**
 	 * What the connection waits for.
 	 */
--- a/daemon/src/main/java/org/gullsaddle/inbound/InboundConnections.java
+++ b/daemon/src/main/java/org/gullsaddle/inbound/InboundConnections.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
@@ -35,14 +36,27 @@
 
 	private static final double MILLIS_PER_SECOND = 1000;
 
+	/** Heap that an idle connection uses, in bytes. */
+	static final int CONNECTION_BYTES = 8192;
+
 	/**
-	 * Decoded heads that are not small may use one part in this many of the budget
+	 * Heap that a request uses while it is served, beside its head and body, in bytes.
+	 */
+	private static final int REQUEST_BYTES = 12_288;
+
+	/**
+	 * Decoded heads that are not small may use one part in this many of the limit
 	 * together; a single one may use more.
 	 */
-	private static final int DECODED_DIVISOR = 2;
+	private static final int HEADS_DIVISOR = 2;
 
-	/** Heap that an idle connection uses, in bytes. */
-	private static final int CONNECTION_BYTES = 8192;
+	/**
+	 * Requests that were accepted may use the limit and one part in this many of it.
+	 */
+	private static final int OVERDRAFT_DIVISOR = 2;
+
+	/** A head that uses no more than one part in this many of the limit is small. */
+	private static final int SMALL_HEAD_DIVISOR = 256;
 
 	private final BufferBudget budget;
 
@@ -56,17 +70,22 @@
 
 	private final Set<InboundConnection> open = new LinkedHashSet<>();
 
-	/** Connections that use memory. */
+	/** Connections that hold bytes. */
 	private int holders;
 
-	private long decodedBytes;
+	/** Heap that all connections and their requests use, in bytes. */
+	private long usedBytes;
+
+	/** Heap that decoded heads use, in bytes. */
+	private long headBytes;
+
+	private int requests;
 
 	private boolean enforcing;
 
 	private InboundConnections(Builder builder) {
 		this.budget = builder.budget;
-		// Idle connections use as much memory as may be buffered, at most.
-		this.maxConnections = (int) Math.min(builder.maxConnections, this.budget.limitBytes() / CONNECTION_BYTES);
+		this.maxConnections = builder.maxConnections;
 		this.limits = builder.limits;
 		this.retryAfterMillis = builder.retryAfterMillis;
 		this.onRejected = builder.onRejected;
@@ -92,9 +111,13 @@
 		pipeline.addFirst(inbound);
 		pipeline.addBefore(server.name(), null, inbound.exchange());
 		this.open.add(inbound);
+		this.usedBytes += CONNECTION_BYTES;
 		if (this.open.size() > this.maxConnections) {
 			leastRecentlyUsed().orElse(inbound).drop(Rejection.TOO_MANY_CONNECTIONS);
 		}
+		if (!makeRoom(0, inbound)) {
+			inbound.drop(Rejection.TOO_MANY_CONNECTIONS);
+		}
 	}
 
 	private Optional<InboundConnection> leastRecentlyUsed() {
@@ -129,7 +152,9 @@
 	}
 
 	void onClosed(InboundConnection connection) {
-		this.open.remove(connection);
+		if (this.open.remove(connection)) {
+			this.usedBytes -= CONNECTION_BYTES;
+		}
 	}
 
 	void onRejected(Rejection rejection) {
@@ -149,84 +174,100 @@
 	}
 
 	/**
-	 * Returns whether there is memory to decode a head, if need be that of connections
-	 * which use more of it.
-	 * @param cost the heap that it would use, in bytes
+	 * Returns whether there is memory to serve a request, if need be that of connections
+	 * whose request is not served.
+	 * @param cost the heap that its decoded head would use, in bytes
 	 */
 	boolean admits(InboundConnection connection, long cost) {
-		if (isSmall(cost) || this.decodedBytes == 0) {
+		if (this.requests == 0) {
 			return true;
 		}
-		if (this.decodedBytes + cost > this.budget.limitBytes() / DECODED_DIVISOR) {
+		long limit = this.budget.limitBytes();
+		boolean small = cost <= limit / SMALL_HEAD_DIVISOR;
+		if (!small && this.headBytes + cost > limit / HEADS_DIVISOR) {
 			return false;
 		}
-		long more = Math.max(0, cost - connection.chargedBytes());
-		enforceBudget(more, (each) -> each != connection && each.chargedBytes() > cost);
-		return this.budget.bufferedBytes() + more <= this.budget.limitBytes();
+		return makeRoom(cost + REQUEST_BYTES, connection);
 	}
 
 	void onDecoded(long cost) {
-		this.decodedBytes += cost;
+		this.requests++;
+		this.headBytes += cost;
+		this.usedBytes += REQUEST_BYTES;
 	}
 
-	void onReleased(long cost) {
-		this.decodedBytes -= cost;
+	void onServed(long cost) {
+		this.requests--;
+		this.headBytes -= cost;
+		this.usedBytes -= REQUEST_BYTES;
 	}
 
 	void onCharged(long before, long after) {
 		this.holders += ((after > 0) ? 1 : 0) - ((before > 0) ? 1 : 0);
+		this.usedBytes += after - before;
 	}
 
 	/**
-	 * Returns whether this is less than half of an equal share of the budget. The small
-	 * ones use at most half of the budget together, and are served although larger
-	 * connections or answers have used it up.
+	 * Closes connections until the limit and the budget hold, or all that are left use
+	 * little.
 	 */
-	private boolean isSmall(long bytes) {
-		return 2 * Math.max(1, this.holders) * bytes < this.budget.limitBytes();
+	void enforceLimit() {
+		long limit = this.budget.limitBytes();
+		closeWhile(() -> this.usedBytes > limit + limit / OVERDRAFT_DIVISOR, (each) -> !each.isServing());
+		closeWhile(() -> this.budget.bufferedBytes() > this.budget.limitBytes(),
+				(each) -> each.chargedBytes() > 0 && !isSmall(each.chargedBytes()));
 	}
 
 	/**
-	 * Closes connections until the budget holds, or all use little.
+	 * Closes connections whose request is not served until there is room.
+	 * @return whether there is
 	 */
-	void enforceBudget() {
-		enforceBudget(0, (each) -> !isSmall(each.chargedBytes()));
+	private boolean makeRoom(long bytes, InboundConnection asking) {
+		BooleanSupplier isShort = () -> this.usedBytes + bytes > this.budget.limitBytes();
+		closeWhile(isShort, (each) -> each != asking && !each.isServing());
+		return !isShort.getAsBoolean();
 	}
 
 	/**
-	 * Closes first, of those whose request has not run, the connection that has used the
-	 * most for the longest.
+	 * Closes first, of those whose request is not served, the connection that has used
+	 * the most for the longest.
 	 */
-	private void enforceBudget(long more, Predicate<InboundConnection> eligible) {
+	private void closeWhile(BooleanSupplier isShort, Predicate<InboundConnection> eligible) {
 		if (this.enforcing) {
 			return;
 		}
 		this.enforcing = true;
 		try {
-			Optional<InboundConnection> victim = Optional.empty();
-			do {
-				victim.ifPresent((each) -> each.refuse(Rejection.OUT_OF_MEMORY));
-				victim = isOverdrawn(more) ? largest(eligible) : Optional.empty();
+			while (isShort.getAsBoolean()) {
+				Optional<InboundConnection> victim = largest(eligible);
+				if (victim.isEmpty()) {
+					return;
+				}
+				victim.get().yieldMemory();
 			}
-			while (victim.isPresent());
 		}
 		finally {
 			this.enforcing = false;
 		}
 	}
 
-	private boolean isOverdrawn(long more) {
-		return this.budget.bufferedBytes() + more > this.budget.limitBytes();
-	}
-
 	private Optional<InboundConnection> largest(Predicate<InboundConnection> eligible) {
 		long now = now();
 		return this.open.stream()
-			.filter((each) -> each.chargedBytes() > 0 && eligible.test(each))
+			.filter(eligible)
 			.max(Comparator.comparing((InboundConnection each) -> !each.isServing())
 				.thenComparingDouble((each) -> each.occupancy(now)));
 	}
 
+	/**
+	 * Returns whether this is less than half of an equal share of the budget. The small
+	 * ones use at most half of the budget together, and are served although answers have
+	 * used it up.
+	 */
+	private boolean isSmall(long bytes) {
+		return 2 * Math.max(1, this.holders) * bytes < this.budget.limitBytes();
+	}
+
 	/**
 	 * Builder of {@link InboundConnections}.
 	 */
