Connections: a chunked body counts by its content

What callers would see: a body within the limits, in chunks of one byte, refused with 503. Cause: bytes of the framing were counted as bytes that the server keeps, six for one. The content that leaves the decoder is counted now.

InboundConnectionTests.bodyInChunksOfOneByteIsServed failed before.

--- a/daemon/src/main/java/org/gullsaddle/inbound/Exchange.java
+++ b/daemon/src/main/java/org/gullsaddle/inbound/Exchange.java
@@ -3,6 +3,7 @@
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpRequest;
@@ -91,6 +92,9 @@
 		if (message instanceof HttpRequest request) {
 			this.framing = framing(context, request);
 		}
+		if (message instanceof HttpContent content) {
+			this.connection.onBody(content.content().readableBytes());
+		}
 		if (message instanceof LastHttpContent
 				|| (message instanceof HttpRequest request && request.decoderResult().isFailure())) {
 			this.received = true;
--- a/daemon/src/main/java/org/gullsaddle/inbound/InboundConnection.java
+++ b/daemon/src/main/java/org/gullsaddle/inbound/InboundConnection.java
@@ -279,7 +279,6 @@
 		try {
 			ByteBuf part = this.exchange.framing().take(in);
 			if (part.isReadable()) {
-				this.bodyBytes += part.readableBytes();
 				this.context.fireChannelRead(part);
 			}
 			else {
@@ -314,6 +313,13 @@
 		return true;
 	}
 
+	/**
+	 * Records bytes of the body that the decoder has passed on.
+	 */
+	void onBody(int bytes) {
+		this.bodyBytes += bytes;
+	}
+
 	void onAnswerWritten() {
 		if (this.exchange.isLastAnswered() && this.phase != Phase.CLOSING) {
 			beginClosing(LAST_ANSWER_MILLIS);
--- a/daemon/src/test/java/org/gullsaddle/inbound/InboundConnectionTests.java
+++ b/daemon/src/test/java/org/gullsaddle/inbound/InboundConnectionTests.java
@@ -131,6 +131,14 @@
 		assertThat(answers).containsSubsequence("/a0", "/b2", "/c3", "/0");
 	}
 
+	/** Guards against chunks that count for more than the bytes that are kept of them. */
+	@Test
+	void bodyInChunksOfOneByteIsServed() throws IOException {
+		int bytes = 300_000;
+		String head = "POST /b HTTP/1.1\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n";
+		assertThat(exchange(head + "1\r\nx\r\n".repeat(bytes) + "0\r\n\r\n")).endsWith("/b" + bytes);
+	}
+
 	/** Guards against memory that is counted for ever. */
 	@Test
 	void nothingIsHeldAfterTheAnswer() throws Exception {
