Connections: a request that was received is never refused for memory

By reading, no test: between the last byte that the decoder gets and the return of that call the request may have been sent to a replica, while the connection still counted as one whose body comes. A refusal then would say of a request that has run that it has not. Such a connection is closed without an answer.

--- a/daemon/src/main/java/org/gullsaddle/inbound/InboundConnection.java
+++ b/daemon/src/main/java/org/gullsaddle/inbound/InboundConnection.java
@@ -423,11 +423,15 @@
 		return (double) (this.chargedBytes + InboundConnections.CONNECTION_BYTES) * (now - since + 1);
 	}
 
+	private boolean isDecoded() {
+		return this.phase == Phase.BODY || this.phase == Phase.ANSWER;
+	}
+
 	/**
 	 * Returns whether the server may be running a request of this connection.
 	 */
 	boolean isServing() {
-		return this.phase == Phase.ANSWER && !this.exchange.isAnswerWritten();
+		return isDecoded() && this.exchange.isReceived() && !this.exchange.isAnswerWritten();
 	}
 
 	/**
@@ -477,9 +481,9 @@
 	 * run, or whose answer has begun, cannot be refused any more.
 	 */
 	void refuse(Rejection rejection) {
-		boolean decoded = this.phase == Phase.BODY || this.phase == Phase.ANSWER;
-		if (rejection.status() == 0 || this.phase == Phase.CLOSING || this.phase == Phase.ANSWER
-				|| (decoded && this.exchange.hasAnswerBegun())) {
+		boolean decoded = isDecoded();
+		boolean late = decoded && (this.exchange.isReceived() || this.exchange.hasAnswerBegun());
+		if (rejection.status() == 0 || this.phase == Phase.CLOSING || late) {
 			drop(rejection);
 			return;
 		}
