Connections: the time to read an answer begins with the answer

By reading, no test: nothing may be transferred while a request runs, and an answer that did not fit the socket at once was taken for one that is not read if its request had run for longer than idleTimeoutMs.

--- a/daemon/src/main/java/org/gullsaddle/inbound/InboundConnection.java
+++ b/daemon/src/main/java/org/gullsaddle/inbound/InboundConnection.java
@@ -321,6 +321,7 @@
 	}
 
 	void onAnswerWritten() {
+		this.lastTransferAt = this.connections.now();
 		if (this.exchange.isLastAnswered() && this.phase != Phase.CLOSING) {
 			beginClosing(LAST_ANSWER_MILLIS);
 		}
