Connections: a request in service is not closed for another's memory

By reading, no test: with the budget used up by answers, a served request with a large head or body could be chosen to be closed; its caller would see a closed connection though a replica had run it. Now only connections whose request is not served are closed, and nothing is read ahead over the limit.

--- a/daemon/src/main/java/org/gullsaddle/inbound/InboundConnection.java
+++ b/daemon/src/main/java/org/gullsaddle/inbound/InboundConnection.java
@@ -361,7 +361,7 @@
 		}
 		in.readBytes(this.held, this.heldBytes, more);
 		this.heldBytes += more;
-		if (this.phase == Phase.ANSWER && this.heldBytes > MAX_AHEAD_BYTES) {
+		if (this.phase == Phase.ANSWER && (this.heldBytes > MAX_AHEAD_BYTES || this.connections.isFull())) {
 			this.paused = true;
 			this.context.channel().config().setAutoRead(false);
 		}
--- a/daemon/src/main/java/org/gullsaddle/inbound/InboundConnections.java
+++ b/daemon/src/main/java/org/gullsaddle/inbound/InboundConnections.java
@@ -208,14 +208,22 @@
 	}
 
 	/**
-	 * Closes connections until the limit and the budget hold, or all that are left use
-	 * little.
+	 * Returns whether the limit is exceeded, so that nothing more is read ahead of an
+	 * answer.
+	 */
+	boolean isFull() {
+		return this.usedBytes > this.budget.limitBytes();
+	}
+
+	/**
+	 * Closes connections whose request is not served until the limit and the budget hold,
+	 * or all that are left use little.
 	 */
 	void enforceLimit() {
 		long limit = this.budget.limitBytes();
 		closeWhile(() -> this.usedBytes > limit + limit / OVERDRAFT_DIVISOR, (each) -> !each.isServing());
 		closeWhile(() -> this.budget.bufferedBytes() > this.budget.limitBytes(),
-				(each) -> each.chargedBytes() > 0 && !isSmall(each.chargedBytes()));
+				(each) -> !each.isServing() && each.chargedBytes() > 0 && !isSmall(each.chargedBytes()));
 	}
 
 	/**
@@ -229,8 +237,7 @@
 	}
 
 	/**
-	 * Closes first, of those whose request is not served, the connection that has used
-	 * the most for the longest.
+	 * Closes first the connection that has used the most for the longest.
 	 */
 	private void closeWhile(BooleanSupplier isShort, Predicate<InboundConnection> eligible) {
 		if (this.enforcing) {
@@ -253,10 +260,7 @@
 
 	private Optional<InboundConnection> largest(Predicate<InboundConnection> eligible) {
 		long now = now();
-		return this.open.stream()
-			.filter(eligible)
-			.max(Comparator.comparing((InboundConnection each) -> !each.isServing())
-				.thenComparingDouble((each) -> each.occupancy(now)));
+		return this.open.stream().filter(eligible).max(Comparator.comparingDouble((each) -> each.occupancy(now)));
 	}
 
 	/**
