Connections: bodies are refused by the server while their callers send

The connections' account now has the server refuse the largest incomplete body, as the buffer budget does, before it closes a connection that sends one.

--- a/daemon/src/main/java/org/gullsaddle/gateway/BufferManager.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/BufferManager.java
@@ -1,8 +1,10 @@
 package org.gullsaddle.gateway;
 
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 import org.gullsaddle.hold.BufferAccount;
 import org.gullsaddle.hold.BufferBudget;
@@ -103,6 +105,20 @@
 		this.budget.findToAbort(now).ifPresent((account) -> abort(account, now));
 	}
 
+	/**
+	 * Aborts the request body that holds the most of those that callers still send.
+	 * @return whether there was one
+	 */
+	boolean abortLargestBody() {
+		Optional<BufferAccount> largest = this.transfers.entrySet()
+			.stream()
+			.filter((each) -> each.getValue() instanceof RequestBodyReader body && body.isIncomplete())
+			.map(Map.Entry::getKey)
+			.max(Comparator.comparingLong(BufferAccount::bufferedBytes));
+		largest.ifPresent((account) -> abort(account, MonotonicClock.millis()));
+		return largest.isPresent();
+	}
+
 	private void abort(BufferAccount account, long now) {
 		Transfer party = this.transfers.get(account);
 		this.log.transferAborted(account, party.kind(), account.secondsToEmpty(now), this.budget.bufferedBytes());
--- a/daemon/src/main/java/org/gullsaddle/gateway/InboundFactory.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/InboundFactory.java
@@ -19,6 +19,7 @@
 			.maxConnections(gateway.settings().load().maxClientConnections())
 			.limits(() -> limits(gateway.fleet()))
 			.retryAfterMillis(gateway.routingState()::retryAfterMillis)
+			.abortBody(gateway.buffers()::abortLargestBody)
 			.onRejected(new RejectionLog(gateway.log(), gateway.telemetry())::onRejected)
 			.build();
 	}
--- a/daemon/src/main/java/org/gullsaddle/gateway/RequestBodyReader.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/RequestBodyReader.java
@@ -122,6 +122,13 @@
 		return false;
 	}
 
+	/**
+	 * Returns whether the caller has yet to send the rest.
+	 */
+	boolean isIncomplete() {
+		return !this.done;
+	}
+
 	@Override
 	public String kind() {
 		return "body";
--- a/daemon/src/main/java/org/gullsaddle/inbound/InboundConnection.java
+++ b/daemon/src/main/java/org/gullsaddle/inbound/InboundConnection.java
@@ -435,6 +435,13 @@
 		return isDecoded() && this.exchange.isReceived() && !this.exchange.isAnswerWritten();
 	}
 
+	/**
+	 * Returns whether the server waits for the rest of a body.
+	 */
+	boolean isReceivingBody() {
+		return this.phase == Phase.BODY && !this.exchange.isReceived();
+	}
+
 	/**
 	 * Returns whether nothing of a request was received, and no answer is left to send.
 	 */
--- a/daemon/src/main/java/org/gullsaddle/inbound/InboundConnections.java
+++ b/daemon/src/main/java/org/gullsaddle/inbound/InboundConnections.java
@@ -66,6 +66,8 @@
 
 	private final LongSupplier retryAfterMillis;
 
+	private final BooleanSupplier abortBody;
+
 	private final Consumer<Rejection> onRejected;
 
 	private final Set<InboundConnection> open = new LinkedHashSet<>();
@@ -88,6 +90,7 @@
 		this.maxConnections = builder.maxConnections;
 		this.limits = builder.limits;
 		this.retryAfterMillis = builder.retryAfterMillis;
+		this.abortBody = builder.abortBody;
 		this.onRejected = builder.onRejected;
 	}
 
@@ -250,7 +253,9 @@
 				if (victim.isEmpty()) {
 					return;
 				}
-				victim.get().yieldMemory();
+				if (!victim.get().isReceivingBody() || !this.abortBody.getAsBoolean()) {
+					victim.get().yieldMemory();
+				}
 			}
 		}
 		finally {
@@ -285,6 +290,8 @@
 
 		private LongSupplier retryAfterMillis = () -> 0;
 
+		private BooleanSupplier abortBody = () -> false;
+
 		private Consumer<Rejection> onRejected = (rejection) -> {
 		};
 
@@ -323,6 +330,17 @@
 			return this;
 		}
 
+		/**
+		 * Sets how the server refuses a request whose body is not complete, to free
+		 * memory.
+		 * @param newAbort refuses one, and returns false if there is none
+		 * @return this builder
+		 */
+		public Builder abortBody(BooleanSupplier newAbort) {
+			this.abortBody = newAbort;
+			return this;
+		}
+
 		/**
 		 * Sets what is told of connections that are refused or closed.
 		 * @param newHandler gets the reason
