Connections: large bodies keep no other requests out

What callers would see: while two bodies of the largest size are in service, all other requests are refused with 503, however small. Cause, since: the room for a request was what bodies had left of the limit. Room is counted without bodies now; with them the sum stays within half as much again, as incomplete bodies are refused.

InboundConnectionTests.smallRequestsAreServedBesideLargeBodies failed before.

--- a/daemon/src/main/java/org/gullsaddle/inbound/InboundConnection.java
+++ b/daemon/src/main/java/org/gullsaddle/inbound/InboundConnection.java
@@ -75,6 +75,8 @@
 
 	private long chargedBytes;
 
+	private long chargedBodyBytes;
+
 	private long chargedSince;
 
 	/** When the first byte of the next request was received, 0 if none was. */
@@ -379,7 +381,8 @@
 	 */
 	private void recharge() {
 		long buffered = this.held.length + this.decodedCost + this.unreadAnswerBytes;
-		long bytes = buffered + BODY_COST * this.bodyBytes;
+		long body = BODY_COST * this.bodyBytes;
+		long bytes = buffered + body;
 		if (bytes == this.chargedBytes) {
 			return;
 		}
@@ -388,7 +391,9 @@
 			this.chargedSince = this.connections.now();
 		}
 		this.connections.onCharged(this.chargedBytes, bytes);
+		this.connections.onBodyCharged(this.chargedBodyBytes, body);
 		this.chargedBytes = bytes;
+		this.chargedBodyBytes = body;
 		this.account.recordBuffered(buffered, false, this.connections.now());
 		if (more) {
 			this.connections.enforceLimit();
--- a/daemon/src/main/java/org/gullsaddle/inbound/InboundConnections.java
+++ b/daemon/src/main/java/org/gullsaddle/inbound/InboundConnections.java
@@ -81,6 +81,9 @@
 	/** Heap that decoded heads use, in bytes. */
 	private long headBytes;
 
+	/** Heap that bodies use, in bytes. */
+	private long bodyBytes;
+
 	private int requests;
 
 	private boolean enforcing;
@@ -210,6 +213,10 @@
 		this.usedBytes += after - before;
 	}
 
+	void onBodyCharged(long before, long after) {
+		this.bodyBytes += after - before;
+	}
+
 	/**
 	 * Returns whether the limit is exceeded, so that nothing more is read ahead of an
 	 * answer.
@@ -230,11 +237,12 @@
 	}
 
 	/**
-	 * Closes connections whose request is not served until there is room.
+	 * Closes connections whose request is not served until there is room. Bodies do not
+	 * take it: a few large ones in service would keep all small requests out.
 	 * @return whether there is
 	 */
 	private boolean makeRoom(long bytes, InboundConnection asking) {
-		BooleanSupplier isShort = () -> this.usedBytes + bytes > this.budget.limitBytes();
+		BooleanSupplier isShort = () -> this.usedBytes - this.bodyBytes + bytes > this.budget.limitBytes();
 		closeWhile(isShort, (each) -> each != asking && !each.isServing());
 		return !isShort.getAsBoolean();
 	}
--- a/daemon/src/test/java/org/gullsaddle/inbound/InboundConnectionTests.java
+++ b/daemon/src/test/java/org/gullsaddle/inbound/InboundConnectionTests.java
@@ -172,6 +172,25 @@
 		return "none was refused";
 	}
 
+	/** Guards against a few large bodies for which all other requests are refused. */
+	@Test
+	void smallRequestsAreServedBesideLargeBodies() throws Exception {
+		String head = "POST /wait HTTP/1.1\r\nContent-Length: 690000\r\n\r\n";
+		try (Socket first = connect(); Socket second = connect()) {
+			for (Socket socket : List.of(first, second)) {
+				send(socket, head + "x".repeat(690_000));
+			}
+			for (int attempt = 0; attempt < 1000 && waitingAndReceived() < 2; attempt++) {
+				Thread.sleep(10);
+			}
+			assertThat(exchange(GET + "Connection: close\r\n\r\n")).startsWith("HTTP/1.1 200");
+		}
+	}
+
+	private long waitingAndReceived() {
+		return this.waiting.stream().filter(HttpServerRequest::isEnded).count();
+	}
+
 	/** Guards against clients that take all connections and send nothing. */
 	@Test
 	void newConnectionReplacesAnIdleOne() throws Exception {
