Connections: one place keeps requests behind a last answer from running

CallerConnections noted which connections had an answer with Connection: close, for each answer's head, and closed them at the next request. Since connections are counted before the decoder such a request is never decoded, so the note and its check were dead. KeptCallerConnectionTests, written for that fault, passes without them.

--- a/daemon/src/main/java/org/gullsaddle/gateway/CallerConnections.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/CallerConnections.java
@@ -6,8 +6,6 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.http.HttpConnection;
-import io.vertx.core.http.HttpHeaders;
-import io.vertx.core.http.HttpServerRequest;
 
 /**
  * Open connections of callers. Confined to the event loop.
@@ -19,9 +17,6 @@
 	/** Those that were opened after the load balancer should have noticed the stop. */
 	private final Set<HttpConnection> late = new HashSet<>();
 
-	/** Those whose callers were told that no further request is read. */
-	private final Set<HttpConnection> closing = new HashSet<>();
-
 	/**
 	 * Handles a new connection.
 	 * @param afterNotice whether the load balancer should have noticed the stop
@@ -34,27 +29,9 @@
 		connection.closeHandler((nothing) -> {
 			this.open.remove(connection);
 			this.late.remove(connection);
-			this.closing.remove(connection);
 		});
 	}
 
-	/**
-	 * Handles the head of an answer. One that closes its connection is the last there.
-	 */
-	void onHeadSent(HttpServerRequest request) {
-		if (request.response().headers().contains(HttpHeaders.CONNECTION, HttpHeaders.CLOSE, true)) {
-			this.closing.add(request.connection());
-		}
-	}
-
-	/**
-	 * Returns whether an answer has said that the connection is closed, so that requests
-	 * after it do not run (RFC 9112, 9.6).
-	 */
-	boolean isClosing(HttpConnection connection) {
-		return this.closing.contains(connection);
-	}
-
 	/**
 	 * Returns whether a connection was opened after the load balancer should have noticed
 	 * the stop: no other node was ready then.
--- a/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/Gateway.java
@@ -242,12 +242,6 @@
 	}
 
 	private void onRequest(HttpServerRequest request) {
-		if (this.connections.isClosing(request.connection())) {
-			// Its caller may have sent the request elsewhere.
-			request.connection().close();
-			return;
-		}
-		request.response().headersEndHandler((nothing) -> this.connections.onHeadSent(request));
 		RequestBodyReader reader = new RequestBodyReader(this, request);
 		this.inFlight.add(request, reader);
 		if (!this.guard.run("request", reader::begin)) {
