--- a/core/src/main/java/org/gullsaddle/serve/PrefixCacheModel.java
+++ b/core/src/main/java/org/gullsaddle/serve/PrefixCacheModel.java
@@ -21,14 +21,15 @@
 	 * @param model the model that reads it; each model has its own cached parts
 	 * @param parts the parts in order
 	 * @param capacity how many tokens of parts the replica caches
+	 * @param maxParts how many parts are tracked, however few tokens they have
 	 */
-	public void onPromptRead(String model, List<PromptPart> parts, long capacity) {
+	public void onPromptRead(String model, List<PromptPart> parts, long capacity, int maxParts) {
 		for (PromptPart part : parts) {
 			Integer previous = this.tokensByPart.put(key(model, part), part.tokens());
 			this.tokens += part.tokens() - ((previous != null) ? previous : 0);
 		}
 		Iterator<Integer> leastRecentlyUsed = this.tokensByPart.values().iterator();
-		while (this.tokens > capacity && leastRecentlyUsed.hasNext()) {
+		while ((this.tokens > capacity || this.tokensByPart.size() > maxParts) && leastRecentlyUsed.hasNext()) {
 			this.tokens -= leastRecentlyUsed.next();
 			leastRecentlyUsed.remove();
 		}
@@ -44,7 +45,7 @@
 	public int cachedTokens(String model, List<PromptPart> parts) {
 		int cached = 0;
 		for (PromptPart part : parts) {
-			if (!this.tokensByPart.containsKey(key(model, part))) {
+			if (!contains(model, part)) {
 				return cached;
 			}
 			cached += part.tokens();
@@ -52,6 +53,10 @@
 		return cached;
 	}
 
+	boolean contains(String model, PromptPart part) {
+		return this.tokensByPart.containsKey(key(model, part));
+	}
+
 	private static String key(String model, PromptPart part) {
 		return model + '/' + part.id();
 	}
--- a/core/src/main/java/org/gullsaddle/serve/ReplicaSelector.java
+++ b/core/src/main/java/org/gullsaddle/serve/ReplicaSelector.java
@@ -42,6 +42,9 @@
 	/** The weight of the latest request in the mean work of a model. */
 	private static final double WORK_SMOOTHING = 0.05;
 
+	/** Prompt parts that are tracked over all replicas. */
+	private static final int MAX_CACHED_PARTS = 16_384;
+
 	private final Map<ReplicaId, ReplicaState> states = new HashMap<>();
 
 	/**
@@ -214,7 +217,8 @@
 		this.partition.recordWork(now, task, choice.unreadTokens());
 		long cacheCapacity = Math.round(task.cacheTokens() * CACHE_RATIO);
 		double work = choice.unreadTokens() * task.slowdown();
-		stateOf(choice.replica()).onSent(task, work, cacheCapacity);
+		ReplicaState state = stateOf(choice.replica());
+		state.onSent(task, work, cacheCapacity, MAX_CACHED_PARTS / this.states.size());
 		this.meanWork.merge(task.model(), work, (mean, next) -> mean + WORK_SMOOTHING * (next - mean));
 	}
 
--- a/core/src/main/java/org/gullsaddle/serve/ReplicaState.java
+++ b/core/src/main/java/org/gullsaddle/serve/ReplicaState.java
@@ -57,11 +57,11 @@
 		this.replica = newReplica;
 	}
 
-	void onSent(ReplicaTask task, double promptTokens, long capacity) {
+	void onSent(ReplicaTask task, double promptTokens, long capacity, int maxParts) {
 		this.running++;
 		this.unreadRequests++;
 		this.unreadTokens += promptTokens;
-		this.promptCache.onPromptRead(task.model(), task.prompt().parts(), capacity);
+		this.promptCache.onPromptRead(task.model(), task.prompt().parts(), capacity, maxParts);
 	}
 
 	/**
