Status server: eight metrics pages are sent at the same time

Cause, by reading: a request for metrics holds a part of the page, the list of its series and the answer's buffer, beyond the 12 KB that the account counts for a request, and some 300 may be served at once.

A request beyond eight is answered with 503.

--- a/daemon/src/main/java/org/gullsaddle/gateway/StatusServer.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/StatusServer.java
@@ -19,29 +19,54 @@
 	/** Without this, HTTP/2 classes would be loaded with the first request. */
 	private static final HttpServerOptions OPTIONS = new HttpServerOptions().setHttp2ClearTextEnabled(false);
 
-	private StatusServer() {
+	/** Metrics pages that are sent at the same time: each holds a part of its text. */
+	private static final int MAX_PAGES = 8;
+
+	private final Gateway gateway;
+
+	/** Metrics pages that are being sent. */
+	private int pages;
+
+	private StatusServer(Gateway gateway) {
+		this.gateway = gateway;
 	}
 
 	static Future<Void> listen(Vertx vertx, Gateway gateway) {
-		Address ready = gateway.settings().readinessAddress();
-		Future<Void> listening = server(vertx, gateway)
-			.requestHandler((request) -> response(request)
-				.setStatusCode(gateway.isReady() ? HttpStatuses.OK : HttpStatuses.SERVICE_UNAVAILABLE)
-				.end())
+		return new StatusServer(gateway).listen(vertx);
+	}
+
+	private Future<Void> listen(Vertx vertx) {
+		Address ready = this.gateway.settings().readinessAddress();
+		Future<Void> listening = server(vertx).requestHandler(this::sendReadiness)
 			.listen(ready.port(), ready.host())
 			.mapEmpty();
-		Address metrics = gateway.settings().metricsAddress();
+		Address metrics = this.gateway.settings().metricsAddress();
 		if (metrics.port() == 0) {
 			return listening;
 		}
-		return listening.compose((nothing) -> server(vertx, gateway)
-			.requestHandler((request) -> MetricsResponse.send(response(request), gateway.telemetry()))
+		return listening.compose((nothing) -> server(vertx).requestHandler(this::sendMetrics)
 			.listen(metrics.port(), metrics.host())
 			.mapEmpty());
 	}
 
-	private static HttpServer server(Vertx vertx, Gateway gateway) {
-		return vertx.createHttpServer(OPTIONS).connectionHandler(gateway.inbound()::onOpened);
+	private HttpServer server(Vertx vertx) {
+		return vertx.createHttpServer(OPTIONS).connectionHandler(this.gateway.inbound()::onOpened);
+	}
+
+	private void sendReadiness(HttpServerRequest request) {
+		response(request).setStatusCode(this.gateway.isReady() ? HttpStatuses.OK : HttpStatuses.SERVICE_UNAVAILABLE)
+			.end();
+	}
+
+	private void sendMetrics(HttpServerRequest request) {
+		HttpServerResponse response = response(request);
+		if (this.pages >= MAX_PAGES) {
+			response.setStatusCode(HttpStatuses.SERVICE_UNAVAILABLE).end();
+			return;
+		}
+		this.pages++;
+		response.endHandler((nothing) -> this.pages--);
+		MetricsResponse.send(response, this.gateway.telemetry());
 	}
 
 	/**
