Prompt parts: one bound over all replicas, however many there are

Cause, found by reading the change again: the bound was divided by the number of replicas, so that with some thousand replicas a node would have tracked less than one prompt for each, and would not have found those that have a prompt's parts. PrefixCaches counts the parts of all replicas and evicts those of the replica that was used least recently.

PrefixCacheModelTests.partsOfTheLeastRecentlyUsedReplica and nothingForReplicasThatHaveGone test it.

--- a/core/src/main/java/org/gullsaddle/serve/PrefixCacheModel.java
+++ b/core/src/main/java/org/gullsaddle/serve/PrefixCacheModel.java
@@ -21,20 +21,30 @@
 	 * @param model the model that reads it; each model has its own cached parts
 	 * @param parts the parts in order
 	 * @param capacity how many tokens of parts the replica caches
-	 * @param maxParts how many parts are tracked, however few tokens they have
 	 */
-	public void onPromptRead(String model, List<PromptPart> parts, long capacity, int maxParts) {
+	public void onPromptRead(String model, List<PromptPart> parts, long capacity) {
 		for (PromptPart part : parts) {
 			Integer previous = this.tokensByPart.put(key(model, part), part.tokens());
 			this.tokens += part.tokens() - ((previous != null) ? previous : 0);
 		}
-		Iterator<Integer> leastRecentlyUsed = this.tokensByPart.values().iterator();
-		while ((this.tokens > capacity || this.tokensByPart.size() > maxParts) && leastRecentlyUsed.hasNext()) {
-			this.tokens -= leastRecentlyUsed.next();
-			leastRecentlyUsed.remove();
+		while (this.tokens > capacity && !this.tokensByPart.isEmpty()) {
+			evict();
 		}
 	}
 
+	/**
+	 * Evicts the least recently used part, of which there must be one.
+	 */
+	void evict() {
+		Iterator<Integer> leastRecentlyUsed = this.tokensByPart.values().iterator();
+		this.tokens -= leastRecentlyUsed.next();
+		leastRecentlyUsed.remove();
+	}
+
+	int size() {
+		return this.tokensByPart.size();
+	}
+
 	/**
 	 * Returns how many tokens of a prompt need not be read again. A part counts only if
 	 * all parts before it are cached too.
--- a/core/src/main/java/org/gullsaddle/serve/ReplicaSelector.java
+++ b/core/src/main/java/org/gullsaddle/serve/ReplicaSelector.java
@@ -47,6 +47,8 @@
 
 	private final Map<ReplicaId, ReplicaState> states = new HashMap<>();
 
+	private final PrefixCaches caches = new PrefixCaches(MAX_CACHED_PARTS);
+
 	/**
 	 * The mean work of a request by model, in tokens of the smallest model.
 	 */
@@ -217,8 +219,7 @@
 		this.partition.recordWork(now, task, choice.unreadTokens());
 		long cacheCapacity = Math.round(task.cacheTokens() * CACHE_RATIO);
 		double work = choice.unreadTokens() * task.slowdown();
-		ReplicaState state = stateOf(choice.replica());
-		state.onSent(task, work, cacheCapacity, MAX_CACHED_PARTS / this.states.size());
+		stateOf(choice.replica()).onSent(task, work, cacheCapacity, this.caches);
 		this.meanWork.merge(task.model(), work, (mean, next) -> mean + WORK_SMOOTHING * (next - mean));
 	}
 
@@ -431,6 +432,10 @@
 	 * @param known the replicas to keep
 	 */
 	public void retain(Set<ReplicaId> known) {
+		this.states.values()
+			.stream()
+			.filter((state) -> !known.contains(state.replica().id()))
+			.forEach((state) -> this.caches.remove(state.promptCache()));
 		this.states.keySet().retainAll(known);
 		this.slowdowns.retain(
 				this.states.values().stream().map((state) -> state.replica().service()).collect(Collectors.toSet()));
@@ -451,6 +456,9 @@
 	private ReplicaState stateOf(Replica replica) {
 		ReplicaState state = this.states.get(replica.id());
 		if (state == null || !state.replica().isSameProcess(replica)) {
+			if (state != null) {
+				this.caches.remove(state.promptCache());
+			}
 			state = new ReplicaState(replica);
 			this.states.put(replica.id(), state);
 		}
--- a/core/src/main/java/org/gullsaddle/serve/ReplicaState.java
+++ b/core/src/main/java/org/gullsaddle/serve/ReplicaState.java
@@ -57,11 +57,11 @@
 		this.replica = newReplica;
 	}
 
-	void onSent(ReplicaTask task, double promptTokens, long capacity, int maxParts) {
+	void onSent(ReplicaTask task, double promptTokens, long capacity, PrefixCaches caches) {
 		this.running++;
 		this.unreadRequests++;
 		this.unreadTokens += promptTokens;
-		this.promptCache.onPromptRead(task.model(), task.prompt().parts(), capacity, maxParts);
+		caches.onPromptRead(this.promptCache, task.model(), task.prompt().parts(), capacity);
 	}
 
 	/**
@@ -155,6 +155,10 @@
 		return this.unreadTokens + tokensPerRequest * this.peerUnreadRequests.estimate(now, meanPerReplica);
 	}
 
+	PrefixCacheModel promptCache() {
+		return this.promptCache;
+	}
+
 	int cachedTokens(ReplicaTask task) {
 		return this.promptCache.cachedTokens(task.model(), task.prompt().parts());
 	}
--- a/core/src/test/java/org/gullsaddle/serve/PrefixCacheModelTests.java
+++ b/core/src/test/java/org/gullsaddle/serve/PrefixCacheModelTests.java
@@ -18,6 +18,8 @@
 
 	private final PrefixCacheModel cache = new PrefixCacheModel();
 
+	private final PrefixCaches caches = new PrefixCaches(MAX_PARTS);
+
 	private List<PromptPart> parts(String name, int count, int tokens) {
 		List<PromptPart> parts = new ArrayList<>();
 		for (int part = 0; part < count; part++) {
@@ -27,7 +29,7 @@
 	}
 
 	private void read(List<PromptPart> parts) {
-		this.cache.onPromptRead(MODEL, parts, CAPACITY, MAX_PARTS);
+		this.caches.onPromptRead(this.cache, MODEL, parts, CAPACITY);
 	}
 
 	private long countCached(List<PromptPart> parts) {
@@ -63,6 +65,26 @@
 			assertThat(countCached(second)).isEqualTo(40);
 		}
 
+		@Test
+		void partsOfTheLeastRecentlyUsedReplica() {
+			PrefixCacheModel other = new PrefixCacheModel();
+			List<PromptPart> first = parts("a", 60, 0);
+			read(first);
+			PrefixCacheModelTests.this.caches.onPromptRead(other, MODEL, parts("b", 60, 0), CAPACITY);
+			assertThat(countCached(first)).isEqualTo(40);
+			assertThat(other.size()).isEqualTo(60);
+		}
+
+		@Test
+		void nothingForReplicasThatHaveGone() {
+			PrefixCacheModel gone = new PrefixCacheModel();
+			PrefixCacheModelTests.this.caches.onPromptRead(gone, MODEL, parts("b", 60, 0), CAPACITY);
+			PrefixCacheModelTests.this.caches.remove(gone);
+			List<PromptPart> first = parts("a", MAX_PARTS, 0);
+			read(first);
+			assertThat(countCached(first)).isEqualTo(MAX_PARTS);
+		}
+
 	}
 
 	@Nested
--- a/measure/src/main/java/org/gullsaddle/measure/EngineModel.java
+++ b/measure/src/main/java/org/gullsaddle/measure/EngineModel.java
@@ -138,7 +138,7 @@
 			return;
 		}
 		job.begin(unread(job));
-		this.kept.onPromptRead(job.model(), job.parts(), this.shape.memoryTokens(), Integer.MAX_VALUE);
+		this.kept.onPromptRead(job.model(), job.parts(), this.shape.memoryTokens());
 	}
 
 	private int unread(EngineJob job) {
