--- a/daemon/src/main/java/org/gullsaddle/gateway/StatusServer.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/StatusServer.java
@@ -61,6 +61,7 @@
 	private void sendMetrics(HttpServerRequest request) {
 		HttpServerResponse response = response(request);
 		if (this.pages >= MAX_PAGES) {
+			this.gateway.telemetry().count("metrics.pages.refused");
 			response.setStatusCode(HttpStatuses.SERVICE_UNAVAILABLE).end();
 			return;
 		}
