--- a/daemon/src/test/java/org/gullsaddle/gateway/EarlyTransportTests.java
+++ b/daemon/src/test/java/org/gullsaddle/gateway/EarlyTransportTests.java
@@ -15,6 +15,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.internal.net.NetSocketInternal;
+import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetSocket;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -37,6 +38,9 @@
 
 	private EarlyListener early;
 
+	/** Kept, as a client that is garbage collected closes its connections. */
+	private NetClient client;
+
 	private Socket sender;
 
 	private Vertx vertx;
@@ -130,7 +134,8 @@
 	@Test
 	void serverThatSendsOnAndOnTakesTurnsWithOthers() throws Exception {
 		try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-			this.vertx.createNetClient().connect(server.getLocalPort(), "127.0.0.1").onSuccess(this::count);
+			this.client = this.vertx.createNetClient();
+			this.client.connect(server.getLocalPort(), "127.0.0.1").onSuccess(this::count);
 			send(server.accept());
 			assertTakesTurns();
 		}
