Answers: a status line that is not HTTP reaches no caller

What callers saw: answers whose status was 600, 999, 1000, 2000, +200 or 0200, passed on as they came, and answers whose status line had tabs or several blanks between its words, control bytes in its reason, or blanks, control bytes or an empty line before it.

Cause: the HTTP decoder skips what stands before a status line, splits it at any blank and reads any integer as a status. No option of the client library makes it strict, and a check of the decoded message comes too late for what was skipped or stripped.

Change: ReplicaConnections, through which answers and load reports come, puts a handler before the decoder. It checks the status line byte by byte (RFC 9112, 4: version, one blank, three digits from 100 to 599, a blank, a reason without control characters) and passes a head on only as a whole. A head that is not valid fails the attempt as broken, so that the request may have run, and nothing of it is passed on. The client's public API gives no access to the pipeline of a connection outside its pool, so the connection is opened by the same connector that the client uses.

Ruled out: a check of the status code in Attempt, as "+200" and "200" are the same there.

--- a/daemon/src/main/java/org/gullsaddle/gateway/ReplicaConnections.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/ReplicaConnections.java
@@ -5,13 +5,21 @@
 import io.netty.channel.ConnectTimeoutException;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
-import io.vertx.core.http.HttpClientAgent;
 import io.vertx.core.http.HttpClientConnection;
 import io.vertx.core.http.HttpClientOptions;
-import io.vertx.core.http.HttpConnectOptions;
+import io.vertx.core.http.HttpVersion;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.impl.HttpChannelConnector;
+import io.vertx.core.http.impl.HttpClientConnectionInternal;
+import io.vertx.core.http.impl.HttpClientImpl;
+import io.vertx.core.http.impl.UnpooledHttpClientConnection;
+import io.vertx.core.internal.VertxInternal;
+import io.vertx.core.net.HostAndPort;
 import io.vertx.core.net.SocketAddress;
 
+import org.gullsaddle.base.Address;
 import org.gullsaddle.fleet.Replica;
+import org.gullsaddle.outbound.AnswerValidator;
 
 /**
  * Opens connections to replicas. Each attempt and each load report gets one of its own:
@@ -25,18 +33,19 @@
 	 */
 	private static final int CONNECT_TIMEOUT_MILLIS = 1000;
 
-	private final HttpClientAgent client;
+	private final HttpClientImpl client;
 
-	private final Vertx vertx;
+	private final VertxInternal vertx;
 
 	ReplicaConnections(Vertx vertx) {
-		this.vertx = vertx;
-		this.client = vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
+		this.vertx = (VertxInternal) vertx;
+		HttpClientOptions options = new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
 			.setTcpNoDelay(true)
 			.setTcpKeepAlive(true)
 			.setPipelining(false)
 			.setDecompressionSupported(false)
-			.setMaxChunkSize(65_536));
+			.setMaxChunkSize(65_536);
+		this.client = new HttpClientImpl(this.vertx, null, options, new PoolOptions());
 	}
 
 	/**
@@ -44,12 +53,25 @@
 	 * @param replica the replica to connect to
 	 */
 	Future<Channel> connect(Replica replica) {
-		HttpConnectOptions options = new HttpConnectOptions()
-			.setServer(SocketAddress.inetSocketAddress(replica.address().port(), replica.address().host()))
-			.setHost(replica.address().host())
-			.setPort(replica.address().port())
-			.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
-		return new ConnectionRace(this.vertx, () -> this.client.connect(options).map(Channel::new)).start();
+		return new ConnectionRace(this.vertx, () -> open(replica.address()).map(Channel::new)).start();
+	}
+
+	/**
+	 * Opens a connection as {@code HttpClientAgent.connect} does, which gives no access
+	 * to the channel's pipeline.
+	 */
+	private Future<HttpClientConnection> open(Address address) {
+		HttpChannelConnector connector = new HttpChannelConnector(this.client, this.client.netClient(), null, null,
+				null, HttpVersion.HTTP_1_1, false, false, HostAndPort.create(address.host(), address.port()),
+				SocketAddress.inetSocketAddress(address.port(), address.host()), false, 0);
+		return connector.httpConnect(this.vertx.getOrCreateContext()).map(ReplicaConnections::validated);
+	}
+
+	private static HttpClientConnection validated(HttpClientConnectionInternal connection) {
+		connection.evictionHandler((nothing) -> {
+		});
+		AnswerValidator.install(connection);
+		return new UnpooledHttpClientConnection(connection);
 	}
 
 	/**
--- /dev/null
+++ b/daemon/src/main/java/org/gullsaddle/outbound/AnswerHead.java
@@ -0,0 +1,114 @@
+package org.gullsaddle.outbound;
+
+import java.nio.charset.StandardCharsets;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.util.ByteProcessor;
+
+/**
+ * Head of an answer, checked line by line as it is received (RFC 9112, 4).
+ */
+final class AnswerHead {
+
+	/**
+	 * Largest size of a head, in bytes; the decoder has limits of its own below it.
+	 */
+	private static final int MAX_BYTES = 16_384;
+
+	private static final String VERSION = "HTTP/1.";
+
+	private static final int STATUS_START = "HTTP/1.1 ".length();
+
+	private static final int STATUS_END = STATUS_START + "200".length();
+
+	private static final int MIN_STATUS = 100;
+
+	private static final int MIN_FINAL_STATUS = 200;
+
+	private static final int MAX_STATUS = 599;
+
+	private static final int SWITCHING_PROTOCOLS = 101;
+
+	private int checkedBytes;
+
+	private int lineStart;
+
+	private int status;
+
+	/**
+	 * Checks on after the lines that were checked before.
+	 * @param in the head from its first byte, as far as it was received
+	 * @return the size of the head in bytes, or -1 if its end was not received
+	 * @throws InvalidAnswerException if it is not the head of an answer
+	 */
+	int check(ByteBuf in) throws InvalidAnswerException {
+		int start = in.readerIndex();
+		int lineEnd = nextLineEnd(in, start + this.checkedBytes);
+		while (lineEnd >= 0) {
+			this.checkedBytes = lineEnd + 1 - start;
+			check(this.checkedBytes <= MAX_BYTES, "the head is too large");
+			int from = start + this.lineStart;
+			int end = lineEnd - 1;
+			check(end >= from && in.getByte(end) == '\r', "a line does not end with CR LF");
+			if (this.lineStart > 0 && end == from) {
+				return this.checkedBytes;
+			}
+			checkLine(in, from, end);
+			this.lineStart = this.checkedBytes;
+			lineEnd = nextLineEnd(in, lineEnd + 1);
+		}
+		this.checkedBytes = in.readableBytes();
+		check(this.checkedBytes <= MAX_BYTES, "the head is too large");
+		return -1;
+	}
+
+	private static int nextLineEnd(ByteBuf in, int from) {
+		return in.forEachByte(from, in.writerIndex() - from, ByteProcessor.FIND_LF);
+	}
+
+	private void checkLine(ByteBuf in, int from, int end) throws InvalidAnswerException {
+		if (this.lineStart == 0) {
+			checkStatusLine(in, from, end);
+		}
+	}
+
+	private void checkStatusLine(ByteBuf in, int from, int end) throws InvalidAnswerException {
+		check(end - from > STATUS_END, "the status line is too short");
+		for (int i = 0; i < VERSION.length(); i++) {
+			check(in.getByte(from + i) == VERSION.charAt(i), "no status line");
+		}
+		byte minor = in.getByte(from + VERSION.length());
+		check(minor == '0' || minor == '1', "the version is unknown");
+		check(in.getByte(from + STATUS_START - 1) == ' ' && in.getByte(from + STATUS_END) == ' ',
+				"the status line is malformed");
+		for (int i = from + STATUS_START; i < from + STATUS_END; i++) {
+			check(FieldSyntax.isDigit(in.getByte(i)), "the status is not a number of three digits");
+		}
+		this.status = Integer.parseInt(text(in, from + STATUS_START, from + STATUS_END));
+		check(this.status >= MIN_STATUS && this.status <= MAX_STATUS && this.status != SWITCHING_PROTOCOLS,
+				"unexpected status " + this.status);
+		checkText(in, from + STATUS_END, end);
+	}
+
+	private static void checkText(ByteBuf in, int from, int end) throws InvalidAnswerException {
+		check(in.forEachByte(from, end - from, FieldSyntax::isText) < 0, "control character in the head");
+	}
+
+	private static String text(ByteBuf in, int from, int end) {
+		return in.toString(from, end - from, StandardCharsets.ISO_8859_1).strip();
+	}
+
+	/**
+	 * Returns whether another head follows.
+	 */
+	boolean isInterim() {
+		return this.status < MIN_FINAL_STATUS;
+	}
+
+	private static void check(boolean condition, String message) throws InvalidAnswerException {
+		if (!condition) {
+			throw new InvalidAnswerException(message);
+		}
+	}
+
+}
