Answers: a line that is no header field reaches no caller

What callers saw: answers in whose head a field's name held a blank or a tab, or had one before it or before its colon, and folded lines; with that line passed on, or read as another field, such as a second signature or "Connection : close".

Cause: the HTTP decoder strips blanks around names and joins folded lines.

Change: the check before the decoder takes in each field line (RFC 9112, 5): a token, the colon right after it, a value without control characters. It checks a line once it is complete, so that a head that goes wrong early fails early.

Evidence: InvalidAnswerTests.malformedFieldIsNoAnswer, reads, orders and streams.

--- a/daemon/src/main/java/org/gullsaddle/outbound/AnswerHead.java
+++ b/daemon/src/main/java/org/gullsaddle/outbound/AnswerHead.java
@@ -6,7 +6,7 @@
 import io.netty.util.ByteProcessor;
 
 /**
- * Head of an answer, checked line by line as it is received (RFC 9112, 4).
+ * Head of an answer, checked line by line as it is received (RFC 9112, 4 and 5).
  */
 final class AnswerHead {
 
@@ -70,6 +70,9 @@
 		if (this.lineStart == 0) {
 			checkStatusLine(in, from, end);
 		}
+		else {
+			checkField(in, from, end);
+		}
 	}
 
 	private void checkStatusLine(ByteBuf in, int from, int end) throws InvalidAnswerException {
@@ -90,6 +93,15 @@
 		checkText(in, from + STATUS_END, end);
 	}
 
+	private static void checkField(ByteBuf in, int from, int end) throws InvalidAnswerException {
+		int colon = from;
+		while (colon < end && FieldSyntax.isToken(in.getByte(colon))) {
+			colon++;
+		}
+		check(colon > from && colon < end && in.getByte(colon) == ':', "a line is no header field");
+		checkText(in, colon + 1, end);
+	}
+
 	private static void checkText(ByteBuf in, int from, int end) throws InvalidAnswerException {
 		check(in.forEachByte(from, end - from, FieldSyntax::isText) < 0, "control character in the head");
 	}
