Answers: the end of a body is the one that its replica means

What callers saw: with "Content-Length : 3" before a longer body its first three bytes as the whole; with "xchunked" the raw chunks; and bodies that were read by one of several statements about their end: two lengths, a length and chunks, "gzip, chunked", chunks in HTTP/1.0, chunk sizes with blanks, control bytes or over 32 bits, chunks closed by a bare line feed, trailers whose names hold blanks.

Cause: the HTTP decoder chooses among such statements, and reads sizes leniently.

Change: the handler before the decoder reads the framing of each answer (RFC 9112, 6.3 and 7.1). One length of digits, or the coding "chunked" alone in HTTP/1.1, or neither; all else is no answer. Chunks are checked as they come, data is skipped without a look at its bytes. What follows an answer is dropped: its connection carries no other.

Ruled out: strict options of the library. The decoder of this version has none that the client library hands through.

--- a/daemon/src/main/java/org/gullsaddle/outbound/AnswerHandler.java
+++ b/daemon/src/main/java/org/gullsaddle/outbound/AnswerHandler.java
@@ -7,28 +7,36 @@
 import io.netty.handler.codec.ByteToMessageDecoder;
 
 /**
- * Checks the head of the one answer on a connection before the HTTP decoder gets it as a
- * whole.
+ * Checks the bytes of the one answer on a connection before the HTTP decoder gets them.
+ * The decoder gets a head as a whole, once it is known to be valid, and nothing of what
+ * follows the answer.
  */
 final class AnswerHandler extends ByteToMessageDecoder {
 
+	private final RequestProgress request;
+
 	private AnswerHead head = new AnswerHead();
 
-	private boolean headPassed;
+	/** The body, null before its head is complete. */
+	private AnswerBody body;
 
 	private boolean failed;
 
+	AnswerHandler(RequestProgress request) {
+		this.request = request;
+	}
+
 	@Override
 	protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out) {
 		try {
-			if (this.failed) {
+			if (this.failed || (this.body != null && this.body.hasEnded())) {
 				in.skipBytes(in.readableBytes());
 			}
-			else if (this.headPassed) {
-				out.add(in.readRetainedSlice(in.readableBytes()));
+			else if (this.body == null) {
+				readHead(in, out);
 			}
 			else {
-				readHead(in, out);
+				out.add(in.readRetainedSlice(this.body.check(in)));
 			}
 		}
 		catch (InvalidAnswerException ex) {
@@ -48,7 +56,7 @@
 			this.head = new AnswerHead();
 		}
 		else {
-			this.headPassed = true;
+			this.body = this.head.body(this.request.isHead());
 		}
 		out.add(in.readRetainedSlice(bytes));
 	}
--- a/daemon/src/main/java/org/gullsaddle/outbound/AnswerHead.java
+++ b/daemon/src/main/java/org/gullsaddle/outbound/AnswerHead.java
@@ -29,12 +29,30 @@
 
 	private static final int SWITCHING_PROTOCOLS = 101;
 
+	private static final int NO_CONTENT = 204;
+
+	private static final int NOT_MODIFIED = 304;
+
+	private static final String CONTENT_LENGTH = "content-length";
+
+	private static final String TRANSFER_ENCODING = "transfer-encoding";
+
+	/** Longest length that is read, in digits. */
+	private static final int MAX_LENGTH_DIGITS = 18;
+
 	private int checkedBytes;
 
 	private int lineStart;
 
 	private int status;
 
+	/** Whether the version is HTTP/1.0, which has no transfer codings. */
+	private boolean old;
+
+	private String length;
+
+	private String coding;
+
 	/**
 	 * Checks on after the lines that were checked before.
 	 * @param in the head from its first byte, as far as it was received
@@ -82,6 +100,7 @@
 		}
 		byte minor = in.getByte(from + VERSION.length());
 		check(minor == '0' || minor == '1', "the version is unknown");
+		this.old = minor == '0';
 		check(in.getByte(from + STATUS_START - 1) == ' ' && in.getByte(from + STATUS_END) == ' ',
 				"the status line is malformed");
 		for (int i = from + STATUS_START; i < from + STATUS_END; i++) {
@@ -93,13 +112,28 @@
 		checkText(in, from + STATUS_END, end);
 	}
 
-	private static void checkField(ByteBuf in, int from, int end) throws InvalidAnswerException {
+	private void checkField(ByteBuf in, int from, int end) throws InvalidAnswerException {
 		int colon = from;
 		while (colon < end && FieldSyntax.isToken(in.getByte(colon))) {
 			colon++;
 		}
 		check(colon > from && colon < end && in.getByte(colon) == ':', "a line is no header field");
 		checkText(in, colon + 1, end);
+		int nameBytes = colon - from;
+		if (nameBytes == CONTENT_LENGTH.length() || nameBytes == TRANSFER_ENCODING.length()) {
+			readFraming(text(in, from, colon), text(in, colon + 1, end));
+		}
+	}
+
+	private void readFraming(String name, String value) throws InvalidAnswerException {
+		if (name.equalsIgnoreCase(CONTENT_LENGTH)) {
+			check(this.length == null, "there are several lengths");
+			this.length = value;
+		}
+		else if (name.equalsIgnoreCase(TRANSFER_ENCODING)) {
+			check(this.coding == null, "there are several transfer codings");
+			this.coding = value;
+		}
 	}
 
 	private static void checkText(ByteBuf in, int from, int end) throws InvalidAnswerException {
@@ -117,6 +151,31 @@
 		return this.status < MIN_FINAL_STATUS;
 	}
 
+	/**
+	 * Returns the body that follows the head.
+	 * @param toHead whether the request's method was HEAD
+	 * @throws InvalidAnswerException if the end of the body is ambiguous
+	 */
+	AnswerBody body(boolean toHead) throws InvalidAnswerException {
+		check(this.length == null || this.coding == null, "there are both a length and a transfer coding");
+		check(this.coding == null || (!this.old && this.coding.equalsIgnoreCase("chunked")),
+				"the transfer coding is unknown");
+		long bytes = (this.length != null) ? parseLength(this.length) : 0;
+		if (toHead || this.status == NO_CONTENT || this.status == NOT_MODIFIED) {
+			return new AnswerBody.Fixed(0);
+		}
+		if (this.coding != null) {
+			return new ChunkedBody();
+		}
+		return (this.length != null) ? new AnswerBody.Fixed(bytes) : new AnswerBody.UntilClose();
+	}
+
+	private static long parseLength(String text) throws InvalidAnswerException {
+		boolean digits = text.chars().allMatch((each) -> FieldSyntax.isDigit((byte) each));
+		check(digits && !text.isEmpty() && text.length() <= MAX_LENGTH_DIGITS, "the length is not a number");
+		return Long.parseLong(text);
+	}
+
 	private static void check(boolean condition, String message) throws InvalidAnswerException {
 		if (!condition) {
 			throw new InvalidAnswerException(message);
--- a/daemon/src/main/java/org/gullsaddle/outbound/AnswerValidator.java
+++ b/daemon/src/main/java/org/gullsaddle/outbound/AnswerValidator.java
@@ -20,7 +20,9 @@
 	 */
 	public static void install(HttpConnection connection) {
 		ChannelHandlerContext client = ((ConnectionBase) connection).channelHandlerContext();
-		client.pipeline().addFirst(new AnswerHandler());
+		RequestProgress request = new RequestProgress();
+		client.pipeline().addFirst(new AnswerHandler(request));
+		client.pipeline().addBefore(client.name(), null, request);
 	}
 
 }
--- /dev/null
+++ b/daemon/src/test/java/org/gullsaddle/outbound/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the validation of answers.
+ */
+package org.gullsaddle.outbound;
