Answers: a part of a body is no whole answer when an upload was reset

Cause: an answer without a length ends with its connection, and a reset was noticed only if reading reported it. It does not in two cases. After the end of the stream reading reports nothing more, whatever comes: seen with a plain socket on this kernel, where the end is read and the reset that follows shows as an error pending on the socket. And a write of the upload that fails first closes the connection without an error for the connection's handler (by reading of the library).

Any other end of its connection is reported as a failure before the decoder hears of it, so that the order in which the event loop sees reset, failed write and end does not matter.

Why it works: a server that ends a connection with received bytes unread resets it; the reset follows the end of the stream closely, or comes while the request is being written.

--- a/daemon/src/main/java/org/gullsaddle/outbound/RequestProgress.java
+++ b/daemon/src/main/java/org/gullsaddle/outbound/RequestProgress.java
@@ -3,8 +3,10 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.LastHttpContent;
 
 /**
  * Observes the one request on a connection, behind the HTTP encoder.
@@ -13,12 +15,26 @@
 
 	private boolean head;
 
+	private boolean body;
+
+	private boolean written;
+
 	@Override
 	public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
 		if (message instanceof HttpRequest request) {
 			this.head = request.method().equals(HttpMethod.HEAD);
 		}
-		context.write(message, promise);
+		if (message instanceof HttpContent content && content.content().isReadable()) {
+			this.body = true;
+		}
+		if (message instanceof LastHttpContent) {
+			ChannelPromise end = promise.unvoid();
+			end.addListener((done) -> this.written = done.isSuccess());
+			context.write(message, end);
+		}
+		else {
+			context.write(message, promise);
+		}
 	}
 
 	/**
@@ -28,4 +44,18 @@
 		return this.head;
 	}
 
+	/**
+	 * Returns whether the request has a body that is not empty.
+	 */
+	boolean hasBody() {
+		return this.body;
+	}
+
+	/**
+	 * Returns whether all of the request was handed to the operating system.
+	 */
+	boolean isWritten() {
+		return this.written;
+	}
+
 }
--- a/daemon/src/test/java/org/gullsaddle/outbound/AnswerHandlerTests.java
+++ b/daemon/src/test/java/org/gullsaddle/outbound/AnswerHandlerTests.java
@@ -96,4 +96,13 @@
 		assertThat(this.channel.isOpen()).isFalse();
 	}
 
+	/** Guards against an answer without a length that counts as whole if it broke off. */
+	@Test
+	void connectionThatBreaksIsNoEnd() {
+		send(HttpMethod.GET);
+		decoded(OK + "\r\npart", 100);
+		this.channel.close();
+		assertThatThrownBy(this.channel::checkException).hasMessageContaining("without a length");
+	}
+
 }
