--- a/daemon/src/main/java/org/gullsaddle/backend/BackendHttp.java
+++ b/daemon/src/main/java/org/gullsaddle/backend/BackendHttp.java
@@ -16,6 +16,7 @@
 import io.vertx.rxjava3.core.http.HttpClientResponse;
 
 import org.gullsaddle.base.Verdict;
+import org.gullsaddle.outbound.AnswerValidator;
 
 /**
  * Calls a backend server over HTTP, and classifies a failed call by whether it may have
@@ -40,8 +41,9 @@
 		// No pipelining and no reuse of connections: for a request written to a
 		// connection
 		// that the server is closing, it would be unknown whether it ran.
-		HttpClientOptions options = new HttpClientOptions().setConnectTimeout(CONNECT_MILLIS).setKeepAlive(false);
-		this.client = vertx.createHttpClient(options, new PoolOptions().setHttp1MaxSize(slots + SPARE_CONNECTIONS));
+		HttpClientOptions options = new HttpClientOptions().setConnectTimeout(CONNECT_MILLIS);
+		this.client = HttpClient.newInstance(AnswerValidator.createClient(vertx.getDelegate(), options,
+				new PoolOptions().setHttp1MaxSize(slots + SPARE_CONNECTIONS)));
 	}
 
 	Flowable<HttpClientResponse> send(HttpMethod method, String path, String contentType, String idempotencyKey,
--- a/daemon/src/main/java/org/gullsaddle/controller/MemberController.java
+++ b/daemon/src/main/java/org/gullsaddle/controller/MemberController.java
@@ -22,6 +22,7 @@
 import org.gullsaddle.base.Address;
 import org.gullsaddle.base.Json;
 import org.gullsaddle.base.NodeId;
+import org.gullsaddle.outbound.AnswerValidator;
 import org.gullsaddle.settings.Role;
 import org.gullsaddle.settings.Settings;
 import org.gullsaddle.wire.Frame;
@@ -81,10 +82,8 @@
 		this.listener = listener;
 		this.leavingListener = leavingListener;
 		// On a kept connection a late second answer would be taken for the next list.
-		this.client = WebClient.create(vertx,
-				new WebClientOptions().setDefaultHost(this.url.getHost())
-					.setDefaultPort(this.url.getPort())
-					.setKeepAlive(false));
+		this.client = AnswerValidator.createWebClient(vertx,
+				new WebClientOptions().setDefaultHost(this.url.getHost()).setDefaultPort(this.url.getPort()));
 	}
 
 	/**
--- a/daemon/src/main/java/org/gullsaddle/entry/RatingClient.java
+++ b/daemon/src/main/java/org/gullsaddle/entry/RatingClient.java
@@ -12,6 +12,7 @@
 import io.vertx.rxjava3.ext.web.client.WebClient;
 
 import org.gullsaddle.base.ModelVersion;
+import org.gullsaddle.outbound.AnswerValidator;
 
 /**
  * Client of the platform's rating service. Thread-safe.
@@ -34,7 +35,7 @@
 		this.url = url;
 		this.timeoutMillis = timeoutMillis;
 		// Nothing in an answer names its call, so a late second one would rate another.
-		this.client = WebClient.create(vertx, new WebClientOptions().setKeepAlive(false));
+		this.client = AnswerValidator.createWebClient(vertx, new WebClientOptions());
 	}
 
 	/**
--- a/daemon/src/main/java/org/gullsaddle/store/EtcdStore.java
+++ b/daemon/src/main/java/org/gullsaddle/store/EtcdStore.java
@@ -14,6 +14,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
@@ -25,6 +26,8 @@
 import io.vertx.rxjava3.ext.web.client.HttpResponse;
 import io.vertx.rxjava3.ext.web.client.WebClient;
 
+import org.gullsaddle.outbound.AnswerValidator;
+
 /**
  * The store by etcd's JSON interface. Thread-safe. Each call has a connection of its own:
  * nothing in an answer names its call, so what follows a whole answer would become the
@@ -55,10 +58,10 @@
 		this.timeoutMillis = timeoutMillis;
 		WebClientOptions options = new WebClientOptions().setDefaultHost(url.getHost())
 			.setDefaultPort(url.getPort())
-			.setConnectTimeout((int) timeoutMillis)
-			.setKeepAlive(false);
-		this.client = WebClient.create(vertx, options);
-		this.watchClient = vertx.createHttpClient(new HttpClientOptions().setKeepAlive(false));
+			.setConnectTimeout((int) timeoutMillis);
+		this.client = AnswerValidator.createWebClient(vertx, options);
+		this.watchClient = HttpClient
+			.newInstance(AnswerValidator.createClient(vertx.getDelegate(), new HttpClientOptions(), new PoolOptions()));
 	}
 
 	@Override
--- a/daemon/src/test/java/org/gullsaddle/entry/RatingClientTests.java
+++ b/daemon/src/test/java/org/gullsaddle/entry/RatingClientTests.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 import org.gullsaddle.base.ModelVersion;
+import org.gullsaddle.store.RawServer;
 import org.gullsaddle.store.StutteringServer;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -59,6 +60,17 @@
 		return rating.get(2 * TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
+	/** Guards against a score in what is no answer. */
+	@ParameterizedTest
+	@ValueSource(
+			strings = { "HTTP/1.1 +200 OK", "HTTP/1.1 200 OK\r\nX Mark: 1", "HTTP/1.1 200 OK\r\nContent-Length : 13" })
+	void scoreOfAnInvalidAnswerIsNone(String head) throws Exception {
+		RawServer raw = new RawServer(this.vertx, head + "\r\n\r\n{\"score\":0.5}");
+		this.client = new RatingClient(io.vertx.rxjava3.core.Vertx.newInstance(this.vertx),
+				Optional.of(URI.create("http://127.0.0.1:" + await(raw.listen()) + "/")), TIMEOUT_MILLIS);
+		assertThat(rating()).isEmpty();
+	}
+
 	/** Guards against an answer that is rated by another one's score. */
 	@ParameterizedTest
 	@ValueSource(booleans = { false, true })
