Answers: bytes without end fill no memory of entries and agents

What could happen: a rating service, store, VM list or backend server that sends a body or a line without end had all of it kept, until a time limit or to the end of the memory.

Cause: WebClient and rxBody keep whole bodies, RecordParser a whole line, without a bound.

Change: the handler before the decoder has a largest body for each client: 64 KB for a score, 16 MB for the store and the list of VMs, 64 MB for a backend server's answer and 1 MB for its probe. Lines are bounded by the parser, to 16 MB for a watch and 1 MB for an event. The gateway's readers bound what they hold by themselves, as before.

That of the VM list and of an event has no test of its own.

--- a/daemon/src/main/java/org/gullsaddle/backend/BackendHttp.java
+++ b/daemon/src/main/java/org/gullsaddle/backend/BackendHttp.java
@@ -32,8 +32,16 @@
 
 	private static final int OK = 200;
 
+	/** Largest answer to a request, in bytes. */
+	private static final long MAX_ANSWER_BYTES = 64 << 20;
+
+	/** Largest answer to a probe, in bytes. */
+	private static final long MAX_PROBE_BYTES = 1 << 20;
+
 	private final HttpClient client;
 
+	private final HttpClient probeClient;
+
 	private final URI url;
 
 	BackendHttp(Vertx vertx, URI url, int slots) {
@@ -43,7 +51,9 @@
 		// that the server is closing, it would be unknown whether it ran.
 		HttpClientOptions options = new HttpClientOptions().setConnectTimeout(CONNECT_MILLIS);
 		this.client = HttpClient.newInstance(AnswerValidator.createClient(vertx.getDelegate(), options,
-				new PoolOptions().setHttp1MaxSize(slots + SPARE_CONNECTIONS)));
+				new PoolOptions().setHttp1MaxSize(slots + SPARE_CONNECTIONS), MAX_ANSWER_BYTES));
+		this.probeClient = HttpClient.newInstance(
+				AnswerValidator.createClient(vertx.getDelegate(), options, new PoolOptions(), MAX_PROBE_BYTES));
 	}
 
 	Flowable<HttpClientResponse> send(HttpMethod method, String path, String contentType, String idempotencyKey,
@@ -68,7 +78,7 @@
 	}
 
 	Single<String> get(String path) {
-		return this.client.rxRequest(options(HttpMethod.GET, path))
+		return this.probeClient.rxRequest(options(HttpMethod.GET, path))
 			.flatMap((request) -> request.rxSend())
 			.flatMap((response) -> (response.statusCode() == OK) ? response.rxBody()
 					: Single
--- a/daemon/src/main/java/org/gullsaddle/backend/EngineBackend.java
+++ b/daemon/src/main/java/org/gullsaddle/backend/EngineBackend.java
@@ -29,6 +29,9 @@
 
 	private static final String DONE_MARKER = "[DONE]";
 
+	/** Largest event of an answer, in bytes. */
+	private static final int MAX_EVENT_BYTES = 1 << 20;
+
 	private static final int OK = 200;
 
 	private static final int MIN_CLIENT_ERROR_STATUS = 400;
@@ -91,6 +94,7 @@
 			return Flowable.error(new BackendException("engine answered " + status, verdict, null));
 		}
 		return RecordParser.newDelimited("\n", response.toFlowable())
+			.maxRecordSize(MAX_EVENT_BYTES)
 			.toFlowable()
 			.map((buffer) -> buffer.toString(StandardCharsets.UTF_8))
 			.concatWith(Flowable
--- a/daemon/src/main/java/org/gullsaddle/controller/MemberController.java
+++ b/daemon/src/main/java/org/gullsaddle/controller/MemberController.java
@@ -43,6 +43,9 @@
 
 	private static final long READ_TIMEOUT_MILLIS = 1000;
 
+	/** Largest list of VMs, in bytes. */
+	private static final long MAX_LIST_BYTES = 16 << 20;
+
 	private final WebClient client;
 
 	private final URI url;
@@ -83,7 +86,8 @@
 		this.leavingListener = leavingListener;
 		// On a kept connection a late second answer would be taken for the next list.
 		this.client = AnswerValidator.createWebClient(vertx,
-				new WebClientOptions().setDefaultHost(this.url.getHost()).setDefaultPort(this.url.getPort()));
+				new WebClientOptions().setDefaultHost(this.url.getHost()).setDefaultPort(this.url.getPort()),
+				MAX_LIST_BYTES);
 	}
 
 	/**
--- a/daemon/src/main/java/org/gullsaddle/entry/RatingClient.java
+++ b/daemon/src/main/java/org/gullsaddle/entry/RatingClient.java
@@ -21,6 +21,9 @@
 
 	private static final long TIMEOUT_MILLIS = 2000;
 
+	/** Largest answer, in bytes: a score needs a few. */
+	private static final long MAX_ANSWER_BYTES = 65_536;
+
 	private final WebClient client;
 
 	private final Optional<URI> url;
@@ -35,7 +38,7 @@
 		this.url = url;
 		this.timeoutMillis = timeoutMillis;
 		// Nothing in an answer names its call, so a late second one would rate another.
-		this.client = AnswerValidator.createWebClient(vertx, new WebClientOptions());
+		this.client = AnswerValidator.createWebClient(vertx, new WebClientOptions(), MAX_ANSWER_BYTES);
 	}
 
 	/**
--- a/daemon/src/main/java/org/gullsaddle/outbound/AnswerHandler.java
+++ b/daemon/src/main/java/org/gullsaddle/outbound/AnswerHandler.java
@@ -30,6 +30,9 @@
 
 	private final RequestProgress request;
 
+	/** Largest body with its framing, in bytes. */
+	private final long maxBodyBytes;
+
 	private final long resetWaitMillis;
 
 	private AnswerHead head = new AnswerHead();
@@ -37,17 +40,20 @@
 	/** The body, null before its head is complete. */
 	private AnswerBody body;
 
+	private long bodyBytes;
+
 	private boolean failed;
 
 	/** Whether an answer without a length ended in order. */
 	private boolean whole;
 
-	AnswerHandler(RequestProgress request) {
-		this(request, RESET_WAIT_MILLIS);
+	AnswerHandler(RequestProgress request, long maxBodyBytes) {
+		this(request, maxBodyBytes, RESET_WAIT_MILLIS);
 	}
 
-	AnswerHandler(RequestProgress request, long resetWaitMillis) {
+	AnswerHandler(RequestProgress request, long maxBodyBytes, long resetWaitMillis) {
 		this.request = request;
+		this.maxBodyBytes = maxBodyBytes;
 		this.resetWaitMillis = resetWaitMillis;
 	}
 
@@ -109,10 +115,10 @@
 				readHead(in, out);
 			}
 			else {
-				out.add(in.readRetainedSlice(this.body.check(in)));
+				readBody(in, out);
 			}
 		}
-		catch (InvalidAnswerException ex) {
+		catch (IOException ex) {
 			this.failed = true;
 			in.skipBytes(in.readableBytes());
 			context.fireExceptionCaught(ex);
@@ -134,4 +140,13 @@
 		out.add(in.readRetainedSlice(bytes));
 	}
 
+	private void readBody(ByteBuf in, List<Object> out) throws IOException {
+		int bytes = this.body.check(in);
+		this.bodyBytes += bytes;
+		if (this.bodyBytes > this.maxBodyBytes) {
+			throw new IOException("the answer is larger than " + this.maxBodyBytes + " bytes");
+		}
+		out.add(in.readRetainedSlice(bytes));
+	}
+
 }
--- a/daemon/src/main/java/org/gullsaddle/outbound/AnswerValidator.java
+++ b/daemon/src/main/java/org/gullsaddle/outbound/AnswerValidator.java
@@ -16,11 +16,14 @@
  * does not belong there.
  *
  * <pre>
- * HttpClient client = AnswerValidator.createClient(vertx, options, new PoolOptions());
+ * HttpClient client = AnswerValidator.createClient(vertx, options, new PoolOptions(), 65_536);
  * </pre>
  */
 public final class AnswerValidator {
 
+	/** Largest body of a client that bounds what it holds by itself. */
+	public static final long UNLIMITED = Long.MAX_VALUE;
+
 	private AnswerValidator() {
 	}
 
@@ -29,13 +32,15 @@
 	 * @param vertx the Vert.x instance
 	 * @param options the client's options
 	 * @param poolOptions how many connections may be open
+	 * @param maxBodyBytes the largest body that is read, with its framing, in bytes
 	 * @return the client
 	 */
-	public static HttpClient createClient(Vertx vertx, HttpClientOptions options, PoolOptions poolOptions) {
+	public static HttpClient createClient(Vertx vertx, HttpClientOptions options, PoolOptions poolOptions,
+			long maxBodyBytes) {
 		return vertx.httpClientBuilder()
 			.with(new HttpClientOptions(options).setKeepAlive(false))
 			.with(poolOptions)
-			.withConnectHandler(AnswerValidator::install)
+			.withConnectHandler((connection) -> install(connection, maxBodyBytes))
 			.build();
 	}
 
@@ -43,10 +48,12 @@
 	 * Creates a web client that validates all answers. It uses each connection once.
 	 * @param vertx the Vert.x instance
 	 * @param options the client's options
+	 * @param maxBodyBytes the largest body that is read, with its framing, in bytes
 	 * @return the client
 	 */
-	public static WebClient createWebClient(io.vertx.rxjava3.core.Vertx vertx, WebClientOptions options) {
-		HttpClient client = createClient(vertx.getDelegate(), options, new PoolOptions());
+	public static WebClient createWebClient(io.vertx.rxjava3.core.Vertx vertx, WebClientOptions options,
+			long maxBodyBytes) {
+		HttpClient client = createClient(vertx.getDelegate(), options, new PoolOptions(), maxBodyBytes);
 		return WebClient.wrap(io.vertx.rxjava3.core.http.HttpClient.newInstance(client), options);
 	}
 
@@ -55,9 +62,13 @@
 	 * @param connection a connection of an HTTP/1.1 client, on which nothing was sent yet
 	 */
 	public static void install(HttpConnection connection) {
+		install(connection, UNLIMITED);
+	}
+
+	private static void install(HttpConnection connection, long maxBodyBytes) {
 		ChannelHandlerContext client = ((ConnectionBase) connection).channelHandlerContext();
 		RequestProgress request = new RequestProgress();
-		client.pipeline().addFirst(new AnswerHandler(request));
+		client.pipeline().addFirst(new AnswerHandler(request, maxBodyBytes));
 		client.pipeline().addBefore(client.name(), null, request);
 	}
 
--- a/daemon/src/main/java/org/gullsaddle/store/EtcdStore.java
+++ b/daemon/src/main/java/org/gullsaddle/store/EtcdStore.java
@@ -39,6 +39,9 @@
 
 	private static final int TOO_MANY_REQUESTS = 429;
 
+	/** Largest answer, and largest message of a watch, in bytes. */
+	private static final int MAX_ANSWER_BYTES = 16 << 20;
+
 	private final WebClient client;
 
 	private final HttpClient watchClient;
@@ -59,9 +62,9 @@
 		WebClientOptions options = new WebClientOptions().setDefaultHost(url.getHost())
 			.setDefaultPort(url.getPort())
 			.setConnectTimeout((int) timeoutMillis);
-		this.client = AnswerValidator.createWebClient(vertx, options);
-		this.watchClient = HttpClient
-			.newInstance(AnswerValidator.createClient(vertx.getDelegate(), new HttpClientOptions(), new PoolOptions()));
+		this.client = AnswerValidator.createWebClient(vertx, options, MAX_ANSWER_BYTES);
+		this.watchClient = HttpClient.newInstance(AnswerValidator.createClient(vertx.getDelegate(),
+				new HttpClientOptions(), new PoolOptions(), AnswerValidator.UNLIMITED));
 	}
 
 	@Override
@@ -121,6 +124,7 @@
 			return Flowable.error(new StoreException("watch answered " + response.statusCode(), false, null));
 		}
 		return RecordParser.newDelimited("\n", response.toFlowable())
+			.maxRecordSize(MAX_ANSWER_BYTES)
 			.toFlowable()
 			.map((buffer) -> buffer.toString(StandardCharsets.UTF_8));
 	}
--- a/daemon/src/test/java/org/gullsaddle/backend/BackendHttpTests.java
+++ b/daemon/src/test/java/org/gullsaddle/backend/BackendHttpTests.java
@@ -23,6 +23,9 @@
 
 	private static final long TIMEOUT_MILLIS = 20_000;
 
+	/** Bytes that both calls take of answers without end, with those in the sockets. */
+	private static final long MOST_BYTES = 120_000_000;
+
 	private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
 
 	@AfterEach
@@ -58,6 +61,17 @@
 		assertThatThrownBy(() -> http.get("/health").blockingGet()).hasMessageContaining("answer is not HTTP");
 	}
 
+	/** Guards against an answer that fills the memory. */
+	@Test
+	void answersWithoutEndAreNotRead() throws Exception {
+		RawServer server = new RawServer(this.vertx, "HTTP/1.1 200 OK\r\n\r\n", "x");
+		BackendHttp http = new BackendHttp(io.vertx.rxjava3.core.Vertx.newInstance(this.vertx),
+				URI.create("http://127.0.0.1:" + await(server.listen())), 1);
+		assertThatThrownBy(() -> send(http).blockingGet()).hasMessageContaining("larger than");
+		assertThatThrownBy(() -> http.get("/health").blockingGet()).hasMessageContaining("larger than");
+		assertThat(server.sentBytes()).isLessThan(MOST_BYTES);
+	}
+
 	@Test
 	void soundAnswerIsRead() throws Exception {
 		assertThat(send(http("HTTP/1.1 200 OK")).blockingGet()).isEqualTo("done");
--- a/daemon/src/test/java/org/gullsaddle/entry/RatingClientTests.java
+++ b/daemon/src/test/java/org/gullsaddle/entry/RatingClientTests.java
@@ -13,6 +13,7 @@
 import io.vertx.core.VertxOptions;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -29,6 +30,9 @@
 	/** Longer than an event loop may stand still on a busy machine, in milliseconds. */
 	private static final long TIMEOUT_MILLIS = 20_000;
 
+	/** Bytes that a client takes of an answer without end, with those in the sockets. */
+	private static final long MOST_BYTES = 20_000_000;
+
 	private static final double ONE_THOUSANDTH = 0.001;
 
 	private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
@@ -71,6 +75,16 @@
 		assertThat(rating()).isEmpty();
 	}
 
+	/** Guards against an answer that fills the memory. */
+	@Test
+	void scoreWithoutEndIsNone() throws Exception {
+		RawServer raw = new RawServer(this.vertx, "HTTP/1.1 200 OK\r\n\r\n{", " ");
+		this.client = new RatingClient(io.vertx.rxjava3.core.Vertx.newInstance(this.vertx),
+				Optional.of(URI.create("http://127.0.0.1:" + await(raw.listen()) + "/")), TIMEOUT_MILLIS);
+		assertThat(rating()).isEmpty();
+		assertThat(raw.sentBytes()).isLessThan(MOST_BYTES);
+	}
+
 	/** Guards against an answer that is rated by another one's score. */
 	@ParameterizedTest
 	@ValueSource(booleans = { false, true })
--- a/daemon/src/test/java/org/gullsaddle/outbound/AnswerHandlerTests.java
+++ b/daemon/src/test/java/org/gullsaddle/outbound/AnswerHandlerTests.java
@@ -23,7 +23,8 @@
 
 	private final RequestProgress request = new RequestProgress();
 
-	private final EmbeddedChannel channel = new EmbeddedChannel(new AnswerHandler(this.request), this.request);
+	private final EmbeddedChannel channel = new EmbeddedChannel(
+			new AnswerHandler(this.request, AnswerValidator.UNLIMITED), this.request);
 
 	private void send(HttpMethod method) {
 		this.channel.writeOutbound(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, "/"));
--- a/daemon/src/test/java/org/gullsaddle/outbound/LateResetTests.java
+++ b/daemon/src/test/java/org/gullsaddle/outbound/LateResetTests.java
@@ -71,7 +71,8 @@
 				@Override
 				protected void initChannel(Channel channel) {
 					channel.pipeline()
-						.addLast(new AnswerHandler(request, WAIT_MILLIS), new HttpClientCodec(), request, end);
+						.addLast(new AnswerHandler(request, AnswerValidator.UNLIMITED, WAIT_MILLIS),
+								new HttpClientCodec(), request, end);
 				}
 
 			});
--- a/daemon/src/test/java/org/gullsaddle/store/InvalidEtcdAnswerTests.java
+++ b/daemon/src/test/java/org/gullsaddle/store/InvalidEtcdAnswerTests.java
@@ -21,6 +21,9 @@
 
 	private static final long TIMEOUT_MILLIS = 20_000;
 
+	/** Bytes that both calls take of answers without end, with those in the sockets. */
+	private static final long MOST_BYTES = 60_000_000;
+
 	private static final String BODY = "{\"header\":{\"revision\":\"7\"},\"succeeded\":true}";
 
 	private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
@@ -51,6 +54,19 @@
 		assertThatThrownBy(() -> store.watch("a", 1).blockingFirst()).cause().isInstanceOf(StoreException.class);
 	}
 
+	/** Guards against an answer that fills the memory. */
+	@Test
+	void answerWithoutEndIsNotRead() throws Exception {
+		RawServer server = new RawServer(this.vertx, "HTTP/1.1 200 OK\r\n\r\n{", " ");
+		EtcdStore store = new EtcdStore(io.vertx.rxjava3.core.Vertx.newInstance(this.vertx),
+				URI.create("http://127.0.0.1:" + await(server.listen())), TIMEOUT_MILLIS);
+		assertThatThrownBy(() -> store.get("a").blockingGet()).cause().isInstanceOf(StoreException.class);
+		assertThatThrownBy(() -> store.watch("a", 1).timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).blockingFirst())
+			.cause()
+			.isInstanceOf(StoreException.class);
+		assertThat(server.sentBytes()).isLessThan(MOST_BYTES);
+	}
+
 	@Test
 	void soundAnswerWithoutALengthIsRead() throws Exception {
 		assertThat(store("HTTP/1.1 200 OK").write("a", 1, List.of(new Put("b", "c"))).blockingGet()).contains(7L);
