--- a/daemon/src/main/java/org/gullsaddle/gateway/ReplicaConnections.java
+++ b/daemon/src/main/java/org/gullsaddle/gateway/ReplicaConnections.java
@@ -68,6 +68,7 @@
 	}
 
 	private static HttpClientConnection validated(HttpClientConnectionInternal connection) {
+		// The default logs a warning for a pool that the connection is not in.
 		connection.evictionHandler((nothing) -> {
 		});
 		AnswerValidator.install(connection);
