Answers: the coding "identity" ends a body with its connection, as before

The strict framing refused "Transfer-Encoding: identity", which servers of older versions send for a body that ends with its connection. Callers would have got 502.

Cause: the check knew no coding but "chunked". Now "identity" alone, in HTTP/1.1 and without a length, is a body without a length, under the same rules at its end.

--- a/daemon/src/main/java/org/gullsaddle/outbound/AnswerHead.java
+++ b/daemon/src/main/java/org/gullsaddle/outbound/AnswerHead.java
@@ -37,6 +37,11 @@
 
 	private static final String TRANSFER_ENCODING = "transfer-encoding";
 
+	private static final String CHUNKED = "chunked";
+
+	/** Coding of older servers for a body that ends with its connection. */
+	private static final String IDENTITY = "identity";
+
 	/** Longest length that is read, in digits. */
 	private static final int MAX_LENGTH_DIGITS = 18;
 
@@ -158,13 +163,14 @@
 	 */
 	AnswerBody body(boolean toHead) throws InvalidAnswerException {
 		check(this.length == null || this.coding == null, "there are both a length and a transfer coding");
-		check(this.coding == null || (!this.old && this.coding.equalsIgnoreCase("chunked")),
+		boolean chunked = CHUNKED.equalsIgnoreCase(this.coding);
+		check(this.coding == null || (!this.old && (chunked || IDENTITY.equalsIgnoreCase(this.coding))),
 				"the transfer coding is unknown");
 		long bytes = (this.length != null) ? parseLength(this.length) : 0;
 		if (toHead || this.status == NO_CONTENT || this.status == NOT_MODIFIED) {
 			return new AnswerBody.Fixed(0);
 		}
-		if (this.coding != null) {
+		if (chunked) {
 			return new ChunkedBody();
 		}
 		return (this.length != null) ? new AnswerBody.Fixed(bytes) : new AnswerBody.UntilClose();
