Crashes: nodes that blame different contents agree on the one at more crashes

Cause, from the logs of the repeats: a request that is retried beside the deadly one is at the same three crashes, and a node blocks whichever ran for less time. So three nodes block up to three contents. A node that blocked the bystander took its crashes for explained and turned down its peers' block of the deadly content, though with their notes that one was at more crashes. Once engines were back it let the deadly content through to them, until it had seen a crash of its own.

Change: a blocked content explains nothing for a content that was at all of its crashes and at more; the latter is blocked and the former let go. If both were at the same crashes, a peer's block is accepted beside the node's own. A node by itself decides as before.

Why it works: after a peer's note all nodes weigh the same crashes, so that the deadly content is blocked by notes, not by further crashes.

CrashModelTests, CrashTrackerTests, LateCrashTests and CrashDetectorTests pass.

Not mended: if no node blames the deadly content in the first wave, and a bystander was at all of its crashes, a second wave begins.

--- a/core/src/main/java/org/gullsaddle/suspect/CrashEvidence.java
+++ b/core/src/main/java/org/gullsaddle/suspect/CrashEvidence.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Function;
+import java.util.stream.Stream;
 
 /**
  * The crashes that any node observed, weighed against the requests that succeeded.
@@ -22,7 +23,9 @@
  * part that was only at crashes of one content is not blamed for them. A blocked trait
  * explains its crashes: they count against a content only if it was also at an
  * unexplained crash of a replica that it reached after the explaining trait had been
- * blocked. If other parts have nearly as many crashes, peers' notes are awaited briefly.
+ * blocked. A blocked content explains nothing for a content that was at all of its
+ * crashes and at more. If other parts have nearly as many crashes, peers' notes are
+ * awaited briefly.
  */
 final class CrashEvidence {
 
@@ -163,14 +166,18 @@
 
 	/**
 	 * Returns whether another blocked trait explains a crash of a content and the
-	 * content's remaining crashes are not sufficient to block it.
+	 * content's remaining crashes are not sufficient to block it. Of two contents that
+	 * were at the same crashes, neither explains the other's: if a peer blocks the other
+	 * one, both stay blocked.
 	 */
 	boolean isExplained(Trait trait) {
 		if (trait.isPart()) {
 			return false;
 		}
 		List<Crash> crashesWithTrait = crashesWith(trait);
-		return crashesWithTrait.stream().anyMatch((crash) -> explainedSince(crash, trait).isPresent())
+		return crashesWithTrait.stream()
+			.flatMap((crash) -> explaining(crash, trait))
+			.anyMatch((other) -> other.isPart() || !isAtAllCrashesOf(other, trait))
 				&& !isSufficient(weigh(trait, crashesWithTrait));
 	}
 
@@ -184,16 +191,35 @@
 
 	/**
 	 * Returns when another trait that explains a crash for this trait was first blocked.
-	 * A blocked content explains a crash for other contents only, as requests with other
-	 * contents may have the same part.
 	 */
 	private OptionalLong explainedSince(Crash crash, Trait trait) {
+		return explaining(crash, trait).map(this.blockedSince).flatMapToLong(OptionalLong::stream).min();
+	}
+
+	/**
+	 * Returns the blocked traits that explain a crash for another trait. A content
+	 * explains it for other contents only, as requests with other contents may have the
+	 * same part.
+	 */
+	private Stream<Trait> explaining(Crash crash, Trait trait) {
 		return crash.traits()
 			.stream()
 			.filter((other) -> !other.equals(trait) && (other.isPart() || !trait.isPart()))
-			.map(this.blockedSince)
-			.flatMapToLong(OptionalLong::stream)
-			.min();
+			.filter((other) -> isBlocked(other) && !isOutweighed(other, trait));
+	}
+
+	/**
+	 * Returns whether a blocked content explains fewer crashes than another content that
+	 * was at all of them. Nodes that have observed different crashes may have blocked
+	 * different contents.
+	 */
+	private boolean isOutweighed(Trait blocked, Trait trait) {
+		return !blocked.isPart() && !trait.isPart() && isAtAllCrashesOf(blocked, trait)
+				&& crashCount(trait) > crashCount(blocked);
+	}
+
+	private boolean isAtAllCrashesOf(Trait blocked, Trait trait) {
+		return this.crashes.values().stream().allMatch((crash) -> crash.hasTrait(trait) || !crash.hasTrait(blocked));
 	}
 
 	/**
--- a/core/src/test/java/org/gullsaddle/suspect/RepeatedContentTests.java
+++ b/core/src/test/java/org/gullsaddle/suspect/RepeatedContentTests.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.gullsaddle.base.Fingerprint;
 
@@ -219,6 +220,98 @@
 
 	}
 
+	@Nested
+	class BesideABlockedBystander {
+
+		private final Trait bystander = content("bystander");
+
+		private final CrashTracker peer = new CrashTracker();
+
+		/**
+		 * Has the node block a request that was retried alongside, as it ran for less
+		 * time. A peer observes other crashes at the same time.
+		 */
+		private void blockTheBystander() {
+			for (int i = 0; i < 3; i++) {
+				Map<Trait, Long> ran = Map.of(POISON, 60L, this.bystander, 30L);
+				RepeatedContentTests.this.tracker.onCrash(i * 400L, new Crash("engine-" + i, i * 400L, ran));
+			}
+			assertThat(isBlocked(this.bystander)).isTrue();
+			assertThat(isBlocked(POISON)).isFalse();
+		}
+
+		private void passNote(long now) {
+			RepeatedContentTests.this.tracker.onNote(now, CLOCK + now,
+					this.peer.buildNote(now, CLOCK + now).orElseThrow());
+		}
+
+		/**
+		 * Guards against a request that crashes replicas through one node only, as this
+		 * node blames another request for the crashes that it observed itself.
+		 */
+		@ParameterizedTest
+		@ValueSource(ints = { 1, 2 })
+		void isBlockedOnceAPeerReportsMoreCrashes(int reported) {
+			blockTheBystander();
+			for (int i = 0; i < reported; i++) {
+				crash(this.peer, 200 + i * 400L, 60, POISON);
+			}
+			passNote(3 * SECOND);
+			assertThat(isBlocked(POISON)).isTrue();
+			assertThat(isBlocked(this.bystander)).isFalse();
+		}
+
+		/** Guards against the same when both requests were at the same crashes. */
+		@Test
+		void isBlockedOnceAPeerBlocksIt() {
+			blockTheBystander();
+			for (int i = 0; i < 3; i++) {
+				this.peer.onCrash(i * 400L, new Crash("engine-" + i, i * 400L, Map.of(POISON, 60L)));
+			}
+			CrashNote before = RepeatedContentTests.this.tracker.buildNote(2 * SECOND, CLOCK).orElseThrow();
+			passNote(2 * SECOND);
+			this.peer.onNote(2 * SECOND, CLOCK, before);
+			assertThat(isBlocked(POISON)).isTrue();
+			assertThat(this.peer.isBlocked(List.of(POISON))).isTrue();
+		}
+
+		/** Guards against the same when a peer blames yet another request. */
+		@Test
+		void isBlockedIfAPeerBlocksAnotherBystander() {
+			blockTheBystander();
+			Trait another = content("another-bystander");
+			for (int i = 0; i < 3; i++) {
+				long at = 50 + i * 350L;
+				this.peer.onCrash(at, new Crash("peer-" + i, at, Map.of(POISON, 60L, another, 30L)));
+			}
+			assertThat(this.peer.isBlocked(List.of(another))).isTrue();
+			passNote(3 * SECOND);
+			assertThat(isBlocked(POISON)).isTrue();
+			assertThat(isBlocked(this.bystander, another)).isFalse();
+		}
+
+		/**
+		 * Guards against unblocking a content for a request that was at some of its
+		 * crashes only.
+		 */
+		@Test
+		void contentStaysBlockedBesideOneThatMissesACrash() {
+			Trait elsewhere = content("elsewhere");
+			for (int i = 0; i < 4; i++) {
+				Trait[] ran = (i > 0) ? new Trait[] { POISON, elsewhere } : new Trait[] { POISON };
+				crash(i * SECOND, ran);
+			}
+			assertThat(isBlocked(POISON)).isTrue();
+			for (int i = 0; i < 2; i++) {
+				crash(this.peer, 1500 + i * 400L, 60, elsewhere);
+			}
+			passNote(6 * SECOND);
+			assertThat(isBlocked(POISON)).isTrue();
+			assertThat(isBlocked(elsewhere)).isFalse();
+		}
+
+	}
+
 	@Nested
 	class DoesNotBlock {
 
