Crashes: a common part is not refused before peers have told of a content

The node that refused the part had seen the deadly content at four of six crashes; at the other two it had run through a peer, whose note came 0.2 s later. The node decided within a millisecond of the sixth crash. Peers take a noted refusal of a part without a look at their own evidence.

Change: for a part with earlier successes the verdict waits for peers' notes, one second as it does for rival parts, while a content was at half of its crashes.

Why it works: in that second the notes come, and the part is then seen to share one content. A deadly part without such a content is refused as soon as before.

Ruled out: a wait for each part with earlier successes, which delays true verdicts, too (CrashTrackerTests.TraitWithEarlierSuccess).

Tests: RepeatedContentTests.DoesNotBlock. partsWhoseCrashesPeersHaveYetToReport fails without the change. CrashModelTests, CrashTrackerTests, LateCrashTests and CrashDetectorTests pass.

--- a/core/src/main/java/org/gullsaddle/suspect/CrashEvidence.java
+++ b/core/src/main/java/org/gullsaddle/suspect/CrashEvidence.java
@@ -24,8 +24,8 @@
  * explains its crashes: they count against a content only if it was also at an
  * unexplained crash of a replica that it reached after the explaining trait had been
  * blocked. A blocked content explains nothing for a content that was at all of its
- * crashes and at more. If other parts have nearly as many crashes, peers' notes are
- * awaited briefly.
+ * crashes and at more. If other parts have nearly as many crashes, or a content was at
+ * half of the crashes of a part with earlier successes, peers' notes are awaited briefly.
  */
 final class CrashEvidence {
 
@@ -236,7 +236,8 @@
 	 * Returns the evidence against the trait to block next, if any is sufficient.
 	 */
 	Optional<TraitEvidence> findNextToBlock(long now) {
-		List<TraitEvidence> evidence = crashesByTrait().entrySet()
+		Map<Trait, List<Crash>> byTrait = crashesByTrait();
+		List<TraitEvidence> evidence = byTrait.entrySet()
 			.stream()
 			.filter((suspect) -> suspect.getValue().size() > 1 && !isBlocked(suspect.getKey()))
 			.map((suspect) -> weigh(suspect.getKey(), suspect.getValue()))
@@ -251,7 +252,8 @@
 				.thenComparing(TraitEvidence::totalRunMillis)
 				.thenComparing(TraitEvidence::trait))
 			.filter((strongest) -> now - this.sufficientSince.get(strongest.trait()) >= RIVAL_WAIT_MILLIS
-					|| evidence.stream().noneMatch((other) -> isRival(other, strongest)));
+					|| (evidence.stream().noneMatch((other) -> isRival(other, strongest))
+							&& !hasRivalContent(strongest, byTrait)));
 	}
 
 	/**
@@ -276,6 +278,21 @@
 				&& !other.hadSuccess() && other.crashCount() >= strongest.crashCount() - 1;
 	}
 
+	/**
+	 * Returns whether one content may turn out to be at all crashes of a part with
+	 * earlier successes.
+	 * @param byTrait the crashes of each trait
+	 */
+	private static boolean hasRivalContent(TraitEvidence strongest, Map<Trait, List<Crash>> byTrait) {
+		Trait part = strongest.trait();
+		return part.isPart() && strongest.hadSuccess()
+				&& byTrait.entrySet()
+					.stream()
+					.filter((other) -> !other.getKey().isPart())
+					.mapToLong((other) -> other.getValue().stream().filter((crash) -> crash.hasTrait(part)).count())
+					.anyMatch((shared) -> 2 * shared >= strongest.crashCount());
+	}
+
 	private boolean isSufficient(TraitEvidence one) {
 		return one.crashCount() >= crashThreshold(one.trait(), one.hadSuccess()) && !one.sharesOneContent()
 				&& (!one.hadSuccess() || this.successes.hasSuccessWithoutSince(one.trait(), one.firstCrashAt()));
--- a/core/src/test/java/org/gullsaddle/suspect/RepeatedContentTests.java
+++ b/core/src/test/java/org/gullsaddle/suspect/RepeatedContentTests.java
@@ -4,6 +4,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Nested;
@@ -339,6 +341,34 @@
 			assertThat(isBlocked(bystander)).isFalse();
 		}
 
+		/**
+		 * Guards against blocking a common part because peers have not yet reported that
+		 * one request was at all of its crashes.
+		 */
+		@Test
+		void partsWhoseCrashesPeersHaveYetToReport() {
+			onSuccess(0, SYSTEM, SUBJECT);
+			CrashTracker peer = new CrashTracker();
+			for (int i = 1; i <= 6; i++) {
+				long at = i * SECOND;
+				Set<Trait> ran = (i <= 4) ? Set.of(SUBJECT, POISON) : Set.of(SUBJECT);
+				RepeatedContentTests.this.tracker.onCrash(at, crashOf("engine-" + i, at, ran));
+				peer.onCrash(at, crashOf("engine-" + i, at, Set.of(POISON)));
+				onSuccess(at + 500, SYSTEM, content("sound-" + i));
+			}
+			RepeatedContentTests.this.tracker.reevaluate(6 * SECOND + 600);
+			assertThat(isBlocked(SUBJECT)).isFalse();
+			RepeatedContentTests.this.tracker.onNote(6 * SECOND + 700, CLOCK,
+					peer.buildNote(6 * SECOND + 700, CLOCK).orElseThrow());
+			RepeatedContentTests.this.tracker.reevaluate(9 * SECOND);
+			assertThat(isBlocked(SUBJECT)).isFalse();
+			assertThat(isBlocked(POISON)).isTrue();
+		}
+
+		private static Crash crashOf(String process, long at, Set<Trait> traits) {
+			return new Crash(process, at, traits.stream().collect(Collectors.toMap((trait) -> trait, (trait) -> 60L)));
+		}
+
 		/**
 		 * Guards against blocking a part under one model for the one request that has it.
 		 */
